Set down the shape: folders, core types, ports and one path end to end

A request goes from a caller over HTTP/1.1 through an entry VM's process to an upstream stand-in and back; configuration and the list of VMs come from a stand-in of the platform's store by watches.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+SANITIZE ?=
+BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
+JOBS ?= $(shell nproc)
+
+.PHONY: all packages build check-format format lint test
+
+all: build
+
+packages:
+	@dpkg -s $$(cat tools/packages.txt) >/dev/null 2>&1 || \
+	  (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $$(cat tools/packages.txt))
+
+build:
+	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE=$(SANITIZE) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+check-format:
+	@tools/format.sh
+
+format:
+	@tools/format.sh --fix
+
+lint: build
+	@JOBS=$(JOBS) tools/lint.sh $(BUILD)
+
+test: packages check-format build lint
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
--- /dev/null
+++ b/src/app/entryvmprocess.cpp
@@ -0,0 +1,87 @@
+#include "app/entryvmprocess.h"
+
+#include "jsoncodec/jsoncodec.h"
+
+#include <csignal>
+
+namespace App {
+
+namespace {
+
+    constexpr auto steeringDocumentName = "steering/document";
+    constexpr auto fleetListName = "fleet/list";
+    const Ports::EventKind processStarted { "process.started" };
+    const Ports::EventKind processStopped { "process.stopped" };
+    const Ports::EventKind configurationTaken { "configuration.taken" };
+    const Ports::EventKind configurationRefused { "configuration.refused" };
+    const Ports::EventKind fleetTaken { "fleet.taken" };
+    const Ports::EventKind fleetRefused { "fleet.refused" };
+
+} // namespace
+
+EntryVmProcess::EntryVmProcess(const ServeSettings& settings)
+    : m_runtime(settings.threads)
+    , m_events(settings.id.value(), m_clock)
+    , m_client(m_runtime.context())
+    , m_store(m_client, settings.store)
+    , m_upstreams(m_client, m_clock)
+    , m_documentFollower(std::make_shared<Configuration::ObjectFollower>(m_store, m_runtime, steeringDocumentName,
+          [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
+    , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
+          m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
+    , m_dispatcher({ m_clock, m_upstreams, m_fleet }, settings.failureDomain)
+    , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_events })
+    , m_front(m_requests, m_clock, m_random)
+    , m_server(m_runtime.context(), settings.listen, m_front)
+    , m_signals(m_runtime.context(), SIGTERM, SIGINT)
+{
+}
+
+EntryVmProcess::~EntryVmProcess() = default;
+
+auto EntryVmProcess::run() -> void
+{
+    m_events.record({ processStarted, {}, { { "port", std::to_string(m_server.port()) } } });
+    m_documentFollower->start();
+    m_fleetFollower->start();
+    m_signals.async_wait([this](boost::system::error_code error, int) {
+        if (!error)
+            shutDown();
+    });
+    m_runtime.run();
+    m_events.record({ processStopped, {}, {} });
+}
+
+auto EntryVmProcess::takeSteeringDocument(const Ports::StoredObject& object) -> void
+{
+    auto configuration = JsonCodec::parseSteeringDocument(object.text, object.version);
+    const auto version = std::to_string(object.version.value());
+    if (!configuration) {
+        m_events.record(
+            { configurationRefused, {}, { { "version", version }, { "error", describe(configuration.error()) } } });
+        return;
+    }
+    if (m_configuration.offer(std::move(*configuration)))
+        m_events.record({ configurationTaken, {}, { { "version", version } } });
+}
+
+auto EntryVmProcess::takeFleetList(const Ports::StoredObject& object) -> void
+{
+    auto list = JsonCodec::parseFleetList(object.text, object.version);
+    const auto version = std::to_string(object.version.value());
+    if (!list) {
+        m_events.record({ fleetRefused, {}, { { "version", version }, { "error", describe(list.error()) } } });
+        return;
+    }
+    if (m_fleet.offer(std::move(*list)))
+        m_events.record({ fleetTaken, {}, { { "version", version } } });
+}
+
+auto EntryVmProcess::shutDown() -> void
+{
+    m_documentFollower->stop();
+    m_fleetFollower->stop();
+    m_server.shutDown([this] { m_runtime.stop(); });
+}
+
+} // namespace App
--- /dev/null
+++ b/src/app/entryvmprocess.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "app/servesettings.h"
+#include "configuration/configurationholder.h"
+#include "configuration/objectfollower.h"
+#include "dispatch/fifodispatcher.h"
+#include "eventlog/eventlog.h"
+#include "fleet/fleetholder.h"
+#include "httpclient/httpclient.h"
+#include "httpfront/httpfront.h"
+#include "httpserver/httpserver.h"
+#include "httpstore/httpobjectstore.h"
+#include "httpupstream/httpupstreamclient.h"
+#include "runtime/asioruntime.h"
+#include "serving/requestservice.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace App {
+
+/// Owns and connects everything that runs in the process of one entry VM.
+class EntryVmProcess {
+public:
+    explicit EntryVmProcess(const ServeSettings& settings);
+    ~EntryVmProcess();
+
+    /// Serves until a signal asks for a graceful shutdown that has ended.
+    auto run() -> void;
+
+private:
+    auto takeSteeringDocument(const Ports::StoredObject& object) -> void;
+    auto takeFleetList(const Ports::StoredObject& object) -> void;
+    auto shutDown() -> void;
+
+    Runtime::SystemClock m_clock;
+    Runtime::SystemRandom m_random;
+    Runtime::AsioRuntime m_runtime;
+    EventLog::EventLog m_events;
+    HttpClient::Client m_client;
+    HttpStore::HttpObjectStore m_store;
+    HttpUpstream::HttpUpstreamClient m_upstreams;
+    Configuration::ConfigurationHolder m_configuration;
+    Fleet::FleetHolder m_fleet;
+    std::shared_ptr<Configuration::ObjectFollower> m_documentFollower;
+    std::shared_ptr<Configuration::ObjectFollower> m_fleetFollower;
+    Dispatch::FifoDispatcher m_dispatcher;
+    Serving::RequestService m_requests;
+    HttpFront::HttpFront m_front;
+    HttpServer::Server m_server;
+    boost::asio::signal_set m_signals;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/app/servecommand.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "app/command.h"
+
+namespace App {
+
+/// Runs the entry VM's process until SIGTERM or SIGINT.
+class ServeCommand : public Command {
+public:
+    [[nodiscard]] auto name() const -> std::string override;
+    [[nodiscard]] auto summary() const -> std::string override;
+    auto run(const std::vector<std::string>& arguments) -> ExitCode override;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/libs/core/incarnation.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Core {
+
+/// Random 128-bit id that an entry VM draws at each start.
+struct Incarnation {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(const Incarnation&, const Incarnation&) -> std::strong_ordering = default;
+};
+
+/// Returns 32 lower-case hexadecimal digits.
+auto toString(const Incarnation& incarnation) -> std::string;
+/// Parses the result of toString(); empty when the text is anything else.
+auto parseIncarnation(std::string_view text) -> std::optional<Incarnation>;
+
+} // namespace Core
--- /dev/null
+++ b/src/libs/core/request.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/refusal.h"
+#include "core/requestkey.h"
+#include "core/units.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace Core {
+
+/// Request of a caller for a service, independent of the front end that decoded it.
+struct ServiceRequest {
+    RequestId id;
+    ServiceId service;
+    CallerId caller;
+    /// Time after which the caller no longer wants the answer.
+    Instant deadline;
+    /// Required for services that are not idempotent.
+    std::optional<RequestKey> key;
+    /// What the upstream is asked to do; opaque to the system.
+    std::string operation;
+    std::string body;
+    /// Entry VMs that the request has passed before this one.
+    std::uint32_t hops = 0;
+};
+
+/// Whole answer of an upstream.
+struct Answer {
+    RequestId id;
+    UpstreamId upstream;
+    /// Status as the upstream gave it, in the upstream's own code.
+    int status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+using Reply = std::variant<Answer, Refusal>;
+using ReplyCallback = std::function<void(Reply)>;
+
+} // namespace Core
--- /dev/null
+++ b/src/libs/dispatch/dispatcher.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "configuration/servicepolicy.h"
+#include "core/request.h"
+
+namespace Dispatch {
+
+/// Runs a request on an upstream of this entry VM's failure domain.
+class Dispatcher {
+public:
+    virtual ~Dispatcher() = default;
+    /// Calls back exactly once, from any thread. A NotRun refusal means that no upstream started the request.
+    virtual auto dispatch(
+        Core::ServiceRequest request, const Configuration::ServicePolicy& policy, Core::ReplyCallback callback) -> void
+        = 0;
+};
+
+} // namespace Dispatch
--- /dev/null
+++ b/src/libs/ports/requesthandler.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/request.h"
+
+#include <vector>
+
+namespace Ports {
+
+/// Question of a caller which entry VMs to use.
+struct LookupQuery {
+    Core::ServiceId service;
+    /// Address of the caller's block of clients, for example "203.0.113.7"; empty when unknown.
+    std::string client;
+};
+
+/// One entry VM in a look-up answer.
+struct LookupTarget {
+    Core::EntryVmId vm;
+    Core::Address address;
+    Core::FailureDomainId failureDomain;
+    /// Share of the caller's requests that should go here, 0 to 1.
+    Core::Share weight;
+    /// Prefix of idempotency keys whose home is this VM; empty when the VM has not told it yet.
+    std::string keyPrefix;
+};
+
+struct LookupAnswer {
+    std::vector<LookupTarget> targets;
+    /// Time for which callers may cache the answer.
+    Core::Millis lifetime { 0 };
+};
+
+/// What front ends call: the same decisions behind any wire protocol.
+class RequestHandler {
+public:
+    virtual ~RequestHandler() = default;
+    virtual auto lookup(const LookupQuery& query) -> Core::Result<LookupAnswer> = 0;
+    /// Calls back exactly once.
+    virtual auto handle(Core::ServiceRequest request, Core::ReplyCallback callback) -> void = 0;
+};
+
+} // namespace Ports
--- /dev/null
+++ b/src/libs/ports/scheduler.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/units.h"
+
+#include <functional>
+#include <memory>
+
+namespace Ports {
+
+/// Owner of a scheduled task; cancels the task when destroyed.
+class Timer {
+public:
+    virtual ~Timer() = default;
+    /// A task that is already running is not stopped.
+    virtual auto cancel() -> void = 0;
+};
+
+/// Runs tasks on the process's threads, now or later.
+class Scheduler {
+public:
+    using Task = std::function<void()>;
+
+    virtual ~Scheduler() = default;
+    virtual auto post(Task task) -> void = 0;
+    [[nodiscard]] virtual auto after(Core::Duration delay, Task task) -> std::unique_ptr<Timer> = 0;
+};
+
+} // namespace Ports
--- /dev/null
+++ b/src/plugins/httpclient/httpclient.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <tl/expected.hpp>
+
+namespace HttpClient {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// How far a failed exchange had come.
+enum class FailureStage : std::uint8_t {
+    /// No byte of the request was written.
+    BeforeWrite,
+    /// Bytes were written; the server may have acted on them.
+    AfterWrite,
+    /// As AfterWrite, and the time allowed for the exchange passed.
+    TimedOut,
+    /// The response was not valid HTTP or too large.
+    InvalidResponse,
+};
+
+struct Failure {
+    FailureStage stage = FailureStage::BeforeWrite;
+    bool reusedConnection = false;
+    std::string detail;
+};
+
+struct Exchange {
+    HttpResponse response;
+    bool reusedConnection = false;
+};
+
+struct Call {
+    Core::Address address;
+    HttpRequest request;
+    Core::Duration timeout {};
+};
+
+struct Limits {
+    Core::Bytes maximumBody { 4 * 1024 * 1024 };
+    std::size_t idleConnectionsPerAddress = 64;
+    Core::Millis connectTimeout { 1000 };
+};
+
+/// HTTP/1.1 client with a pool of idle connections for each address. A connection whose exchange failed is closed.
+class Client {
+public:
+    using Callback = std::function<void(tl::expected<Exchange, Failure>)>;
+
+    explicit Client(boost::asio::io_context& context, Limits limits = {});
+    ~Client();
+
+    /// Calls back exactly once.
+    auto send(Call call, Callback callback) -> void;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace HttpClient
--- /dev/null
+++ b/src/plugins/httpfront/replyencoding.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "httpserver/httpserver.h"
+#include "ports/requesthandler.h"
+
+namespace HttpFront {
+
+/// HTTP response to a service request.
+auto encodeReply(const Core::RequestId& id, Core::Reply reply) -> HttpServer::HttpResponse;
+/// Problem details (RFC 9457) for a refusal.
+auto encodeRefusal(const Core::RequestId& id, const Core::Refusal& refusal) -> HttpServer::HttpResponse;
+auto encodeLookup(const Core::Result<Ports::LookupAnswer>& answer) -> HttpServer::HttpResponse;
+auto encodeError(const Core::Error& error) -> HttpServer::HttpResponse;
+
+} // namespace HttpFront
--- /dev/null
+++ b/src/plugins/httpserver/httpserver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/units.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+
+namespace HttpServer {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Answers decoded HTTP requests.
+class HttpHandler {
+public:
+    using Respond = std::function<void(HttpResponse)>;
+
+    virtual ~HttpHandler() = default;
+    /// Must call respond exactly once, from any thread.
+    virtual auto handle(HttpRequest request, Respond respond) -> void = 0;
+    /// Response to a request that could not be parsed.
+    virtual auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpResponse = 0;
+};
+
+struct Limits {
+    Core::Bytes maximumHeader { 16 * 1024 };
+    Core::Bytes maximumBody { 1024 * 1024 };
+    /// Time for which a connection may be idle, or take to send one request.
+    Core::Millis idleTimeout { 60'000 };
+};
+
+/// HTTP/1.1 server on one listening socket.
+class Server {
+public:
+    /// Listens at once. Throws boost::system::system_error when the address cannot be bound.
+    Server(boost::asio::io_context& context, const Core::Address& address, HttpHandler& handler, Limits limits = {});
+    ~Server();
+
+    /// Port that the server listens on; useful when the address gave port 0.
+    [[nodiscard]] auto port() const -> std::uint16_t;
+    /// Accepts no more connections, closes idle ones, and calls back when the last request in flight was answered.
+    auto shutDown(std::function<void()> done) -> void;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace HttpServer
--- /dev/null
+++ b/src/plugins/runtime/asioruntime.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "ports/clock.h"
+#include "ports/randomsource.h"
+#include "ports/scheduler.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace Runtime {
+
+/// Monotonic and wall clock of the operating system.
+class SystemClock : public Ports::Clock {
+public:
+    [[nodiscard]] auto now() const -> Core::Instant override;
+    [[nodiscard]] auto wallTime() const -> Core::WallTime override;
+};
+
+/// Generator seeded by the operating system.
+class SystemRandom : public Ports::RandomSource {
+public:
+    auto next() -> std::uint64_t override;
+
+private:
+    std::mutex m_mutex;
+    std::mt19937_64 m_engine { std::random_device {}() ^ (static_cast<std::uint64_t>(std::random_device {}()) << 32U) };
+};
+
+/// Fixed pool of threads that run one io_context.
+class AsioRuntime : public Ports::Scheduler {
+public:
+    explicit AsioRuntime(std::size_t threadCount);
+    ~AsioRuntime() override;
+
+    auto post(Task task) -> void override;
+    [[nodiscard]] auto after(Core::Duration delay, Task task) -> std::unique_ptr<Ports::Timer> override;
+
+    auto context() -> boost::asio::io_context& { return m_context; }
+    /// Blocks until stop() was called and all threads ended.
+    auto run() -> void;
+    auto stop() -> void;
+
+private:
+    std::size_t m_threadCount;
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+};
+
+} // namespace Runtime
--- /dev/null
+++ b/tests/standins/blockingclient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace StandIns {
+
+struct HttpReply {
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+struct HttpCall {
+    Core::Address address;
+    std::string method = "GET";
+    std::string target;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/// Sends one HTTP request on a new connection and waits at most 15 s; empty when the exchange failed.
+auto exchange(const HttpCall& call) -> std::optional<HttpReply>;
+
+} // namespace StandIns
--- /dev/null
+++ b/tests/standins/childprocess.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace StandIns {
+
+/// Process started by a test; killed when the object is destroyed. Collects the lines of its standard output.
+class ChildProcess {
+public:
+    /// Throws std::runtime_error when the program cannot be started.
+    ChildProcess(const std::string& program, std::vector<std::string> arguments);
+    ~ChildProcess();
+    ChildProcess(const ChildProcess&) = delete;
+    auto operator=(const ChildProcess&) -> ChildProcess& = delete;
+
+    auto signal(int number) -> void;
+    /// Waits for the end and returns the exit code, or 128 plus the signal's number.
+    auto wait() -> int;
+    [[nodiscard]] auto lines() const -> std::vector<std::string>;
+    /// Waits until a line contains the text and returns the line; throws std::runtime_error after 20 s.
+    [[nodiscard]] auto waitForLine(const std::string& text) const -> std::string;
+
+private:
+    auto readLines(int descriptor) -> void;
+
+    pid_t m_pid = -1;
+    bool m_hasEnded = false;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_lines;
+    std::thread m_reader;
+};
+
+} // namespace StandIns
