--- /dev/null
+++ b/src/libs/ledger/bookinggate.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "configuration/servicepolicy.h"
+#include "core/request.h"
+
+namespace Ledger {
+
+/// Passes non-idempotent requests on at most once for each idempotency key.
+class BookingGate {
+public:
+    virtual ~BookingGate() = default;
+    /// Calls back exactly once, from any thread.
+    virtual auto execute(
+        Core::ServiceRequest request, const Configuration::ServicePolicy& policy, Core::ReplyCallback callback) -> void
+        = 0;
+};
+
+/// Gives out prefixes for idempotency keys whose home is this entry VM.
+class KeyPrefixSource {
+public:
+    virtual ~KeyPrefixSource() = default;
+    /// Empty while no keys are taken.
+    [[nodiscard]] virtual auto currentPrefix() const -> std::string = 0;
+};
+
+} // namespace Ledger
