Add a typed catalogue of settings with all problems reported at once

Settings were read by Boost.Program_options alone, which stops at the first problem, accepts abbreviated flags and ignores unknown variables. A catalogue now names each setting with its rule, default and occurrence; the resolution takes flag before environment before default and lists every problem with its remedy. 'dragonflywinch settings' prints the effective values and sources. Peer seeds, an admin address, the time line's size, the log level and a bound of connections are settings from here on.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,7 +1,8 @@
+#include "app/commandline.h"
 #include "app/servecommand.h"
+#include "app/settingscommand.h"
 
 #include <iostream>
-#include <memory>
 
 namespace {
 
@@ -9,35 +10,14 @@
 {
     std::vector<std::unique_ptr<App::Command>> commands;
     commands.push_back(std::make_unique<App::ServeCommand>());
+    commands.push_back(std::make_unique<App::SettingsCommand>());
     return commands;
 }
 
-auto printUsage(const std::vector<std::unique_ptr<App::Command>>& commands) -> void
-{
-    std::cout << "usage: dragonflywinch COMMAND [OPTION...]\n\n";
-    for (const auto& command : commands)
-        std::cout << "  " << command->name() << "\t" << command->summary() << '\n';
-}
+} // namespace
 
-auto run(const std::vector<std::string>& arguments) -> App::ExitCode
+auto main(int argc, char** argv) -> int
 {
-    const auto commands = allCommands();
-    if (arguments.empty() || arguments.front() == "--help") {
-        printUsage(commands);
-        return arguments.empty() ? App::ExitCode::InvalidUsage : App::ExitCode::Success;
-    }
-    if (arguments.front() == "--version") {
-        std::cout << "dragonflywinch " << DRAGONFLYWINCH_VERSION << '\n';
-        return App::ExitCode::Success;
-    }
-    for (const auto& command : commands) {
-        if (command->name() == arguments.front())
-            return command->run({ arguments.begin() + 1, arguments.end() });
-    }
-    std::cerr << "unknown command '" << arguments.front() << "'; see 'dragonflywinch --help'\n";
-    return App::ExitCode::InvalidUsage;
+    App::CommandLine commandLine(allCommands(), { std::cout, std::cerr });
+    return static_cast<int>(commandLine.run({ argv + 1, argv + argc }));
 }
-
-} // namespace
-
-auto main(int argc, char** argv) -> int { return static_cast<int>(run({ argv + 1, argv + argc })); }
--- a/src/app/servecommand.h
+++ b/src/app/servecommand.h
@@ -9,6 +9,7 @@
 public:
     [[nodiscard]] auto name() const -> std::string override;
     [[nodiscard]] auto summary() const -> std::string override;
+    [[nodiscard]] auto help() const -> std::string override;
     auto run(const std::vector<std::string>& arguments) -> ExitCode override;
 };
 
--- a/src/app/servesettings.cpp
+++ b/src/app/servesettings.cpp
@@ -1,59 +1,102 @@
 #include "app/servesettings.h"
 
-#include <algorithm>
-#include <boost/program_options.hpp>
+#include "settingsoptions/settingsoptions.h"
 
 namespace App {
 
 namespace {
 
-    namespace po = boost::program_options;
+    using Settings::AddressRule;
+    using Settings::Occurrence;
+    using Settings::Setting;
+    using Settings::SettingName;
 
-    constexpr std::size_t defaultThreads = 2;
-    constexpr std::string_view environmentPrefix = "DRAGONFLYWINCH_";
+    constexpr std::int64_t maximumThreads = 64;
+    constexpr std::int64_t minimumTimeline = 256;
+    constexpr std::int64_t maximumTimeline = 100'000;
+    constexpr std::int64_t maximumConnectionLimit = 100'000;
 
-    auto description() -> po::options_description
+    auto identity() -> std::vector<Setting>
     {
-        po::options_description options("serve");
-        auto add = options.add_options();
-        add("id", po::value<std::string>()->required(), "name of this entry VM");
-        add("failure-domain", po::value<std::string>()->required(), "failure domain of this entry VM");
-        add("region", po::value<std::string>()->required(), "region of this entry VM");
-        add("listen", po::value<std::string>()->required(), "IP:PORT for callers");
-        add("peer-listen", po::value<std::string>()->required(), "IP:PORT for other entry VMs");
-        add("store", po::value<std::string>()->required(), "IP:PORT of the platform's object API");
-        add("threads", po::value<std::size_t>()->default_value(defaultThreads), "threads, 1 to 64");
-        return options;
+        const auto identifier = std::make_shared<Settings::IdentifierRule>();
+        return {
+            { SettingName("id"), "name of this entry VM", identifier, Occurrence::Required, {} },
+            { SettingName("failure-domain"), "failure domain of this entry VM", identifier, Occurrence::Required, {} },
+            { SettingName("region"), "region of this entry VM", identifier, Occurrence::Required, {} },
+        };
     }
 
-    auto optionFor(const std::string& variable) -> std::string
+    auto addresses() -> std::vector<Setting>
     {
-        if (!variable.starts_with(environmentPrefix))
-            return {};
-        auto option = variable.substr(environmentPrefix.size());
-        std::transform(option.begin(), option.end(), option.begin(), [](unsigned char character) {
-            return character == '_' ? '-' : static_cast<char>(std::tolower(character));
-        });
-        return option;
+        const auto own = std::make_shared<AddressRule>(AddressRule::PortZero::Allowed);
+        const auto other = std::make_shared<AddressRule>(AddressRule::PortZero::Refused);
+        return {
+            { SettingName("listen"), "address for callers", own, Occurrence::Required, {} },
+            { SettingName("peer-listen"), "address for other entry VMs", own, Occurrence::Required, {} },
+            { SettingName("store"), "address of the platform's object API", other, Occurrence::Required, {} },
+            { SettingName("peer"), "peer address of an entry VM to contact first", other, Occurrence::Repeated, {} },
+            { SettingName("admin-listen"), "further address for metrics, time line and log level", own,
+                Occurrence::Optional, {} },
+        };
+    }
+
+    auto resources() -> std::vector<Setting>
+    {
+        using Settings::IntegerRule;
+        return {
+            { SettingName("threads"), "threads of the process", std::make_shared<IntegerRule>(1, maximumThreads),
+                Occurrence::Optional, "2" },
+            { SettingName("maximum-connections"), "connections of callers that are open at the same time",
+                std::make_shared<IntegerRule>(1, maximumConnectionLimit), Occurrence::Optional, "4096" },
+            { SettingName("timeline-capacity"), "events that the time line holds",
+                std::make_shared<IntegerRule>(minimumTimeline, maximumTimeline), Occurrence::Optional, "8192" },
+            { SettingName("log-level"), "least severe level that is logged",
+                std::make_shared<Settings::ChoiceRule>(
+                    std::vector<std::string> { "debug", "info", "warning", "error" }),
+                Occurrence::Optional, "info" },
+        };
+    }
+
+    auto allSettings() -> std::vector<Setting>
+    {
+        auto settings = identity();
+        for (auto&& group : { addresses(), resources() })
+            settings.insert(settings.end(), group.begin(), group.end());
+        return settings;
     }
 
 } // namespace
 
-auto parseServeSettings(const std::vector<std::string>& arguments) -> Core::Result<ServeSettings>
+auto serveCatalogue() -> const Settings::Catalogue&
 {
-    try {
-        const auto options = description();
-        po::variables_map values;
-        po::store(po::command_line_parser(arguments).options(options).run(), values);
-        po::store(po::parse_environment(options, optionFor), values);
-        po::notify(values);
-        const auto text = [&values](const char* name) { return values[name].as<std::string>(); };
-        return ServeSettings { Core::EntryVmId(text("id")), Core::FailureDomainId(text("failure-domain")),
-            Core::RegionId(text("region")), Core::Address(text("listen")), Core::Address(text("peer-listen")),
-            Core::Address(text("store")), values["threads"].as<std::size_t>() };
-    } catch (const po::error& error) {
-        return Core::fail(Core::ErrorKind::InvalidArgument, error.what(), "see 'dragonflywinch serve --help'");
-    }
+    static const Settings::Catalogue catalogue(allSettings());
+    return catalogue;
+}
+
+auto resolveServeSettings(const std::vector<std::string>& arguments) -> Settings::Resolution
+{
+    auto given = SettingsOptions::parseFlags(serveCatalogue(), arguments);
+    given.environment = SettingsOptions::readEnvironment();
+    return Settings::resolve(serveCatalogue(), given);
+}
+
+auto typedServeSettings(const Settings::Resolution& resolution) -> ServeSettings
+{
+    ServeSettings settings;
+    settings.id = Core::EntryVmId(resolution.text("id"));
+    settings.failureDomain = Core::FailureDomainId(resolution.text("failure-domain"));
+    settings.region = Core::RegionId(resolution.text("region"));
+    settings.listen = Core::Address(resolution.text("listen"));
+    settings.peerListen = Core::Address(resolution.text("peer-listen"));
+    settings.store = Core::Address(resolution.text("store"));
+    settings.threads = static_cast<std::size_t>(resolution.integer("threads"));
+    for (const auto& peer : resolution.list("peer"))
+        settings.peers.emplace_back(peer);
+    settings.adminListen = Core::Address(resolution.text("admin-listen"));
+    settings.logLevel = resolution.text("log-level");
+    settings.timelineCapacity = static_cast<std::size_t>(resolution.integer("timeline-capacity"));
+    settings.maximumConnections = static_cast<std::size_t>(resolution.integer("maximum-connections"));
+    return settings;
 }
 
 } // namespace App
--- a/src/app/servesettings.h
+++ b/src/app/servesettings.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "core/error.h"
 #include "core/ids.h"
+#include "settings/resolution.h"
 
 #include <string>
 #include <vector>
 
 namespace App {
 
-/// Settings of the serve command.
+/// Typed settings of the serve command.
 struct ServeSettings {
     Core::EntryVmId id;
     Core::FailureDomainId failureDomain;
@@ -17,9 +17,24 @@
     Core::Address peerListen;
     Core::Address store;
     std::size_t threads = 0;
+    /// Peer addresses of entry VMs to contact first; may be empty.
+    std::vector<Core::Address> peers;
+    /// Separate address for metrics, time line and log level; empty serves them on the callers' address only.
+    Core::Address adminListen;
+    std::string logLevel;
+    /// Events that the time line holds.
+    std::size_t timelineCapacity = 0;
+    /// Connections of callers that are open at the same time.
+    std::size_t maximumConnections = 0;
 };
 
-/// Reads flags, then DRAGONFLYWINCH_* environment variables; the error lists every problem.
-auto parseServeSettings(const std::vector<std::string>& arguments) -> Core::Result<ServeSettings>;
+/// Every setting of the serve command.
+auto serveCatalogue() -> const Settings::Catalogue&;
+
+/// Resolves the serve settings from the flags and this process's environment.
+auto resolveServeSettings(const std::vector<std::string>& arguments) -> Settings::Resolution;
+
+/// The resolution must have no problems.
+auto typedServeSettings(const Settings::Resolution& resolution) -> ServeSettings;
 
 } // namespace App
--- /dev/null
+++ b/src/app/settingscommand.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "app/command.h"
+
+namespace App {
+
+/// Prints the effective settings of the serve command, where each came from, and what is wrong with them.
+class SettingsCommand : public Command {
+public:
+    [[nodiscard]] auto name() const -> std::string override;
+    [[nodiscard]] auto summary() const -> std::string override;
+    [[nodiscard]] auto help() const -> std::string override;
+    auto run(const std::vector<std::string>& arguments) -> ExitCode override;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/libs/settings/valuerule.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "core/error.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Settings {
+
+/// Decides which texts are valid values of a setting.
+class ValueRule {
+public:
+    virtual ~ValueRule() = default;
+    /// Short form for usage lines, for example "IP:PORT".
+    [[nodiscard]] virtual auto placeholder() const -> std::string = 0;
+    /// What a valid value is; the remedy of a refused one.
+    [[nodiscard]] virtual auto expectation() const -> std::string = 0;
+    [[nodiscard]] virtual auto accepts(const std::string& text) const -> bool = 0;
+};
+
+/// Name of 1 to 64 letters, digits, '.' or '-': ':' separates the fields of idempotency keys.
+class IdentifierRule : public ValueRule {
+public:
+    [[nodiscard]] auto placeholder() const -> std::string override;
+    [[nodiscard]] auto expectation() const -> std::string override;
+    [[nodiscard]] auto accepts(const std::string& text) const -> bool override;
+};
+
+/// "IP:PORT" with an IPv4 number, or an IPv6 number in brackets. Port 0 is valid only where a free one may be chosen.
+class AddressRule : public ValueRule {
+public:
+    enum class PortZero : std::uint8_t { Allowed, Refused };
+
+    explicit AddressRule(PortZero portZero);
+
+    [[nodiscard]] auto placeholder() const -> std::string override;
+    [[nodiscard]] auto expectation() const -> std::string override;
+    [[nodiscard]] auto accepts(const std::string& text) const -> bool override;
+
+private:
+    PortZero m_portZero;
+};
+
+/// Whole number within a closed range.
+class IntegerRule : public ValueRule {
+public:
+    IntegerRule(std::int64_t lowest, std::int64_t highest);
+
+    [[nodiscard]] auto placeholder() const -> std::string override;
+    [[nodiscard]] auto expectation() const -> std::string override;
+    [[nodiscard]] auto accepts(const std::string& text) const -> bool override;
+
+private:
+    std::int64_t m_lowest;
+    std::int64_t m_highest;
+};
+
+/// One of a fixed list of words.
+class ChoiceRule : public ValueRule {
+public:
+    explicit ChoiceRule(std::vector<std::string> choices);
+
+    [[nodiscard]] auto placeholder() const -> std::string override;
+    [[nodiscard]] auto expectation() const -> std::string override;
+    [[nodiscard]] auto accepts(const std::string& text) const -> bool override;
+
+private:
+    std::vector<std::string> m_choices;
+};
+
+/// Any text that is not empty.
+class TextRule : public ValueRule {
+public:
+    /// The placeholder names the kind of text, for example "FILE".
+    explicit TextRule(std::string placeholder);
+
+    [[nodiscard]] auto placeholder() const -> std::string override;
+    [[nodiscard]] auto expectation() const -> std::string override;
+    [[nodiscard]] auto accepts(const std::string& text) const -> bool override;
+
+private:
+    std::string m_placeholder;
+};
+
+} // namespace Settings
--- /dev/null
+++ b/src/plugins/settingsoptions/settingsoptions.cpp
@@ -0,0 +1,128 @@
+#include "settingsoptions/settingsoptions.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <sstream>
+
+extern char** environ;
+
+namespace SettingsOptions {
+
+namespace {
+
+    namespace po = boost::program_options;
+
+    auto descriptionOf(const Settings::Catalogue& catalogue) -> po::options_description
+    {
+        constexpr unsigned lineLength = 110;
+        po::options_description options("Settings", lineLength);
+        for (const auto& setting : catalogue.settings()) {
+            const auto& name = setting.name.value();
+            if (setting.occurrence == Settings::Occurrence::Switch) {
+                options.add_options()(name.c_str(), setting.description.c_str());
+                continue;
+            }
+            auto text = setting.description;
+            if (!setting.defaultValue.empty())
+                text += " (default " + setting.defaultValue + ")";
+            auto* value = po::value<std::string>()->value_name(setting.rule->placeholder());
+            options.add_options()(name.c_str(), value, text.c_str());
+        }
+        return options;
+    }
+
+    auto parse(const po::options_description& options, const std::vector<std::string>& arguments)
+        -> std::vector<po::option>
+    {
+        namespace style = po::command_line_style;
+        const int exactLongFlags = style::allow_long | style::long_allow_next | style::long_allow_adjacent;
+        return po::command_line_parser(arguments)
+            .options(options)
+            .style(exactLongFlags)
+            .allow_unregistered()
+            .run()
+            .options;
+    }
+
+    auto invalidFlag(const std::string& what, std::string remedy) -> Core::Error
+    {
+        return { Core::ErrorKind::InvalidArgument, what, std::move(remedy) };
+    }
+
+    auto needsValue(const Settings::Catalogue& catalogue, const std::string& argument) -> bool
+    {
+        const auto* setting
+            = argument.starts_with("--") ? catalogue.find(Settings::SettingName(argument.substr(2))) : nullptr;
+        return setting != nullptr && setting->occurrence != Settings::Occurrence::Switch;
+    }
+
+    /// Takes out flags without their value, so that the remaining ones can be read and reported as well.
+    auto takeOutIncomplete(const Settings::Catalogue& catalogue, const std::vector<std::string>& arguments,
+        std::vector<Core::Error>& problems) -> std::vector<std::string>
+    {
+        std::vector<std::string> complete;
+        for (std::size_t index = 0; index < arguments.size(); ++index) {
+            const auto& argument = arguments[index];
+            const bool isLast = index + 1 == arguments.size();
+            if (!needsValue(catalogue, argument)) {
+                complete.push_back(argument);
+            } else if (isLast || arguments[index + 1].starts_with("--")) {
+                problems.push_back(invalidFlag(argument + " has no value", "write " + argument + " VALUE"));
+            } else {
+                complete.push_back(argument);
+                complete.push_back(arguments[++index]);
+            }
+        }
+        return complete;
+    }
+
+    auto take(const std::vector<po::option>& options, Settings::Given& given) -> void
+    {
+        bool valueOfUnknownMayFollow = false;
+        for (const auto& option : options) {
+            if (!option.string_key.empty() && option.position_key < 0) {
+                const auto value = option.value.empty() ? std::string("true") : option.value.front();
+                given.flags.push_back({ Settings::SettingName(option.string_key), value });
+                valueOfUnknownMayFollow = option.unregistered && option.value.empty();
+            } else if (!std::exchange(valueOfUnknownMayFollow, false)) {
+                const auto token = option.original_tokens.empty() ? std::string() : option.original_tokens.front();
+                given.problems.push_back(
+                    invalidFlag("argument '" + token + "' belongs to no setting", "write --NAME VALUE"));
+            }
+        }
+    }
+
+} // namespace
+
+auto parseFlags(const Settings::Catalogue& catalogue, const std::vector<std::string>& arguments) -> Settings::Given
+{
+    Settings::Given given;
+    const auto complete = takeOutIncomplete(catalogue, arguments, given.problems);
+    try {
+        take(parse(descriptionOf(catalogue), complete), given);
+    } catch (const po::error& error) {
+        given.problems.push_back(invalidFlag(error.what(), "see --help"));
+    }
+    return given;
+}
+
+auto readEnvironment() -> std::vector<Settings::GivenValue>
+{
+    std::vector<Settings::GivenValue> values;
+    for (auto** entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+        const std::string text(*entry);
+        const auto equals = std::min(text.find('='), text.size());
+        if (const auto name = Settings::settingOfVariable(text.substr(0, equals)))
+            values.push_back({ *name, text.substr(std::min(equals + 1, text.size())) });
+    }
+    return values;
+}
+
+auto describe(const Settings::Catalogue& catalogue) -> std::string
+{
+    std::ostringstream text;
+    text << descriptionOf(catalogue);
+    return text.str();
+}
+
+} // namespace SettingsOptions
