Carry messages between entry VMs over nghttp2 streams

One HTTP/2 connection for each pair carries many calls. A call's failure says whether a byte can have arrived: Unreachable only when the stream was never handed to the operating system or was refused unread, else OutcomeUnknown or Timeout. While calls are open the other end is pinged every 500 ms, so that a silent connection is closed after at most 1 s; idle connections cost nothing, which matters at 200 members of a failure domain. Ruled out: pinging always (about 14 KB/s a node at 200 members by frame sizes alone, close to the whole control budget).

Tests: whole payloads of 1.5 MB, crossed answers, late answers, closed port, silent connection, garbage, graceful shutdown. One parser of addresses now serves HTTP server, HTTP client and peer streams.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -10,6 +10,7 @@
 
     constexpr auto steeringDocumentName = "steering/document";
     constexpr auto fleetListName = "fleet/list";
+    constexpr Core::Millis housekeepingInterval { 10'000 };
     const Ports::EventKind processStarted { "process.started" };
     const Ports::EventKind processStopped { "process.stopped" };
     const Ports::EventKind configurationTaken { "configuration.taken" };
@@ -25,6 +26,7 @@
     , m_client(m_runtime.context())
     , m_store(m_client, settings.store)
     , m_upstreams(m_client, m_clock)
+    , m_peers(m_runtime.context())
     , m_documentFollower(std::make_shared<Configuration::ObjectFollower>(m_store, m_runtime, steeringDocumentName,
           [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
     , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
@@ -33,6 +35,7 @@
     , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_events })
     , m_front(m_requests, m_clock, m_random)
     , m_server(m_runtime.context(), settings.listen, m_front)
+    , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
 }
@@ -41,7 +44,9 @@
 
 auto EntryVmProcess::run() -> void
 {
-    m_events.record({ processStarted, {}, { { "port", std::to_string(m_server.port()) } } });
+    m_events.record({ processStarted, {},
+        { { "port", std::to_string(m_server.port()) }, { "peerPort", std::to_string(m_peerServer.port()) } } });
+    scheduleHousekeeping();
     m_documentFollower->start();
     m_fleetFollower->start();
     m_signals.async_wait([this](boost::system::error_code error, int) {
@@ -77,11 +82,19 @@
         m_events.record({ fleetTaken, {}, { { "version", version } } });
 }
 
+auto EntryVmProcess::scheduleHousekeeping() -> void
+{
+    m_housekeeping = m_runtime.after(housekeepingInterval, [this] {
+        m_peers.closeIdleConnections();
+        scheduleHousekeeping();
+    });
+}
+
 auto EntryVmProcess::shutDown() -> void
 {
     m_documentFollower->stop();
     m_fleetFollower->stop();
-    m_server.shutDown([this] { m_runtime.stop(); });
+    m_server.shutDown([this] { m_peerServer.shutDown([this] { m_runtime.stop(); }); });
 }
 
 } // namespace App
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -11,6 +11,8 @@
 #include "httpserver/httpserver.h"
 #include "httpstore/httpobjectstore.h"
 #include "httpupstream/httpupstreamclient.h"
+#include "peerstream/peerstreamclient.h"
+#include "peerstream/peerstreamserver.h"
 #include "runtime/asioruntime.h"
 #include "serving/requestservice.h"
 
@@ -30,6 +32,7 @@
 private:
     auto takeSteeringDocument(const Ports::StoredObject& object) -> void;
     auto takeFleetList(const Ports::StoredObject& object) -> void;
+    auto scheduleHousekeeping() -> void;
     auto shutDown() -> void;
 
     Runtime::SystemClock m_clock;
@@ -39,6 +42,8 @@
     HttpClient::Client m_client;
     HttpStore::HttpObjectStore m_store;
     HttpUpstream::HttpUpstreamClient m_upstreams;
+    PeerStream::PeerStreamClient m_peers;
+    PeerStream::HandlerTable m_peerHandlers;
     Configuration::ConfigurationHolder m_configuration;
     Fleet::FleetHolder m_fleet;
     std::shared_ptr<Configuration::ObjectFollower> m_documentFollower;
@@ -47,6 +52,8 @@
     Serving::RequestService m_requests;
     HttpFront::HttpFront m_front;
     HttpServer::Server m_server;
+    PeerStream::PeerStreamServer m_peerServer;
+    std::unique_ptr<Ports::Timer> m_housekeeping;
     boost::asio::signal_set m_signals;
 };
 
--- a/src/libs/core/error.cpp
+++ b/src/libs/core/error.cpp
@@ -31,6 +31,17 @@
     return "internal";
 }
 
+auto parseErrorKind(std::string_view text) -> ErrorKind
+{
+    for (auto value = static_cast<int>(ErrorKind::InvalidArgument); value < static_cast<int>(ErrorKind::Internal);
+         ++value) {
+        const auto kind = static_cast<ErrorKind>(value);
+        if (toString(kind) == text)
+            return kind;
+    }
+    return ErrorKind::Internal;
+}
+
 auto describe(const Error& error) -> std::string
 {
     return toString(error.kind) + ": " + error.message + "; " + error.remedy;
--- a/src/libs/core/error.h
+++ b/src/libs/core/error.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 
 namespace Core {
@@ -20,6 +21,8 @@
 };
 
 auto toString(ErrorKind kind) -> std::string;
+/// Inverse of toString(); Internal for any other text.
+auto parseErrorKind(std::string_view text) -> ErrorKind;
 
 /// Failure of an operation: what happened, and what the reader can do about it.
 struct Error {
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient/httpclient.h"
 
 #include "core/sharded.h"
+#include "runtime/endpoints.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,7 +13,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -41,23 +41,6 @@
 
     using ConnectionPointer = std::shared_ptr<Connection>;
 
-    auto endpointOf(const Core::Address& address) -> tl::expected<Tcp::endpoint, std::string>
-    {
-        const auto& text = address.value();
-        const auto colon = text.rfind(':');
-        if (colon == std::string::npos)
-            return tl::unexpected("address '" + text + "' has no port");
-        std::uint16_t port = 0;
-        const auto* end = text.data() + text.size();
-        if (std::from_chars(text.data() + colon + 1, end, port).ptr != end)
-            return tl::unexpected("address '" + text + "' has an invalid port");
-        Error error;
-        const auto host = asio::ip::make_address(text.substr(0, colon), error);
-        if (error)
-            return tl::unexpected("address '" + text + "' has an invalid IP number");
-        return Tcp::endpoint { host, port };
-    }
-
     /// An idle connection must have nothing to read: neither an end of stream nor stray bytes.
     auto isStillOpen(Connection& connection) -> bool
     {
@@ -135,9 +118,9 @@
     /// Returns what went wrong, or an empty text.
     auto connect(Connection& connection, const Call& call) -> asio::awaitable<std::string>
     {
-        const auto endpoint = endpointOf(call.address);
+        const auto endpoint = Runtime::parseEndpoint(call.address);
         if (!endpoint)
-            co_return endpoint.error();
+            co_return endpoint.error().message;
         connection.stream.expires_after(std::min<Core::Duration>(m_limits.connectTimeout, call.timeout));
         Error error;
         co_await connection.stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "httpserver/httpserver.h"
 
+#include "runtime/endpoints.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,16 +30,6 @@
 
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
-    auto endpointOf(const Core::Address& address) -> Tcp::endpoint
-    {
-        const auto& text = address.value();
-        const auto colon = text.rfind(':');
-        if (colon == std::string::npos)
-            throw boost::system::system_error(asio::error::invalid_argument, "address '" + text + "' has no port");
-        const auto port = static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)));
-        return { asio::ip::make_address(text.substr(0, colon)), port };
-    }
-
     auto statusFor(const Error& error) -> http::status
     {
         if (error == http::error::header_limit)
@@ -76,7 +68,7 @@
 public:
     Implementation(asio::io_context& context, const Core::Address& address, HttpHandler& handler, Limits limits)
         : m_context(context)
-        , m_acceptor(asio::make_strand(context), endpointOf(address))
+        , m_acceptor(asio::make_strand(context), Runtime::requireEndpoint(address))
         , m_handler(handler)
         , m_limits(limits)
     {
--- /dev/null
+++ b/src/plugins/peerstream/clientconnection.cpp
@@ -0,0 +1,269 @@
+#include "peerstream/clientconnection.h"
+
+#include "peerstream/messagelimits.h"
+#include "runtime/endpoints.h"
+
+#include <boost/asio/post.hpp>
+
+namespace PeerStream {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+    constexpr auto connectTimeout = std::chrono::milliseconds(500);
+    constexpr auto unreachableRemedy = "try another entry VM; operators check the network between failure domains";
+    constexpr auto unknownRemedy = "ask again with the same idempotency key to learn the outcome";
+
+    auto notSent(const std::string& reason) -> tl::unexpected<Core::Error>
+    {
+        return Core::fail(Core::ErrorKind::Unreachable, "the entry VM cannot be reached: " + reason, unreachableRemedy);
+    }
+
+    auto lost(const std::string& reason) -> tl::unexpected<Core::Error>
+    {
+        return Core::fail(Core::ErrorKind::OutcomeUnknown, "the entry VM's answer was lost: " + reason, unknownRemedy);
+    }
+
+    auto timedOut() -> tl::unexpected<Core::Error>
+    {
+        return Core::fail(Core::ErrorKind::Timeout, "the entry VM did not answer in time", unknownRemedy);
+    }
+
+    auto requestHeaders(const Core::Address& peer, const std::string& kind) -> std::vector<HeaderField>
+    {
+        return { { ":method", "POST" }, { ":scheme", "http" }, { ":authority", peer.value() },
+            { ":path", pathPrefix + kind }, { "content-type", "application/cbor" } };
+    }
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context& context, Core::Address peer)
+    : H2Session(Socket(asio::make_strand(context)), Role::Client)
+    , m_peer(std::move(peer))
+    , m_connectTimer(executor())
+    , m_deadlineTimer(executor())
+{
+}
+
+auto ClientConnection::self() -> std::shared_ptr<ClientConnection>
+{
+    return std::static_pointer_cast<ClientConnection>(shared_from_this());
+}
+
+auto ClientConnection::call(
+    Ports::PeerMessage message, Core::Duration timeout, Ports::PeerTransport::ReplyCallback callback) -> void
+{
+    PendingCall pending { std::move(message), SteadyClock::now() + timeout, std::move(callback) };
+    asio::post(executor(), [self = self(), pending = std::move(pending)]() mutable {
+        self->m_lastCall = SteadyClock::now();
+        if (self->isClosed()) {
+            pending.callback(notSent("the connection was closed"));
+            return;
+        }
+        if (self->m_isConnected) {
+            self->open(std::move(pending));
+            self->flush();
+            return;
+        }
+        self->watchDeadline(pending.deadline);
+        self->m_pending.push_back(std::move(pending));
+        self->connect();
+    });
+}
+
+auto ClientConnection::closeIfIdle(SteadyClock::duration idleTime) -> void
+{
+    asio::post(executor(), [self = self(), idleTime] {
+        const bool isIdle = self->m_calls.empty() && self->m_pending.empty();
+        if (isIdle && SteadyClock::now() - self->m_lastCall >= idleTime)
+            self->close("the connection was idle");
+    });
+}
+
+auto ClientConnection::connect() -> void
+{
+    if (m_isConnecting)
+        return;
+    m_isConnecting = true;
+    const auto endpoint = Runtime::parseEndpoint(m_peer);
+    if (!endpoint) {
+        close(endpoint.error().message);
+        return;
+    }
+    m_connectTimer.expires_after(connectTimeout);
+    m_connectTimer.async_wait([self = self()](ErrorCode error) {
+        if (!error && !self->m_isConnected)
+            self->close("no connection within " + std::to_string(connectTimeout.count()) + " ms");
+    });
+    socket().async_connect(*endpoint, [self = self()](ErrorCode error) {
+        if (self->isClosed())
+            return;
+        if (error)
+            self->close(error.message());
+        else
+            self->onConnected();
+    });
+}
+
+auto ClientConnection::onConnected() -> void
+{
+    m_isConnected = true;
+    m_connectTimer.cancel();
+    startSession();
+    auto pending = std::exchange(m_pending, {});
+    for (auto& call : pending)
+        open(std::move(call));
+    flush();
+}
+
+auto ClientConnection::open(PendingCall pending) -> void
+{
+    const auto stream = submitRequest(requestHeaders(m_peer, pending.message.kind), std::move(pending.message.payload));
+    if (stream < 0) {
+        // Stream ids are used up, or the other end is shutting down: the next call takes a new connection.
+        m_isFinished = true;
+        pending.callback(notSent("no stream can be opened"));
+        return;
+    }
+    m_calls[stream] = { std::move(pending.callback), pending.deadline };
+    watchDeadline(pending.deadline);
+}
+
+auto ClientConnection::finish(StreamId stream, Core::Result<std::string> result) -> void
+{
+    auto node = m_calls.extract(stream);
+    if (!node.empty())
+        node.mapped().callback(std::move(result));
+}
+
+auto ClientConnection::watchDeadline(SteadyClock::time_point deadline) -> void
+{
+    if (deadline >= m_timerTarget)
+        return;
+    m_timerTarget = deadline;
+    m_deadlineTimer.expires_at(deadline);
+    m_deadlineTimer.async_wait([self = self()](ErrorCode error) {
+        if (error)
+            return;
+        self->m_timerTarget = SteadyClock::time_point::max();
+        self->expirePending();
+        self->expireCalls();
+        self->watchDeadline(self->earliestDeadline());
+    });
+}
+
+auto ClientConnection::earliestDeadline() const -> SteadyClock::time_point
+{
+    auto earliest = SteadyClock::time_point::max();
+    for (const auto& call : m_pending)
+        earliest = std::min(earliest, call.deadline);
+    for (const auto& [stream, call] : m_calls)
+        earliest = std::min(earliest, call.deadline);
+    return earliest;
+}
+
+auto ClientConnection::expirePending() -> void
+{
+    const auto now = SteadyClock::now();
+    const auto isLate = [now](const PendingCall& call) { return call.deadline <= now; };
+    for (auto& call : m_pending) {
+        if (isLate(call))
+            call.callback(notSent("no connection before the timeout"));
+    }
+    std::erase_if(m_pending, isLate);
+}
+
+auto ClientConnection::expireCalls() -> void
+{
+    const auto now = SteadyClock::now();
+    std::vector<StreamId> late;
+    for (const auto& [stream, call] : m_calls) {
+        if (call.deadline <= now)
+            late.push_back(stream);
+    }
+    for (const auto stream : late) {
+        resetStream(stream);
+        finish(stream, timedOut());
+    }
+    flush();
+}
+
+auto ClientConnection::onHeader(StreamId stream, std::string_view name, std::string_view value) -> void
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    auto& call = found->second;
+    if (name == ":status")
+        call.isOk = value == statusOk;
+    else if (name == errorKindHeader)
+        call.error.kind = Core::parseErrorKind(value);
+    else if (name == errorMessageHeader)
+        call.error.message = value;
+    else if (name == errorRemedyHeader)
+        call.error.remedy = value;
+}
+
+auto ClientConnection::onData(StreamId stream, std::string_view data) -> void
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    if (found->second.payload.size() + data.size() > maximumPayloadBytes) {
+        resetStream(stream);
+        finish(stream, lost("the reply is larger than a message may be"));
+        return;
+    }
+    found->second.payload.append(data);
+}
+
+auto ClientConnection::onMessageEnd(StreamId stream) -> void
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    auto& call = found->second;
+    if (call.isOk)
+        finish(stream, std::move(call.payload));
+    else
+        finish(stream, tl::unexpected(call.error));
+}
+
+auto ClientConnection::onHeadersSent(StreamId stream) -> void
+{
+    if (const auto found = m_calls.find(stream); found != m_calls.end())
+        found->second.isSent = true;
+}
+
+auto ClientConnection::onStreamClosed(StreamId stream, bool isRefused) -> void
+{
+    const auto found = m_calls.find(stream);
+    if (found == m_calls.end())
+        return;
+    if (isRefused || !found->second.isSent)
+        finish(stream, notSent("the entry VM refused the message unread"));
+    else
+        finish(stream, lost("the stream was closed"));
+}
+
+auto ClientConnection::onDisconnected(const std::string& reason) -> void
+{
+    m_isFinished = true;
+    m_connectTimer.cancel();
+    m_deadlineTimer.cancel();
+    auto pending = std::exchange(m_pending, {});
+    auto calls = std::exchange(m_calls, {});
+    for (auto& call : pending)
+        call.callback(notSent(reason));
+    for (auto& [stream, call] : calls) {
+        if (call.isSent)
+            call.callback(lost(reason));
+        else
+            call.callback(notSent(reason));
+    }
+}
+
+} // namespace PeerStream
--- /dev/null
+++ b/src/plugins/peerstream/handlertable.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "ports/peertransport.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace PeerStream {
+
+/// Handlers of messages from other entry VMs, by kind.
+class HandlerTable : public Ports::PeerRouter {
+public:
+    auto registerHandler(std::string kind, Handler handler) -> void override;
+    /// Calls the handler of the message's kind; responds with NotFound when there is none.
+    auto dispatch(Ports::PeerMessage message, const Respond& respond) const -> void;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<const Handler>, std::less<>> m_handlers;
+};
+
+} // namespace PeerStream
--- /dev/null
+++ b/src/plugins/peerstream/peerstreamclient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/sharded.h"
+#include "ports/peertransport.h"
+#include "ports/scheduler.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <unordered_map>
+
+namespace PeerStream {
+
+class ClientConnection;
+
+/// Carries messages to other entry VMs over one HTTP/2 connection for each of them.
+class PeerStreamClient : public Ports::PeerTransport {
+public:
+    explicit PeerStreamClient(boost::asio::io_context& context);
+    ~PeerStreamClient() override;
+
+    auto call(const Core::Address& peer, Ports::PeerMessage message, Core::Duration timeout, ReplyCallback callback)
+        -> void override;
+    /// Closes connections that no call used lately; to be called every few seconds.
+    auto closeIdleConnections() -> void;
+
+private:
+    using Connections = std::unordered_map<Core::Address, std::shared_ptr<ClientConnection>>;
+
+    auto connectionTo(const Core::Address& peer) -> std::shared_ptr<ClientConnection>;
+
+    boost::asio::io_context& m_context;
+    Core::Sharded<Connections> m_connections;
+};
+
+} // namespace PeerStream
--- /dev/null
+++ b/src/plugins/peerstream/peerstreamserver.cpp
@@ -0,0 +1,137 @@
+#include "peerstream/peerstreamserver.h"
+
+#include "peerstream/serverconnection.h"
+#include "runtime/endpoints.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <mutex>
+#include <set>
+
+namespace PeerStream {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Strand>;
+
+namespace {
+
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
+class PeerStreamServer::Implementation : public std::enable_shared_from_this<PeerStreamServer::Implementation> {
+public:
+    Implementation(asio::io_context& context, const Core::Address& address, const HandlerTable& handlers)
+        : m_context(context)
+        , m_acceptor(asio::make_strand(context), Runtime::requireEndpoint(address))
+        , m_retryTimer(m_acceptor.get_executor())
+        , m_handlers(handlers)
+    {
+    }
+
+    auto acceptNext() -> void
+    {
+        auto strand = asio::make_strand(m_context);
+        m_acceptor.async_accept(strand, [self = shared_from_this()](ErrorCode error, Socket socket) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (error) {
+                self->acceptLater();
+                return;
+            }
+            self->add(std::move(socket));
+            self->acceptNext();
+        });
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
+
+    auto shutDown(std::function<void()> done) -> void
+    {
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            self->m_retryTimer.cancel();
+            self->m_acceptor.close();
+        });
+        std::set<std::shared_ptr<ServerConnection>> connections;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isShuttingDown = true;
+            m_done = std::move(done);
+            connections = m_connections;
+        }
+        for (const auto& connection : connections)
+            connection->shutDown();
+        finishIfEmpty();
+    }
+
+private:
+    auto acceptLater() -> void
+    {
+        m_retryTimer.expires_after(acceptRetryDelay);
+        m_retryTimer.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (!error)
+                self->acceptNext();
+        });
+    }
+
+    auto add(Socket socket) -> void
+    {
+        auto onClosed = [self = shared_from_this()](
+                            const std::shared_ptr<ServerConnection>& connection) { self->remove(connection); };
+        auto connection = std::make_shared<ServerConnection>(std::move(socket), m_handlers, std::move(onClosed));
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_isShuttingDown)
+                return;
+            m_connections.insert(connection);
+        }
+        connection->start();
+    }
+
+    auto remove(const std::shared_ptr<ServerConnection>& connection) -> void
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_connections.erase(connection);
+        }
+        finishIfEmpty();
+    }
+
+    auto finishIfEmpty() -> void
+    {
+        std::function<void()> done;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isShuttingDown || !m_connections.empty())
+                return;
+            done = std::exchange(m_done, nullptr);
+        }
+        if (done)
+            done();
+    }
+
+    asio::io_context& m_context;
+    Acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
+    const HandlerTable& m_handlers;
+    std::mutex m_mutex;
+    std::set<std::shared_ptr<ServerConnection>> m_connections;
+    bool m_isShuttingDown = false;
+    std::function<void()> m_done;
+};
+
+PeerStreamServer::PeerStreamServer(
+    asio::io_context& context, const Core::Address& address, const HandlerTable& handlers)
+    : m_implementation(std::make_shared<Implementation>(context, address, handlers))
+{
+    m_implementation->acceptNext();
+}
+
+PeerStreamServer::~PeerStreamServer() = default;
+
+auto PeerStreamServer::port() const -> std::uint16_t { return m_implementation->port(); }
+
+auto PeerStreamServer::shutDown(std::function<void()> done) -> void { m_implementation->shutDown(std::move(done)); }
+
+} // namespace PeerStream
