Add membership by gossip within and between failure domains

Look-ups and ownership of upstreams need a view of the fleet that stays within 17 KB/s at 200 members of a failure domain, so all-to-all heartbeats are ruled out. Each member probes two ring successors and one random member; the ring gives detection a bound that random probes alone lack. Suspicion needs two silent relays, is refuted by a higher sequence, and a restarted process takes a generation above the one its peers remember. Bulk records travel by digest at intervals that grow with the members.

--- /dev/null
+++ b/src/libs/membership/gossiprounds.cpp
@@ -0,0 +1,311 @@
+#include "fleet/rendezvous.h"
+#include "membership/gossipmember.h"
+
+#include <algorithm>
+#include <atomic>
+#include <set>
+
+namespace Membership {
+
+namespace {
+
+    const Ports::EventKind memberSuspected { "membership.suspected" };
+    const Ports::EventKind memberDead { "membership.dead" };
+
+    /// Gives an urgent change the time to gather others before it is pushed.
+    constexpr Core::Millis pushDelay { 5 };
+
+    auto ringTargets(const std::vector<MemberRecord>& peers, const Core::EntryVmId& self, std::size_t count)
+        -> std::vector<MemberRecord>
+    {
+        std::vector<MemberRecord> targets;
+        const auto after = std::upper_bound(peers.begin(), peers.end(), self,
+            [](const Core::EntryVmId& id, const MemberRecord& peer) { return id < peer.vm.id; });
+        const auto first = static_cast<std::size_t>(after - peers.begin());
+        for (std::size_t step = 0; step < std::min(count, peers.size()); ++step)
+            targets.push_back(peers[(first + step) % peers.size()]);
+        return targets;
+    }
+
+    auto namesOf(const std::vector<MemberRecord>& records) -> std::vector<std::string>
+    {
+        std::vector<std::string> names;
+        for (const auto& record : records) {
+            if (record.freshness.belief == Belief::Alive)
+                names.push_back(record.vm.id.value());
+        }
+        return names;
+    }
+
+} // namespace
+
+auto GossipMember::scheduleRound(Core::Duration delay) -> void
+{
+    const std::lock_guard lock(m_scheduleMutex);
+    if (m_schedule.isStopped)
+        return;
+    m_schedule.timer = m_collaborators.scheduler.after(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->round();
+    });
+}
+
+auto GossipMember::schedulePush() -> void
+{
+    const std::lock_guard lock(m_scheduleMutex);
+    if (m_schedule.isStopped || m_schedule.pushTimer)
+        return;
+    m_schedule.pushTimer = m_collaborators.scheduler.after(pushDelay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->pushNow();
+    });
+}
+
+auto GossipMember::round() -> void
+{
+    const auto now = m_collaborators.clock.now();
+    const auto peers = peersOf(m_table.records());
+    bool isRefreshDue = false;
+    {
+        const std::lock_guard lock(m_scheduleMutex);
+        isRefreshDue = m_schedule.nextRefresh <= now;
+        if (isRefreshDue)
+            m_schedule.nextRefresh = now + refreshInterval(m_timing, peers.size() + 1);
+    }
+    refreshOwn(isRefreshDue);
+    probeRound(peers);
+    exchangeIfDue(peers, now);
+    contactSeedIfDue(now);
+    contactDomainsIfDue(peers, now);
+    expire(now);
+    scheduleRound(m_timing.period);
+}
+
+auto GossipMember::pushNow() -> void
+{
+    {
+        const std::lock_guard lock(m_scheduleMutex);
+        m_schedule.pushTimer.reset();
+    }
+    auto peers = peersOf(m_table.records());
+    for (std::size_t sent = 0; sent < m_timing.pushFanout && !peers.empty(); ++sent) {
+        const auto index = pick(peers.size());
+        probe(peers[index]);
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+auto GossipMember::probeRound(const std::vector<MemberRecord>& peers) -> void
+{
+    const auto ring = ringTargets(peers, m_identity.vm.id, m_timing.ringProbes);
+    std::set<Core::EntryVmId> probed;
+    for (const auto& target : ring) {
+        probed.insert(target.vm.id);
+        probe(target);
+    }
+    for (std::size_t count = 0; count < m_timing.randomProbes && probed.size() < peers.size(); ++count) {
+        const auto& target = peers[pick(peers.size())];
+        if (probed.insert(target.vm.id).second)
+            probe(target);
+    }
+}
+
+auto GossipMember::probe(const MemberRecord& target) -> void
+{
+    m_collaborators.port.probe(target.vm.peerAddress, heartbeat(), m_timing.probeTimeout,
+        [weak = weak_from_this(), target](const Core::Result<Gossip>& reply) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (reply)
+                self->take(*reply);
+            else
+                self->probeIndirectly(target);
+        });
+}
+
+auto GossipMember::probeIndirectly(const MemberRecord& target) -> void
+{
+    auto relays = peersOf(m_table.records());
+    std::erase_if(relays, [&](const MemberRecord& relay) {
+        return relay.vm.id == target.vm.id || relay.freshness.belief != Belief::Alive;
+    });
+    auto pending = std::make_shared<std::atomic<std::size_t>>(std::min(m_timing.relays, relays.size()));
+    if (*pending == 0) {
+        suspect(target);
+        return;
+    }
+    for (std::size_t asked = pending->load(); asked > 0; --asked) {
+        const auto index = pick(relays.size());
+        m_collaborators.port.probeThrough(relays[index].vm.peerAddress, target.vm.peerAddress, heartbeat(),
+            m_timing.relayTimeout, [weak = weak_from_this(), target, pending](const Core::Result<Gossip>& reply) {
+                const auto self = weak.lock();
+                if (!self)
+                    return;
+                if (reply) {
+                    pending->store(0);
+                    self->take(*reply);
+                } else if (pending->load() > 0 && pending->fetch_sub(1) == 1) {
+                    self->suspect(target);
+                }
+            });
+        relays.erase(relays.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+auto GossipMember::suspect(const MemberRecord& target) -> void
+{
+    // The newest record counts: a heartbeat failed now, whatever was known when it was sent.
+    const auto current = m_table.find(target.vm.id);
+    if (!current || current->incarnation != target.incarnation)
+        return;
+    if (!m_table.raiseBelief(target.vm.id, current->freshness, Belief::Suspected, m_collaborators.clock.now()))
+        return;
+    m_collaborators.events.record({ memberSuspected, {}, { { "vm", target.vm.id.value() } } });
+    schedulePush();
+}
+
+auto GossipMember::expire(Core::Instant now) -> void
+{
+    for (const auto& record : m_table.believedSince(Belief::Suspected, now - m_timing.suspicionTimeout)) {
+        // Only its own failure domain declares a member dead; another one may merely be cut off from it.
+        if (record.vm.failureDomain != m_identity.vm.failureDomain)
+            continue;
+        if (m_table.raiseBelief(record.vm.id, record.freshness, Belief::Dead, now))
+            m_collaborators.events.record({ memberDead, {}, { { "vm", record.vm.id.value() } } });
+    }
+    m_table.forget(m_identity.vm.id, now - m_timing.retention);
+}
+
+auto GossipMember::exchangeWith(const Core::Address& peer) -> void
+{
+    auto gossip = message({}, m_table.digest());
+    gossip.domains = m_collaborators.versions.domainReports();
+    m_collaborators.port.exchange(peer, std::move(gossip), m_timing.exchangeTimeout,
+        [weak = weak_from_this(), peer](const Core::Result<Gossip>& reply) {
+            const auto self = weak.lock();
+            if (!self || !reply)
+                return;
+            self->take(*reply);
+            auto wanted = self->recordsNewerThan(reply->digest, reply->failureDomain);
+            std::set<Core::EntryVmId> names;
+            for (const auto& entry : reply->digest)
+                names.insert(entry.vm);
+            std::erase_if(wanted, [&](const MemberRecord& record) { return !names.contains(record.vm.id); });
+            if (wanted.empty())
+                return;
+            self->m_collaborators.port.probe(peer, self->message(std::move(wanted), {}), self->m_timing.exchangeTimeout,
+                [](const Core::Result<Gossip>&) {});
+        });
+}
+
+auto GossipMember::exchangeIfDue(const std::vector<MemberRecord>& peers, Core::Instant now) -> void
+{
+    {
+        const std::lock_guard lock(m_scheduleMutex);
+        if (peers.empty() || now < m_schedule.nextExchange)
+            return;
+        m_schedule.nextExchange = now + exchangeInterval(m_timing, peers.size() + 1);
+    }
+    exchangeWith(peers[pick(peers.size())].vm.peerAddress);
+}
+
+auto GossipMember::contactSeedIfDue(Core::Instant now) -> void
+{
+    {
+        const std::lock_guard lock(m_scheduleMutex);
+        if (now < m_schedule.nextSeed)
+            return;
+        m_schedule.nextSeed = now + m_timing.seedInterval;
+    }
+    std::set<Core::Address> connected { m_identity.vm.peerAddress };
+    for (const auto& record : m_table.records()) {
+        if (record.freshness.belief == Belief::Alive)
+            connected.insert(record.vm.peerAddress);
+    }
+    auto candidates = candidateAddresses(m_identity.vm.failureDomain);
+    candidates.insert(candidates.end(), m_identity.seeds.begin(), m_identity.seeds.end());
+    std::erase_if(candidates, [&](const Core::Address& address) { return connected.contains(address); });
+    if (!candidates.empty())
+        exchangeWith(candidates[pick(candidates.size())]);
+}
+
+auto GossipMember::contactDomainsIfDue(const std::vector<MemberRecord>& peers, Core::Instant now) -> void
+{
+    const auto position
+        = Fleet::rendezvousPosition(m_identity.vm.failureDomain.value(), m_identity.vm.id.value(), namesOf(peers));
+    const auto delegates = delegateCount(m_timing, peers.size() + 1);
+    if (position >= delegates)
+        return;
+    std::set<Core::FailureDomainId> domains;
+    for (const auto& vm : m_collaborators.fleet.current()->entryVms)
+        domains.insert(vm.failureDomain);
+    for (const auto& record : m_table.records())
+        domains.insert(record.vm.failureDomain);
+    domains.erase(m_identity.vm.failureDomain);
+    if (domains.empty())
+        return;
+    const auto interval
+        = std::max<Core::Duration>(m_timing.minimumDomainExchange, m_timing.domainExchangePerDomain * domains.size());
+    // Every failure domain is contacted once an interval by each delegate's share of them.
+    const auto share = std::max<std::size_t>(1, domains.size() * 2 / delegates);
+    std::vector<Core::FailureDomainId> due;
+    {
+        const std::lock_guard lock(m_scheduleMutex);
+        while (m_schedule.nextDomain <= now && due.size() < share) {
+            due.push_back(*std::next(domains.begin(),
+                static_cast<std::ptrdiff_t>((m_schedule.domainCursor++ + position * share) % domains.size())));
+            m_schedule.nextDomain
+                = std::max(m_schedule.nextDomain, now - m_timing.period) + interval / static_cast<std::int64_t>(share);
+        }
+    }
+    for (const auto& domain : due)
+        exchangeWithDomain(domain);
+}
+
+auto GossipMember::exchangeWithDomain(const Core::FailureDomainId& domain) -> void
+{
+    const auto addresses = candidateAddresses(domain);
+    if (addresses.empty())
+        return;
+    const auto peer = addresses[pick(addresses.size())];
+    auto digest = m_table.digest();
+    auto records = m_table.records();
+    std::erase_if(records, [&](const MemberRecord& record) { return record.vm.failureDomain != domain; });
+    std::erase_if(digest, [&](const DigestEntry& entry) {
+        return std::none_of(
+            records.begin(), records.end(), [&](const MemberRecord& record) { return record.vm.id == entry.vm; });
+    });
+    auto gossip = message(representatives(), std::move(digest));
+    gossip.domains = m_collaborators.versions.domainReports();
+    m_collaborators.port.exchange(peer, std::move(gossip), m_timing.exchangeTimeout,
+        [weak = weak_from_this(), peer, records](const Core::Result<Gossip>& reply) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (reply) {
+                self->take(*reply);
+                return;
+            }
+            for (const auto& record : records) {
+                if (record.vm.peerAddress == peer && record.freshness.belief == Belief::Alive)
+                    self->confirmUnreachable(record);
+            }
+        });
+}
+
+auto GossipMember::confirmUnreachable(const MemberRecord& target) -> void
+{
+    m_collaborators.port.probe(target.vm.peerAddress, heartbeat(), m_timing.probeTimeout,
+        [weak = weak_from_this(), target](const Core::Result<Gossip>& reply) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (reply)
+                self->take(*reply);
+            else
+                self->suspect(target);
+        });
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/plugins/membershippeer/gossipcodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "membership/gossip.h"
+
+namespace MembershipPeer {
+
+/// CBOR; arrays by position, so that a heartbeat stays small.
+auto encodeGossip(const Membership::Gossip& gossip) -> std::string;
+/// Fails with InvalidMessage.
+auto decodeGossip(const std::string& payload) -> Core::Result<Membership::Gossip>;
+
+/// Request to a relay: the address to probe, and the gossip for the relay itself.
+struct RelayedProbe {
+    Core::Address target;
+    Membership::Gossip gossip;
+};
+
+auto encodeRelayedProbe(const RelayedProbe& probe) -> std::string;
+auto decodeRelayedProbe(const std::string& payload) -> Core::Result<RelayedProbe>;
+
+} // namespace MembershipPeer
