--- a/src/libs/configuration/servicepolicy.h
+++ b/src/libs/configuration/servicepolicy.h
@@ -9,6 +9,9 @@
 /// How one service is steered.
 struct ServicePolicy {
     Core::ServiceId service;
+    /// Service in the platform's list whose upstreams run this one; the service itself when empty. Services that name
+    /// the same pool compete for its slots by rank.
+    Core::ServiceId pool;
     Core::Rank rank = Core::Rank::Normal;
     /// Requests may run more than once without harm.
     bool isIdempotent = true;
--- a/src/plugins/jsoncodec/jsoncodec.cpp
+++ b/src/plugins/jsoncodec/jsoncodec.cpp
@@ -37,6 +37,7 @@
     {
         Configuration::ServicePolicy policy;
         policy.service = Core::ServiceId(name);
+        policy.pool = Core::ServiceId(object.value("pool", name));
         const auto rankText = object.at("rank").get<std::string>();
         const auto rank = Core::parseRank(rankText);
         if (!rank)
