Run the entry VM on the ranked dispatcher

The process owns the upstreams of its whole failure domain until ownership among several entry VMs is decided by membership. A stop now waits for the dispatcher's last reply.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -31,7 +31,8 @@
           [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
     , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
           m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
-    , m_dispatcher({ m_clock, m_upstreams, m_fleet }, settings.failureDomain)
+    , m_ownership(settings.failureDomain)
+    , m_dispatcher({ m_clock, m_runtime, m_upstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
     , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_events })
     , m_front(m_requests, m_clock, m_random)
     , m_server(m_runtime.context(), settings.listen, m_front)
@@ -49,6 +50,7 @@
     scheduleHousekeeping();
     m_documentFollower->start();
     m_fleetFollower->start();
+    m_dispatcher.start();
     m_signals.async_wait([this](boost::system::error_code error, int) {
         if (!error)
             shutDown();
@@ -94,7 +96,7 @@
 {
     m_documentFollower->stop();
     m_fleetFollower->stop();
-    m_server.shutDown([this] { m_peerServer.shutDown([this] { m_runtime.stop(); }); });
+    m_server.shutDown([this] { m_dispatcher.drain([this] { m_peerServer.shutDown([this] { m_runtime.stop(); }); }); });
 }
 
 } // namespace App
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -3,9 +3,10 @@
 #include "app/servesettings.h"
 #include "configuration/configurationholder.h"
 #include "configuration/objectfollower.h"
-#include "dispatch/fifodispatcher.h"
+#include "dispatch/rankeddispatcher.h"
 #include "eventlog/eventlog.h"
 #include "fleet/fleetholder.h"
+#include "fleet/wholedomainownership.h"
 #include "httpclient/httpclient.h"
 #include "httpfront/httpfront.h"
 #include "httpserver/httpserver.h"
@@ -48,7 +49,8 @@
     Fleet::FleetHolder m_fleet;
     std::shared_ptr<Configuration::ObjectFollower> m_documentFollower;
     std::shared_ptr<Configuration::ObjectFollower> m_fleetFollower;
-    Dispatch::FifoDispatcher m_dispatcher;
+    Fleet::WholeDomainOwnership m_ownership;
+    Dispatch::RankedDispatcher m_dispatcher;
     Serving::RequestService m_requests;
     HttpFront::HttpFront m_front;
     HttpServer::Server m_server;
--- /dev/null
+++ b/src/libs/fleet/wholedomainownership.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "fleet/upstreamownership.h"
+
+namespace Fleet {
+
+/// Owns every upstream of its failure domain; right where that domain has one entry VM.
+class WholeDomainOwnership : public UpstreamOwnership {
+public:
+    explicit WholeDomainOwnership(Core::FailureDomainId failureDomain)
+        : m_failureDomain(std::move(failureDomain))
+    {
+    }
+
+    [[nodiscard]] auto isOwn(const Upstream& upstream) const -> bool override
+    {
+        return upstream.failureDomain == m_failureDomain;
+    }
+
+private:
+    Core::FailureDomainId m_failureDomain;
+};
+
+} // namespace Fleet
