--- /dev/null
+++ b/src/plugins/relaypeer/relaypeer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "ports/peertransport.h"
+#include "steering/creditports.h"
+#include "steering/relayport.h"
+
+namespace RelayPeer {
+
+/// Carries relayed requests and questions for credits over the transport between entry VMs.
+class RelayPeer : public Steering::RelayPort, public Steering::CreditPort {
+public:
+    explicit RelayPeer(Ports::PeerTransport& transport);
+
+    auto relay(const Fleet::EntryVm& target, Steering::RelayCall call, Steering::RelayCallback callback)
+        -> void override;
+    auto ask(const Fleet::EntryVm& destination, Steering::CreditRequest request, GrantCallback callback)
+        -> void override;
+
+private:
+    Ports::PeerTransport& m_transport;
+};
+
+/// Registers the handlers that decode messages for relays and credits; they must outlive the router's calls.
+auto registerRelayHandlers(Ports::PeerRouter& router, Steering::RelayHandler& relays, Steering::CreditHandler& credits)
+    -> void;
+
+} // namespace RelayPeer
