Add a whole small system and callers as stand-ins for process tests

SmallFleet starts platform, upstreams and entry VMs as separate processes on free ports; CallerLoad sends open-loop arrivals by rank, caches look-ups, retries as a caller may, and brokenPromises() compares what callers were told with the upstreams' books.

--- a/tests/auto/process/tst_path.cpp
+++ b/tests/auto/process/tst_path.cpp
@@ -1,60 +1,34 @@
 #include "standins/blockingclient.h"
-#include "standins/childprocess.h"
+#include "standins/callerload.h"
+#include "standins/smallfleet.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace {
 
 using nlohmann::json;
-using StandIns::ChildProcess;
 
-auto standIn(std::vector<std::string> arguments) -> std::unique_ptr<ChildProcess>
+auto oneFailureDomain() -> StandIns::FleetShape
 {
-    return std::make_unique<ChildProcess>(STANDINS_BINARY, std::move(arguments));
-}
-
-auto addressOf(const ChildProcess& process) -> Core::Address
-{
-    const auto line = process.waitForLine("listening ");
-    return Core::Address("127.0.0.1:" + std::to_string(std::stoi(line.substr(line.find(' ')))));
+    auto shape = StandIns::smallPeachtree();
+    shape.failureDomains.resize(1);
+    shape.failureDomains[0].entryVmCount = 1;
+    return shape;
 }
 
 struct OneFailureDomain {
-    OneFailureDomain()
-    {
-        const json upstreamEntry { { "id", "stock-1" }, { "service", "stock" }, { "failureDomain", "atl-1" },
-            { "region", "atl" }, { "address", addressOf(*upstream).value() }, { "slots", 3 }, { "connections", 360 } };
-        put("steering/document",
-            { { "sections", { { "desk", { { "services", { { "stock", { { "rank", "urgent" } } } } } } } } } });
-        put("fleet/list", { { "entryVms", json::array() }, { "upstreams", json::array({ upstreamEntry }) } });
-        const auto started = json::parse(entryVm->waitForLine("process.started"));
-        entry = Core::Address("127.0.0.1:" + started.at("port").get<std::string>());
-        (void)entryVm->waitForLine("configuration.taken");
-        (void)entryVm->waitForLine("fleet.taken");
-    }
-
-    auto put(const std::string& name, const json& value) -> void
-    {
-        const auto reply = StandIns::exchange(
-            { addressOf(*platform), "PUT", "/v1/objects/" + name, { { "If-Match", "0" } }, value.dump() });
-        BOOST_REQUIRE(reply);
-        BOOST_REQUIRE(reply->status == 200);
-    }
+    OneFailureDomain() { fleet.waitUntilConfigured(); }
 
-    std::unique_ptr<ChildProcess> platform = standIn({ "platform" });
-    std::unique_ptr<ChildProcess> upstream = standIn({ "upstream" });
-    std::unique_ptr<ChildProcess> entryVm = std::make_unique<ChildProcess>(DRAGONFLYWINCH_BINARY,
-        std::vector<std::string> { "serve", "--id", "atl-1-vm-1", "--failure-domain", "atl-1", "--region", "atl",
-            "--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--store", addressOf(*platform).value() });
-    Core::Address entry;
+    StandIns::SmallFleet fleet { { DRAGONFLYWINCH_BINARY, STANDINS_BINARY }, oneFailureDomain() };
+    Core::EntryVmId vm { fleet.entryVmIds().front() };
+    Core::Address entry = fleet.addressOf(vm);
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(OneEntryVmWithOneUpstream, OneFailureDomain)
+BOOST_FIXTURE_TEST_SUITE(OneEntryVmWithUpstreams, OneFailureDomain)
 
 BOOST_AUTO_TEST_CASE(ServesARequestEndToEnd)
 {
@@ -76,8 +50,23 @@
 
 BOOST_AUTO_TEST_CASE(EndsGracefullyOnSigterm)
 {
-    entryVm->signal(SIGTERM);
-    BOOST_TEST(entryVm->wait() == 0);
+    fleet.process(vm).signal(SIGTERM);
+    BOOST_TEST(fleet.process(vm).wait() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(GivesEveryCallerItsOwnAnswer)
+{
+    using Core::Rank;
+    StandIns::CallerLoad load({ entry },
+        { { Core::ServiceId("stock"), Rank::Urgent, 100, Core::Millis(2000), false },
+            { Core::ServiceId("audit"), Rank::Deferrable, 20, Core::Millis(5000), false } },
+        1);
+    load.start(Core::Millis(1500));
+    const auto report = load.finish();
+    BOOST_TEST(report.crossedAnswers == 0U);
+    for (const auto& [service, workload] : report.services)
+        BOOST_TEST(workload.answered == workload.offered);
+    BOOST_TEST(StandIns::brokenPromises(report, fleet.book()).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
