Run bookings at most once: home, epochs and backup

A retry of a booking reached the dispatcher like a new request, so a repeated request ran again. The ledger now decides by idempotency key: the home records a key before it starts it, waits for the backup's acknowledgement, and replays the first whole answer. A backup of another failure domain seals a suspected home's epoch, and only then calls keys without an intent notRun.

Size and deadline are checked after the key is recorded, since a refusal of an unrecorded key could be followed by a run. Requests with a key that the front end cannot read are refused as unknown for the same reason.

Ruled out: one prefix for services with and without a backup. A key that starts without an intent would make the backup's notRun untrue, so the form without a backup is a key of its own in the same epoch.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -33,7 +33,11 @@
           m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
     , m_ownership(settings.failureDomain)
     , m_dispatcher({ m_clock, m_runtime, m_upstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
-    , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_events })
+    , m_ledgerPeers(m_peers, m_members, m_clock)
+    , m_bookings({ m_clock, m_runtime, m_members, m_events, m_dispatcher, m_ledgerPeers, m_ledgerPeers },
+          { settings.id, { m_random.next(), m_random.next() }, settings.failureDomain, settings.region }, {})
+    , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_bookings.coordinator(), m_bookings.prefixes(),
+          m_members, m_events })
     , m_front(m_requests, m_clock, m_random)
     , m_server(m_runtime.context(), settings.listen, m_front)
     , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
@@ -45,6 +49,9 @@
 
 auto EntryVmProcess::run() -> void
 {
+    LedgerPeer::registerHandlers(
+        m_peerHandlers, m_bookings.backup(), m_bookings.coordinator(), m_configuration, m_clock);
+    m_bookings.start();
     m_events.record({ processStarted, {},
         { { "port", std::to_string(m_server.port()) }, { "peerPort", std::to_string(m_peerServer.port()) } } });
     scheduleHousekeeping();
@@ -96,7 +103,10 @@
 {
     m_documentFollower->stop();
     m_fleetFollower->stop();
-    m_server.shutDown([this] { m_dispatcher.drain([this] { m_peerServer.shutDown([this] { m_runtime.stop(); }); }); });
+    m_bookings.close();
+    auto handOver = [this] { m_bookings.handOver([this] { m_runtime.stop(); }); };
+    auto stopPeers = [this, handOver] { m_peerServer.shutDown(handOver); };
+    m_server.shutDown([this, stopPeers] { m_dispatcher.drain(stopPeers); });
 }
 
 } // namespace App
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/servesettings.h"
+#include "app/standalone.h"
 #include "configuration/configurationholder.h"
 #include "configuration/objectfollower.h"
 #include "dispatch/rankeddispatcher.h"
@@ -12,6 +13,8 @@
 #include "httpserver/httpserver.h"
 #include "httpstore/httpobjectstore.h"
 #include "httpupstream/httpupstreamclient.h"
+#include "ledger/bookingsystem.h"
+#include "ledgerpeer/ledgerpeer.h"
 #include "peerstream/peerstreamclient.h"
 #include "peerstream/peerstreamserver.h"
 #include "runtime/asioruntime.h"
@@ -51,6 +54,9 @@
     std::shared_ptr<Configuration::ObjectFollower> m_fleetFollower;
     Fleet::WholeDomainOwnership m_ownership;
     Dispatch::RankedDispatcher m_dispatcher;
+    NoMembers m_members;
+    LedgerPeer::LedgerPeerClient m_ledgerPeers;
+    Ledger::BookingSystem m_bookings;
     Serving::RequestService m_requests;
     HttpFront::HttpFront m_front;
     HttpServer::Server m_server;
--- a/src/libs/core/incarnation.h
+++ b/src/libs/core/incarnation.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,3 +24,10 @@
 auto parseIncarnation(std::string_view text) -> std::optional<Incarnation>;
 
 } // namespace Core
+
+template <> struct std::hash<Core::Incarnation> {
+    auto operator()(const Core::Incarnation& incarnation) const noexcept -> std::size_t
+    {
+        return std::hash<std::uint64_t> {}(incarnation.high ^ incarnation.low);
+    }
+};
--- a/src/libs/core/refusal.cpp
+++ b/src/libs/core/refusal.cpp
@@ -29,6 +29,8 @@
         return "epoch-closed";
     case RefusalReason::LedgerFull:
         return "ledger-full";
+    case RefusalReason::BackupUnavailable:
+        return "backup-unavailable";
     case RefusalReason::HomeUnreachable:
         return "home-unreachable";
     case RefusalReason::RequestQuarantined:
--- a/src/libs/core/refusal.h
+++ b/src/libs/core/refusal.h
@@ -25,6 +25,7 @@
     KeyInvalid,
     EpochClosed,
     LedgerFull,
+    BackupUnavailable,
     HomeUnreachable,
     RequestQuarantined,
     UpstreamFailed,
--- a/src/libs/ledger/bookinggate.h
+++ b/src/libs/ledger/bookinggate.h
@@ -21,6 +21,11 @@
     virtual ~KeyPrefixSource() = default;
     /// Empty while no keys are taken.
     [[nodiscard]] virtual auto currentPrefix() const -> std::string = 0;
+    /// Prefix for a service that needs a backup, or one without. Empty while no such keys are taken.
+    [[nodiscard]] virtual auto currentPrefix(bool needsBackup) const -> std::string = 0;
 };
 
+/// Form of a prefix, given as text, for a service without a backup; empty when the text is no prefix.
+auto prefixWithoutBackup(const std::string& prefix) -> std::string;
+
 } // namespace Ledger
--- a/src/libs/serving/requestservice.cpp
+++ b/src/libs/serving/requestservice.cpp
@@ -33,15 +33,17 @@
 auto RequestService::lookup(const Ports::LookupQuery& query) -> Core::Result<Ports::LookupAnswer>
 {
     const auto configuration = m_collaborators.configuration.current();
-    if (configuration->find(query.service) == nullptr) {
+    const auto* policy = configuration->find(query.service);
+    if (policy == nullptr) {
         return Core::fail(Core::ErrorKind::NotFound, "no service named '" + query.service.value() + "' is in force",
             "use a service named in the steering document, or add one to your section");
     }
     Ports::LookupAnswer answer { {}, configuration->lookupLifetime };
     const auto fleet = m_collaborators.fleet.current();
+    auto prefixes = policy->isIdempotent ? std::map<Core::EntryVmId, std::string>() : keyPrefixes(policy->needsBackup);
     for (const auto& vm : fleet->entryVms) {
         if (vm.state == Fleet::MemberState::Live)
-            answer.targets.push_back({ vm.id, vm.address, vm.failureDomain, Core::Share(0), {} });
+            answer.targets.push_back({ vm.id, vm.address, vm.failureDomain, Core::Share(0), prefixes[vm.id] });
     }
     for (auto& target : answer.targets)
         target.weight = Core::Share(1.0 / static_cast<double>(answer.targets.size()));
@@ -59,26 +61,50 @@
     const auto configuration = m_collaborators.configuration.current();
     const auto* policy = configuration->find(request.service);
     if (policy == nullptr) {
-        respond(notRun(Core::RefusalReason::UnknownService, "no service named '" + request.service.value() + "'",
-            "use a service named in the steering document"));
-        return;
-    }
-    if (request.body.size() > policy->maximumBody.value()) {
-        respond(notRun(Core::RefusalReason::RequestTooLarge, "the body is larger than the service accepts",
-            "send at most " + std::to_string(policy->maximumBody.value()) + " bytes"));
+        // The key may have run where the service is in force already.
+        respond(Core::Refusal { request.key ? Core::RunOutcome::Unknown : Core::RunOutcome::NotRun,
+            Core::RefusalReason::UnknownService, "no service named '" + request.service.value() + "'",
+            "use a service named in the steering document", {} });
         return;
     }
-    if (request.deadline <= m_collaborators.clock.now()) {
-        respond(
-            notRun(Core::RefusalReason::DeadlinePassed, "the deadline has passed", "send it with a later deadline"));
+    if (request.key) {
+        m_collaborators.bookings.execute(std::move(request), *policy, std::move(respond));
         return;
     }
-    if (!policy->isIdempotent && !request.key) {
-        respond(notRun(Core::RefusalReason::KeyRequired, "this service needs an idempotency key",
-            "take a key prefix from a look-up answer and append ':' and a unique id"));
+    if (auto refusal = check(request, *policy)) {
+        respond(std::move(*refusal));
         return;
     }
     m_collaborators.dispatcher.dispatch(std::move(request), *policy, std::move(respond));
 }
 
+auto RequestService::check(const Core::ServiceRequest& request, const Configuration::ServicePolicy& policy) const
+    -> std::optional<Core::Refusal>
+{
+    if (request.body.size() > policy.maximumBody.value()) {
+        return notRun(Core::RefusalReason::RequestTooLarge, "the body is larger than the service accepts",
+            "send at most " + std::to_string(policy.maximumBody.value()) + " bytes");
+    }
+    if (request.deadline <= m_collaborators.clock.now())
+        return notRun(Core::RefusalReason::DeadlinePassed, "the deadline has passed", "send it with a later deadline");
+    if (policy.isIdempotent)
+        return std::nullopt;
+    auto refusal = notRun(Core::RefusalReason::KeyRequired, "this service needs an idempotency key",
+        "append ':' and a unique id to the given prefix, or to one from a look-up answer");
+    refusal.keyPrefix = m_collaborators.keyPrefixes.currentPrefix(policy.needsBackup);
+    return refusal;
+}
+
+auto RequestService::keyPrefixes(bool needsBackup) const -> std::map<Core::EntryVmId, std::string>
+{
+    std::map<Core::EntryVmId, std::string> prefixes;
+    for (const auto& member : m_collaborators.members.members()) {
+        prefixes[member.vm.id] = needsBackup ? member.keyPrefix : Ledger::prefixWithoutBackup(member.keyPrefix);
+    }
+    const auto own = m_collaborators.keyPrefixes.currentPrefix(needsBackup);
+    if (const auto parsed = Core::parseKeyPrefix(own))
+        prefixes[parsed->home] = own;
+    return prefixes;
+}
+
 } // namespace Serving
--- a/src/libs/serving/requestservice.h
+++ b/src/libs/serving/requestservice.h
@@ -3,13 +3,18 @@
 #include "configuration/steeringconfiguration.h"
 #include "dispatch/dispatcher.h"
 #include "fleet/fleetholder.h"
+#include "ledger/bookinggate.h"
+#include "membership/membershipview.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
 #include "ports/requesthandler.h"
 
+#include <map>
+
 namespace Serving {
 
-/// Entry VM's view of one request: checks it, and hands it to the dispatcher of its failure domain.
+/// Entry VM's view of one request: checks it, and hands it to the dispatcher of its failure domain, or to the booking
+/// gate when it carries an idempotency key.
 class RequestService : public Ports::RequestHandler {
 public:
     struct Collaborators {
@@ -17,6 +22,9 @@
         const Configuration::ConfigurationSource& configuration;
         const Fleet::FleetSource& fleet;
         Dispatch::Dispatcher& dispatcher;
+        Ledger::BookingGate& bookings;
+        const Ledger::KeyPrefixSource& keyPrefixes;
+        const Membership::MembershipView& members;
         Ports::EventSink& events;
     };
 
@@ -26,6 +34,10 @@
     auto handle(Core::ServiceRequest request, Core::ReplyCallback callback) -> void override;
 
 private:
+    auto check(const Core::ServiceRequest& request, const Configuration::ServicePolicy& policy) const
+        -> std::optional<Core::Refusal>;
+    auto keyPrefixes(bool needsBackup) const -> std::map<Core::EntryVmId, std::string>;
+
     Collaborators m_collaborators;
 };
 
--- a/src/plugins/httpfront/httpfront.cpp
+++ b/src/plugins/httpfront/httpfront.cpp
@@ -23,10 +23,13 @@
     constexpr Core::Millis maximumDeadline { 24L * 3600 * 1000 };
     constexpr std::size_t maximumIdLength = 128;
 
-    auto invalid(std::string message, std::string remedy) -> tl::unexpected<Core::Refusal>
+    /// Of a request with a key, an earlier copy that could be read may have run.
+    auto invalid(const HttpServer::HttpRequest& request, std::string message, std::string remedy)
+        -> tl::unexpected<Core::Refusal>
     {
-        return tl::unexpected(Core::Refusal {
-            Core::RunOutcome::NotRun, Core::RefusalReason::InvalidRequest, std::move(message), std::move(remedy), {} });
+        const auto outcome = request[keyHeader].empty() ? Core::RunOutcome::NotRun : Core::RunOutcome::Unknown;
+        return tl::unexpected(
+            Core::Refusal { outcome, Core::RefusalReason::InvalidRequest, std::move(message), std::move(remedy), {} });
     }
 
     auto parseMillis(std::string_view text) -> std::optional<Core::Millis>
@@ -124,14 +127,14 @@
     if (decoded.id.value().size() > maximumIdLength || decoded.caller.value().size() > maximumIdLength
         || !isPrintable(decoded.id.value()) || !isPrintable(decoded.caller.value()))
         return invalid(
-            "X-Request-Id or X-Caller is too long or not printable", "send at most 128 printable characters");
+            request, "X-Request-Id or X-Caller is too long or not printable", "send at most 128 printable characters");
     if (decoded.id.value().empty())
         decoded.id = freshRequestId();
     const auto deadlineText = request[deadlineHeader];
     const auto deadline = parseMillis({ deadlineText.data(), deadlineText.size() });
     if (!deadline)
-        return invalid(
-            "X-Deadline-Ms is not a number of milliseconds up to one day", "send the time left for the answer");
+        return invalid(request, "X-Deadline-Ms is not a number of milliseconds up to one day",
+            "send the time left for the answer");
     decoded.deadline = m_clock.now() + *deadline;
     if (const auto keyText = request[keyHeader]; !keyText.empty()) {
         auto key = Core::parseRequestKey({ keyText.data(), keyText.size() });
--- a/src/plugins/httpfront/replyencoding.cpp
+++ b/src/plugins/httpfront/replyencoding.cpp
@@ -38,6 +38,7 @@
         case RefusalReason::Overloaded:
         case RefusalReason::NoUpstream:
         case RefusalReason::LedgerFull:
+        case RefusalReason::BackupUnavailable:
         case RefusalReason::ShuttingDown:
         case RefusalReason::NotConfigured:
             break;
--- /dev/null
+++ b/src/plugins/ledgerpeer/ledgercodec.cpp
@@ -0,0 +1,184 @@
+#include "ledgerpeer/ledgercodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace LedgerPeer {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::int64_t maximumDeadlineMicroseconds = 24LL * 3600 * 1'000'000;
+
+    auto pack(const json& value) -> std::string
+    {
+        std::string payload;
+        json::to_cbor(value, payload);
+        return payload;
+    }
+
+    /// Thrown inside the decoders only, where the library throws its own errors too.
+    class InvalidField : public std::exception { };
+
+    /// Calls read(json) and turns whatever it throws into an InvalidMessage error.
+    template <typename T, typename Reader> auto unpack(const std::string& payload, Reader read) -> Core::Result<T>
+    {
+        try {
+            return read(json::from_cbor(payload));
+        } catch (const std::exception&) {
+            return Core::fail(Core::ErrorKind::InvalidMessage, "a ledger message from a peer cannot be read",
+                "run the same release on all entry VMs");
+        }
+    }
+
+    /// Enumerator at the given index, up to and with the last one.
+    template <typename Enumeration> auto enumerator(const json& value, Enumeration last) -> Enumeration
+    {
+        const auto index = value.get<std::uint64_t>();
+        if (!value.is_number_unsigned() || index > static_cast<std::uint64_t>(last))
+            throw InvalidField();
+        return static_cast<Enumeration>(index);
+    }
+
+    auto readKey(const json& value) -> Core::RequestKey
+    {
+        auto key = Core::parseRequestKey(value.get<std::string>());
+        if (!key)
+            throw InvalidField();
+        return std::move(*key);
+    }
+
+    auto answerJson(const Core::Answer& answer) -> json
+    {
+        return { answer.id.value(), answer.upstream.value(), answer.status, answer.contentType, answer.body };
+    }
+
+    auto readAnswer(const json& value) -> Core::Answer
+    {
+        return { Core::RequestId(value.at(0).get<std::string>()), Core::UpstreamId(value.at(1).get<std::string>()),
+            value.at(2).get<int>(), value.at(3).get<std::string>(), value.at(4).get<std::string>() };
+    }
+
+    auto optionalAnswerJson(const std::optional<Core::Answer>& answer) -> json
+    {
+        return answer ? answerJson(*answer) : json();
+    }
+
+    auto readOptionalAnswer(const json& value) -> std::optional<Core::Answer>
+    {
+        return value.is_null() ? std::nullopt : std::optional(readAnswer(value));
+    }
+
+} // namespace
+
+auto encode(const Ledger::Intent& intent) -> std::string
+{
+    return pack({ toString(intent.key), intent.request.value(), intent.fingerprint.value() });
+}
+
+auto decodeIntent(const std::string& payload) -> Core::Result<Ledger::Intent>
+{
+    return unpack<Ledger::Intent>(payload, [](const json& value) {
+        return Ledger::Intent { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
+            Ledger::Fingerprint(value.at(2).get<std::uint64_t>()) };
+    });
+}
+
+auto encode(Ledger::IntentOutcome outcome) -> std::string { return pack(static_cast<std::uint64_t>(outcome)); }
+
+auto decodeIntentOutcome(const std::string& payload) -> Core::Result<Ledger::IntentOutcome>
+{
+    return unpack<Ledger::IntentOutcome>(
+        payload, [](const json& value) { return enumerator(value, Ledger::IntentOutcome::Unreachable); });
+}
+
+auto encode(const Ledger::Outcome& outcome) -> std::string
+{
+    return pack({ toString(outcome.key), outcome.request.value(), optionalAnswerJson(outcome.answer) });
+}
+
+auto decodeOutcome(const std::string& payload) -> Core::Result<Ledger::Outcome>
+{
+    return unpack<Ledger::Outcome>(payload, [](const json& value) {
+        return Ledger::Outcome { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
+            readOptionalAnswer(value.at(2)) };
+    });
+}
+
+auto encode(const Ledger::Query& query) -> std::string
+{
+    return pack({ toString(query.key), query.request.value(), query.fingerprint.value() });
+}
+
+auto decodeQuery(const std::string& payload) -> Core::Result<Ledger::Query>
+{
+    return unpack<Ledger::Query>(payload, [](const json& value) {
+        return Ledger::Query { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
+            Ledger::Fingerprint(value.at(2).get<std::uint64_t>()) };
+    });
+}
+
+auto encode(const Ledger::Resolution& resolution) -> std::string
+{
+    return pack({ static_cast<std::uint64_t>(resolution.kind), optionalAnswerJson(resolution.answer) });
+}
+
+auto decodeResolution(const std::string& payload) -> Core::Result<Ledger::Resolution>
+{
+    return unpack<Ledger::Resolution>(payload, [](const json& value) {
+        Ledger::Resolution resolution { enumerator(value.at(0), Ledger::ResolutionKind::OtherRequest),
+            readOptionalAnswer(value.at(1)) };
+        if ((resolution.kind == Ledger::ResolutionKind::Answered) != resolution.answer.has_value())
+            throw InvalidField();
+        return resolution;
+    });
+}
+
+auto encode(const Core::Reply& reply) -> std::string
+{
+    if (const auto* answer = std::get_if<Core::Answer>(&reply))
+        return pack({ { "answer", answerJson(*answer) } });
+    const auto& refusal = std::get<Core::Refusal>(reply);
+    return pack({ { "refusal",
+        { static_cast<std::uint64_t>(refusal.outcome), static_cast<std::uint64_t>(refusal.reason), refusal.message,
+            refusal.remedy, refusal.keyPrefix } } });
+}
+
+auto decodeReply(const std::string& payload) -> Core::Result<Core::Reply>
+{
+    return unpack<Core::Reply>(payload, [](const json& value) -> Core::Reply {
+        if (value.contains("answer"))
+            return readAnswer(value.at("answer"));
+        const auto& fields = value.at("refusal");
+        return Core::Refusal { enumerator(fields.at(0), Core::RunOutcome::Unknown),
+            enumerator(fields.at(1), Core::RefusalReason::NotConfigured), fields.at(2).get<std::string>(),
+            fields.at(3).get<std::string>(), fields.at(4).get<std::string>() };
+    });
+}
+
+auto encode(const Core::ServiceRequest& request, Core::Instant now) -> std::string
+{
+    return pack({ request.id.value(), request.service.value(), request.caller.value(), (request.deadline - now).count(),
+        toString(*request.key), request.operation, request.body, request.hops });
+}
+
+auto decodeRequest(const std::string& payload, Core::Instant now) -> Core::Result<Core::ServiceRequest>
+{
+    return unpack<Core::ServiceRequest>(payload, [now](const json& value) {
+        const auto left = value.at(3).get<std::int64_t>();
+        if (left > maximumDeadlineMicroseconds || left < -maximumDeadlineMicroseconds)
+            throw InvalidField();
+        Core::ServiceRequest request;
+        request.id = Core::RequestId(value.at(0).get<std::string>());
+        request.service = Core::ServiceId(value.at(1).get<std::string>());
+        request.caller = Core::CallerId(value.at(2).get<std::string>());
+        request.deadline = now + Core::Duration(left);
+        request.key = readKey(value.at(4));
+        request.operation = value.at(5).get<std::string>();
+        request.body = value.at(6).get<std::string>();
+        request.hops = value.at(7).get<std::uint32_t>();
+        return request;
+    });
+}
+
+} // namespace LedgerPeer
--- /dev/null
+++ b/tests/auto/ledger/tst_booking.cpp
@@ -0,0 +1,360 @@
+#include "fakes/booking/bookingfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using Fakes::SentReply;
+using Fakes::UpstreamBehaviour;
+
+constexpr std::uint64_t seed = 1;
+constexpr Core::Duration aMoment = Core::Millis(50);
+constexpr Core::Duration untilAllIsOver = Core::Millis(5000);
+
+/// Three entry VMs; vm-0 is the home of the key, vm-0's backup is one of the others.
+struct Story {
+    Story()
+    {
+        fleet.world.runFor(aMoment);
+        key = *fleet.freshKey(home);
+        backup = fleet.backupOf(key);
+        other = 3 - backup;
+    }
+    ~Story() { BOOST_TEST(fleet.book.violations() == std::vector<std::string>(), boost::test_tools::per_element()); }
+
+    auto runs() -> std::size_t { return fleet.book.runs(toString(key)); }
+    auto upstreamsDo(UpstreamBehaviour behaviour) -> void
+    {
+        fleet.node(home)->upstreams.behaviour = [behaviour] { return behaviour; };
+    }
+
+    Fakes::BookingFleet fleet { seed };
+    const std::size_t home = 0;
+    std::size_t backup = 0;
+    std::size_t other = 0;
+    Core::RequestKey key;
+};
+
+auto isAnswer(const SentReply& reply) -> bool { return *reply && std::holds_alternative<Core::Answer>(**reply); }
+
+auto isRefusal(const SentReply& reply, Core::RunOutcome outcome) -> bool
+{
+    const auto* refusal = *reply ? std::get_if<Core::Refusal>(&**reply) : nullptr;
+    return refusal != nullptr && refusal->outcome == outcome;
+}
+
+auto isNotRun(const SentReply& reply) -> bool { return isRefusal(reply, Core::RunOutcome::NotRun); }
+auto isUnknown(const SentReply& reply) -> bool { return isRefusal(reply, Core::RunOutcome::Unknown); }
+
+auto reasonOf(const SentReply& reply) -> Core::RefusalReason { return std::get<Core::Refusal>(**reply).reason; }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ABooking, Story)
+
+BOOST_AUTO_TEST_SUITE(ThatIsSentThroughEveryEntryVmAtOnce)
+
+BOOST_AUTO_TEST_CASE(RunsOnceAndEachCopyGetsTheWholeAnswer)
+{
+    std::vector<SentReply> replies;
+    for (std::size_t via = 0; via < 3; ++via) {
+        replies.push_back(fleet.send(via, key));
+        replies.push_back(fleet.send(via, key));
+    }
+    fleet.world.runFor(untilAllIsOver);
+    for (const auto& reply : replies)
+        BOOST_TEST(isAnswer(reply));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CarriesTheIdOfTheCopyThatAsked)
+{
+    const auto first = fleet.send(home, key);
+    const auto second = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(std::get<Core::Answer>(**first).id != std::get<Core::Answer>(**second).id);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsSentAgainAfterItsAnswer)
+
+BOOST_AUTO_TEST_CASE(GetsTheFirstAnswerThroughAnyEntryVm)
+{
+    fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    const auto retry = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(retry));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsUnknownWhenTheRetryAsksForSomethingElse)
+{
+    fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    const auto retry = fleet.send(home, key, "booking", Core::Millis(2000), "two pegs");
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(retry));
+    BOOST_TEST((reasonOf(retry) == Core::RefusalReason::KeyInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(IsNeverCalledNotRunBecauseTheRetryCameTooLate)
+{
+    fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    const auto retry = fleet.send(home, key, "booking", Core::Duration(0));
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(retry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatTheUpstreamDoesNotAnswer)
+
+BOOST_AUTO_TEST_CASE(StaysUnknownWhenItRanAndTheAnswerWasLost)
+{
+    upstreamsDo(UpstreamBehaviour::RunAndLoseAnswer);
+    const auto first = fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    upstreamsDo(UpstreamBehaviour::Answer);
+    const auto retry = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(first));
+    BOOST_TEST(isUnknown(retry));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StaysUnknownWhenTheUpstreamCrashedOnIt)
+{
+    upstreamsDo(UpstreamBehaviour::LoseBeforeRun);
+    fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    upstreamsDo(UpstreamBehaviour::Answer);
+    BOOST_TEST(!isAnswer(fleet.send(home, key)));
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(IsFinallyNotRunWhenTheUpstreamShedIt)
+{
+    upstreamsDo(UpstreamBehaviour::Shed);
+    const auto first = fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    upstreamsDo(UpstreamBehaviour::Answer);
+    const auto late = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(first));
+    BOOST_TEST(isNotRun(late));
+    BOOST_TEST(!std::get<Core::Refusal>(**late).keyPrefix.empty());
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseHomeIsKilled)
+
+BOOST_AUTO_TEST_CASE(BeforeItStartedIsNotRun)
+{
+    fleet.crash(home);
+    fleet.learnAll();
+    const auto reply = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(reply));
+}
+
+BOOST_AUTO_TEST_CASE(WhileItRunsIsUnknown)
+{
+    upstreamsDo(UpstreamBehaviour::Hold);
+    fleet.send(home, key);
+    fleet.world.runFor(aMoment);
+    fleet.node(home)->upstreams.release();
+    fleet.crash(home);
+    fleet.learnAll();
+    const auto retry = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(retry));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AfterItsAnswerIsAnsweredByTheBackup)
+{
+    fleet.send(home, key);
+    fleet.world.runFor(aMoment);
+    fleet.crash(home);
+    fleet.learnAll();
+    const auto viaBackup = fleet.send(backup, key);
+    const auto viaOther = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(viaBackup));
+    BOOST_TEST(isAnswer(viaOther));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AndRestartedUnderTheSameAddressIsNotRunAgain)
+{
+    fleet.send(home, key);
+    fleet.world.runFor(aMoment);
+    fleet.crash(home);
+    fleet.start(home);
+    fleet.learnAll();
+    const auto retry = fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(retry));
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TogetherWithItsBackupIsUnknown)
+{
+    fleet.crash(home);
+    fleet.crash(backup);
+    fleet.start(backup);
+    fleet.learnAll();
+    const auto reply = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(reply));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseHomeIsPausedPastEveryTimeout)
+
+BOOST_AUTO_TEST_CASE(IsNotStartedOnWakingAfterTheBackupSaidNotRun)
+{
+    fleet.send(home, key);
+    fleet.pause(home);
+    fleet.suspect(backup, home);
+    fleet.suspect(other, home);
+    const auto reply = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(reply));
+    fleet.resume(home);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AndWronglySuspectedLosesOnlyItsEpoch)
+{
+    fleet.suspect(backup, home);
+    const auto sealing = fleet.send(backup, key);
+    fleet.world.runFor(aMoment);
+    BOOST_TEST(isNotRun(sealing));
+    const auto second = fleet.send(home, *fleet.freshKey(home));
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(second));
+    const auto third = fleet.send(home, *fleet.freshKey(home));
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(third));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseHomeIsCutOffFromItsBackup)
+
+BOOST_AUTO_TEST_CASE(IsNotRunAndTheNextEpochHasAnotherBackup)
+{
+    fleet.cut(home, backup);
+    const auto reply = fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(reply));
+    const auto next = *fleet.freshKey(home);
+    BOOST_TEST(fleet.backupOf(next) == other);
+    const auto second = fleet.send(home, next);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(second));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotStartedByALateAcknowledgement)
+{
+    fleet.pause(backup);
+    const auto reply = fleet.send(home, key);
+    fleet.world.runFor(untilAllIsOver);
+    fleet.resume(backup);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(reply));
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(IsAnsweredAfterTheSealWhenTheAnswerComesLater)
+{
+    upstreamsDo(UpstreamBehaviour::Hold);
+    fleet.send(home, key);
+    fleet.world.runFor(aMoment);
+    fleet.suspect(backup, home);
+    const auto early = fleet.send(backup, key);
+    fleet.world.runFor(aMoment);
+    fleet.node(home)->upstreams.release();
+    fleet.world.runFor(aMoment);
+    const auto late = fleet.send(backup, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(early));
+    BOOST_TEST(isAnswer(late));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfAServiceWithoutABackup)
+
+BOOST_AUTO_TEST_CASE(RunsWithoutAnIntent)
+{
+    const auto reply = fleet.send(other, *fleet.freshKey(home, false), "hold");
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(reply));
+    BOOST_TEST(fleet.events.count("booking.intent") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(IsUnknownAndNeverNotRunWhenItsHomeIsGone)
+{
+    const auto unbacked = *fleet.freshKey(home, false);
+    fleet.send(home, unbacked, "hold");
+    fleet.world.runFor(aMoment);
+    fleet.crash(home);
+    fleet.start(home);
+    fleet.learnAll();
+    const auto retry = fleet.send(home, unbacked, "hold");
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isUnknown(retry));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotLendItsKeyToAServiceThatNeedsABackup)
+{
+    const auto unbacked = *fleet.freshKey(home, false);
+    const auto reply = fleet.send(home, unbacked);
+    const auto later = fleet.send(home, unbacked, "booking");
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isNotRun(reply));
+    BOOST_TEST(isNotRun(later));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseHomeStopsAsPlanned)
+
+BOOST_AUTO_TEST_CASE(IsFinishedAndItsAnswerHandedToTheBackup)
+{
+    upstreamsDo(UpstreamBehaviour::Hold);
+    const auto running = fleet.send(home, key);
+    fleet.world.runFor(aMoment);
+    auto& system = fleet.node(home)->system;
+    system.close();
+    const auto late = fleet.send(other, { key.prefix, "late" });
+    fleet.world.cut(Core::Address("10.0.0.1:1"), Core::Address("10.0.0." + std::to_string(backup + 1) + ":1"));
+    fleet.node(home)->upstreams.release();
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(running));
+    BOOST_TEST(isNotRun(late));
+    fleet.world.heal();
+    auto isHandedOver = false;
+    system.handOver([&] { isHandedOver = true; });
+    fleet.world.runFor(aMoment);
+    BOOST_TEST(isHandedOver);
+    fleet.crash(home);
+    fleet.learnAll();
+    const auto retry = fleet.send(other, key);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(retry));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
