Add look-ups by client block with capped, load-aware shares

Cause: a look-up named every live entry VM with even weights, whatever the client's place, the load, the drains and the cap on movement. Three entry VMs are drawn so that the shares hold on average.

Ruled out: a direct index of all /24 blocks (32 MiB for IPv4 alone), and weights by position alone (a quarter of the traffic would leave the nearest failure domain for no reason).

--- a/src/libs/ports/requesthandler.h
+++ b/src/libs/ports/requesthandler.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "core/clientaddress.h"
 #include "core/request.h"
 
+#include <optional>
 #include <vector>
 
 namespace Ports {
@@ -9,8 +11,8 @@
 /// Question of a caller which entry VMs to use.
 struct LookupQuery {
     Core::ServiceId service;
-    /// Address of the caller's block of clients, for example "203.0.113.7"; empty when unknown.
-    std::string client;
+    /// Address of the client, which decides its block; empty when unknown.
+    std::optional<Core::ClientAddress> client;
 };
 
 /// One entry VM in a look-up answer.
--- /dev/null
+++ b/src/libs/steering/lookupplan.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/ids.h"
+#include "ports/requesthandler.h"
+
+#include <map>
+#include <vector>
+
+namespace Steering {
+
+/// Entry VMs of a failure domain that look-up answers may name, and its part of the traffic of one site.
+struct DomainTargets {
+    /// Sum of this and all earlier shares; the last one is 1.
+    double cumulativeShare = 0;
+    /// Index into LookupPlan::targets.
+    std::size_t domain = 0;
+};
+
+/// What look-up answers are drawn from; immutable.
+struct LookupPlan {
+    struct ServicePlan {
+        /// By SiteIndex, and last for clients whose site is unknown.
+        std::vector<std::vector<DomainTargets>> sites;
+    };
+
+    std::map<Core::ServiceId, ServicePlan> services;
+    /// Entry VMs by failure domain; none is empty.
+    std::vector<std::vector<Ports::LookupTarget>> targets;
+    Core::Millis lifetime { 0 };
+};
+
+} // namespace Steering
--- /dev/null
+++ b/src/libs/steering/lookupservice.cpp
@@ -0,0 +1,97 @@
+#include "steering/lookupservice.h"
+
+#include <algorithm>
+
+namespace Steering {
+
+namespace {
+
+    constexpr Core::Millis refreshInterval { 100 };
+    constexpr std::size_t targetsPerAnswer = 3;
+    /// A random double in [0, 1) has this many random bits.
+    constexpr unsigned randomBits = 53;
+
+    auto unitInterval(std::uint64_t word) -> double
+    {
+        constexpr double scale = 1.0 / static_cast<double>(std::uint64_t(1) << randomBits);
+        return static_cast<double>(word >> (64U - randomBits)) * scale;
+    }
+
+    auto siteOf(const LookupTable& table, const Ports::LookupQuery& query) -> std::size_t
+    {
+        const auto site = query.client ? table.find(blockOf(*query.client)) : std::nullopt;
+        return site ? site->value() : table.sites().size();
+    }
+
+} // namespace
+
+LookupService::LookupService(Collaborators collaborators, Core::FailureDomainId failureDomain, Core::RegionId region)
+    : m_collaborators(collaborators)
+    , m_planner(std::move(failureDomain), std::move(region))
+{
+}
+
+auto LookupService::lookup(const Ports::LookupQuery& query) -> Core::Result<Ports::LookupAnswer>
+{
+    const auto current = snapshot();
+    const auto service = current.plan->services.find(query.service);
+    if (service == current.plan->services.end()) {
+        return Core::fail(Core::ErrorKind::NotFound, "no service named '" + query.service.value() + "' is in force",
+            "use a service named in the steering document, or add one to your section");
+    }
+    const auto& domains = service->second.sites[siteOf(*current.table, query)];
+    if (domains.empty()) {
+        return Core::fail(Core::ErrorKind::Unavailable, "no entry VM is known yet",
+            "try again in a second; operators check the list of VMs");
+    }
+    return draw(*current.plan, domains);
+}
+
+auto LookupService::snapshot() -> Snapshot
+{
+    const auto now = m_collaborators.clock.now();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_snapshot.plan != nullptr && now < m_refreshAt)
+            return m_snapshot;
+    }
+    refresh(now);
+    const std::lock_guard lock(m_mutex);
+    return m_snapshot;
+}
+
+auto LookupService::refresh(Core::Instant now) -> void
+{
+    const auto configuration = m_collaborators.configuration.current();
+    const auto members = m_collaborators.membership.members();
+    auto table = m_collaborators.table.current();
+    const std::lock_guard planning(m_planningMutex);
+    auto plan = m_planner.plan(now, *configuration, members, *table);
+    const std::lock_guard lock(m_mutex);
+    m_snapshot = { std::move(table), std::move(plan) };
+    m_refreshAt = now + refreshInterval;
+}
+
+auto LookupService::draw(const LookupPlan& plan, const std::vector<DomainTargets>& domains) -> Ports::LookupAnswer
+{
+    Ports::LookupAnswer answer { {}, plan.lifetime };
+    answer.targets.reserve(targetsPerAnswer);
+    constexpr auto part = 1.0 / targetsPerAnswer;
+    const auto offset = unitInterval(m_collaborators.random.next()) * part;
+    const auto vmWord = m_collaborators.random.next();
+    for (std::size_t index = 0; index < targetsPerAnswer; ++index) {
+        // Equally spaced points with a random start give each failure domain its share on average.
+        const auto point = offset + static_cast<double>(index) * part;
+        const auto domain = std::find_if(domains.begin(), domains.end() - 1,
+            [point](const DomainTargets& candidate) { return point < candidate.cumulativeShare; });
+        const auto& vms = plan.targets[domain->domain];
+        const auto& chosen = vms[(vmWord + index) % vms.size()];
+        const auto same = std::find_if(answer.targets.begin(), answer.targets.end(),
+            [&chosen](const Ports::LookupTarget& target) { return target.vm == chosen.vm; });
+        auto& target = same == answer.targets.end() ? answer.targets.emplace_back(chosen) : *same;
+        target.weight = Core::Share(target.weight.value() + part);
+    }
+    return answer;
+}
+
+} // namespace Steering
--- a/src/plugins/httpfront/httpfront.cpp
+++ b/src/plugins/httpfront/httpfront.cpp
@@ -1,5 +1,6 @@
 #include "httpfront/httpfront.h"
 
+#include "clientblocks/addressparser.h"
 #include "core/incarnation.h"
 #include "httpfront/replyencoding.h"
 
@@ -86,12 +87,13 @@
 {
     const auto url = boost::urls::parse_origin_form(request.target());
     Ports::LookupQuery query;
+    std::string client;
     if (url) {
         for (const auto& parameter : url->params()) {
             if (parameter.key == "service")
                 query.service = Core::ServiceId(parameter.value);
             else if (parameter.key == "client")
-                query.client = parameter.value;
+                client = parameter.value;
         }
     }
     if (query.service.value().empty()) {
@@ -99,6 +101,12 @@
             "ask for /v1/lookup?service=SERVICE" }));
         return;
     }
+    query.client = ClientBlocks::parseAddress(client);
+    if (!client.empty() && !query.client) {
+        respond(encodeError({ Core::ErrorKind::InvalidArgument, "the look-up's client is not an IP address",
+            "send the client's IPv4 or IPv6 address, or leave it out" }));
+        return;
+    }
     respond(encodeLookup(m_handler.lookup(query)));
 }
 
