Run requests through relays and credits, and look-ups through the planner

Cause: the decisions stood beside the entry VM's process. SteeringSystem connects them; the request path and the bookings now go through the relay dispatcher, and look-up answers come from the planner. Key prefixes stay with the request service, which knows the service's needs. Until membership knows anyone, look-ups use the platform's list.

The process has no membership view yet, so relays find no other entry VM there; that part is run by the tests of the decisions only.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -33,11 +33,15 @@
           m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
     , m_ownership(settings.failureDomain)
     , m_dispatcher({ m_clock, m_runtime, m_upstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
+    , m_relayPeer(m_peers)
+    , m_steering({ m_clock, m_random, m_runtime, m_store, m_events, m_configuration, m_fleet, m_members, m_dispatcher,
+                     m_dispatcher, m_relayPeer, m_relayPeer, m_clientBlocks },
+          { settings.id, settings.failureDomain, settings.region })
     , m_ledgerPeers(m_peers, m_members, m_clock)
-    , m_bookings({ m_clock, m_runtime, m_members, m_events, m_dispatcher, m_ledgerPeers, m_ledgerPeers },
+    , m_bookings({ m_clock, m_runtime, m_members, m_events, m_steering.dispatcher(), m_ledgerPeers, m_ledgerPeers },
           { settings.id, { m_random.next(), m_random.next() }, settings.failureDomain, settings.region }, {})
-    , m_requests({ m_clock, m_configuration, m_fleet, m_dispatcher, m_bookings.coordinator(), m_bookings.prefixes(),
-          m_members, m_events })
+    , m_requests({ m_clock, m_configuration, m_steering.lookups(), m_steering.dispatcher(), m_bookings.coordinator(),
+          m_bookings.prefixes(), m_events })
     , m_front(m_requests, m_clock, m_random)
     , m_server(m_runtime.context(), settings.listen, m_front)
     , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
@@ -51,6 +55,7 @@
 {
     LedgerPeer::registerHandlers(
         m_peerHandlers, m_bookings.backup(), m_bookings.coordinator(), m_configuration, m_clock);
+    RelayPeer::registerRelayHandlers(m_peerHandlers, m_steering.relayHandler(), m_steering.creditHandler());
     m_bookings.start();
     m_events.record({ processStarted, {},
         { { "port", std::to_string(m_server.port()) }, { "peerPort", std::to_string(m_peerServer.port()) } } });
@@ -58,6 +63,7 @@
     m_documentFollower->start();
     m_fleetFollower->start();
     m_dispatcher.start();
+    m_steering.start();
     m_signals.async_wait([this](boost::system::error_code error, int) {
         if (!error)
             shutDown();
@@ -103,6 +109,7 @@
 {
     m_documentFollower->stop();
     m_fleetFollower->stop();
+    m_steering.stop();
     m_bookings.close();
     auto handOver = [this] { m_bookings.handOver([this] { m_runtime.stop(); }); };
     auto stopPeers = [this, handOver] { m_peerServer.shutDown(handOver); };
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -2,6 +2,7 @@
 
 #include "app/servesettings.h"
 #include "app/standalone.h"
+#include "clientblocks/jsonclientblocks.h"
 #include "configuration/configurationholder.h"
 #include "configuration/objectfollower.h"
 #include "dispatch/rankeddispatcher.h"
@@ -17,8 +18,10 @@
 #include "ledgerpeer/ledgerpeer.h"
 #include "peerstream/peerstreamclient.h"
 #include "peerstream/peerstreamserver.h"
+#include "relaypeer/relaypeer.h"
 #include "runtime/asioruntime.h"
 #include "serving/requestservice.h"
+#include "steering/steeringsystem.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -55,6 +58,9 @@
     Fleet::WholeDomainOwnership m_ownership;
     Dispatch::RankedDispatcher m_dispatcher;
     NoMembers m_members;
+    RelayPeer::RelayPeer m_relayPeer;
+    ClientBlocks::JsonClientBlocks m_clientBlocks;
+    Steering::SteeringSystem m_steering;
     LedgerPeer::LedgerPeerClient m_ledgerPeers;
     Ledger::BookingSystem m_bookings;
     Serving::RequestService m_requests;
--- a/src/libs/serving/requestservice.cpp
+++ b/src/libs/serving/requestservice.cpp
@@ -32,21 +32,12 @@
 
 auto RequestService::lookup(const Ports::LookupQuery& query) -> Core::Result<Ports::LookupAnswer>
 {
+    auto answer = m_collaborators.lookups.lookup(query);
+    if (!answer)
+        return answer;
     const auto configuration = m_collaborators.configuration.current();
-    const auto* policy = configuration->find(query.service);
-    if (policy == nullptr) {
-        return Core::fail(Core::ErrorKind::NotFound, "no service named '" + query.service.value() + "' is in force",
-            "use a service named in the steering document, or add one to your section");
-    }
-    Ports::LookupAnswer answer { {}, configuration->lookupLifetime };
-    const auto fleet = m_collaborators.fleet.current();
-    auto prefixes = policy->isIdempotent ? std::map<Core::EntryVmId, std::string>() : keyPrefixes(policy->needsBackup);
-    for (const auto& vm : fleet->entryVms) {
-        if (vm.state == Fleet::MemberState::Live)
-            answer.targets.push_back({ vm.id, vm.address, vm.failureDomain, Core::Share(0), prefixes[vm.id] });
-    }
-    for (auto& target : answer.targets)
-        target.weight = Core::Share(1.0 / static_cast<double>(answer.targets.size()));
+    for (auto& target : answer->targets)
+        setKeyPrefix(target, configuration->find(query.service));
     return answer;
 }
 
@@ -95,16 +86,18 @@
     return refusal;
 }
 
-auto RequestService::keyPrefixes(bool needsBackup) const -> std::map<Core::EntryVmId, std::string>
+auto RequestService::setKeyPrefix(Ports::LookupTarget& target, const Configuration::ServicePolicy* policy) const -> void
 {
-    std::map<Core::EntryVmId, std::string> prefixes;
-    for (const auto& member : m_collaborators.members.members()) {
-        prefixes[member.vm.id] = needsBackup ? member.keyPrefix : Ledger::prefixWithoutBackup(member.keyPrefix);
+    if (policy == nullptr || policy->isIdempotent) {
+        target.keyPrefix.clear();
+        return;
     }
-    const auto own = m_collaborators.keyPrefixes.currentPrefix(needsBackup);
-    if (const auto parsed = Core::parseKeyPrefix(own))
-        prefixes[parsed->home] = own;
-    return prefixes;
+    if (!policy->needsBackup)
+        target.keyPrefix = Ledger::prefixWithoutBackup(target.keyPrefix);
+    // What membership says of this entry VM may be older than its newest epoch.
+    const auto own = m_collaborators.keyPrefixes.currentPrefix(policy->needsBackup);
+    if (const auto parsed = Core::parseKeyPrefix(own); parsed && parsed->home == target.vm)
+        target.keyPrefix = own;
 }
 
 } // namespace Serving
--- a/src/libs/serving/requestservice.h
+++ b/src/libs/serving/requestservice.h
@@ -2,14 +2,11 @@
 
 #include "configuration/steeringconfiguration.h"
 #include "dispatch/dispatcher.h"
-#include "fleet/fleetholder.h"
 #include "ledger/bookinggate.h"
-#include "membership/membershipview.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
 #include "ports/requesthandler.h"
-
-#include <map>
+#include "serving/lookupdecision.h"
 
 namespace Serving {
 
@@ -20,11 +17,10 @@
     struct Collaborators {
         const Ports::Clock& clock;
         const Configuration::ConfigurationSource& configuration;
-        const Fleet::FleetSource& fleet;
+        LookupDecision& lookups;
         Dispatch::Dispatcher& dispatcher;
         Ledger::BookingGate& bookings;
         const Ledger::KeyPrefixSource& keyPrefixes;
-        const Membership::MembershipView& members;
         Ports::EventSink& events;
     };
 
@@ -36,7 +32,7 @@
 private:
     auto check(const Core::ServiceRequest& request, const Configuration::ServicePolicy& policy) const
         -> std::optional<Core::Refusal>;
-    auto keyPrefixes(bool needsBackup) const -> std::map<Core::EntryVmId, std::string>;
+    auto setKeyPrefix(Ports::LookupTarget& target, const Configuration::ServicePolicy* policy) const -> void;
 
     Collaborators m_collaborators;
 };
--- a/src/libs/steering/lookupservice.cpp
+++ b/src/libs/steering/lookupservice.cpp
@@ -63,15 +63,29 @@
 auto LookupService::refresh(Core::Instant now) -> void
 {
     const auto configuration = m_collaborators.configuration.current();
-    const auto members = m_collaborators.membership.members();
+    const auto known = members();
     auto table = m_collaborators.table.current();
     const std::lock_guard planning(m_planningMutex);
-    auto plan = m_planner.plan(now, *configuration, members, *table);
+    auto plan = m_planner.plan(now, *configuration, known, *table);
     const std::lock_guard lock(m_mutex);
     m_snapshot = { std::move(table), std::move(plan) };
     m_refreshAt = now + refreshInterval;
 }
 
+auto LookupService::members() const -> std::vector<Membership::Member>
+{
+    auto members = m_collaborators.membership.members();
+    if (!members.empty())
+        return members;
+    // Until membership knows anyone, the platform's list has to do.
+    const auto fleet = m_collaborators.fleet.current();
+    for (const auto& vm : fleet->entryVms) {
+        if (vm.state == Fleet::MemberState::Live)
+            members.push_back({ vm });
+    }
+    return members;
+}
+
 auto LookupService::draw(const LookupPlan& plan, const std::vector<DomainTargets>& domains) -> Ports::LookupAnswer
 {
     Ports::LookupAnswer answer { {}, plan.lifetime };
--- a/src/libs/steering/lookupservice.h
+++ b/src/libs/steering/lookupservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/fleetholder.h"
 #include "ports/clock.h"
 #include "ports/randomsource.h"
 #include "serving/lookupdecision.h"
@@ -17,6 +18,7 @@
         const Ports::Clock& clock;
         Ports::RandomSource& random;
         const Configuration::ConfigurationSource& configuration;
+        const Fleet::FleetSource& fleet;
         const Membership::MembershipView& membership;
         const LookupTableHolder& table;
     };
@@ -34,6 +36,7 @@
 
     auto snapshot() -> Snapshot;
     auto refresh(Core::Instant now) -> void;
+    [[nodiscard]] auto members() const -> std::vector<Membership::Member>;
     auto draw(const LookupPlan& plan, const std::vector<DomainTargets>& domains) -> Ports::LookupAnswer;
 
     Collaborators m_collaborators;
--- a/tests/auto/steering/tst_lookup.cpp
+++ b/tests/auto/steering/tst_lookup.cpp
@@ -87,9 +87,11 @@
     VirtualClock time;
     SeededRandom random;
     Configuration::ConfigurationHolder holder;
+    Fleet::FleetHolder fleet;
     FixedMembership membership;
     Steering::LookupTableHolder tables;
-    Steering::LookupService service { { time, random, holder, membership, tables }, atl1, Core::RegionId("atl") };
+    Steering::LookupService service { { time, random, holder, fleet, membership, tables }, atl1,
+        Core::RegionId("atl") };
 };
 
 /// Answers reads from a map; a name that is not there is unreachable.
@@ -311,6 +313,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ComesFromThePlatformsListUntilMembershipKnowsAnyone)
+{
+    Fleet::FleetList list { Core::Version(1), {}, {} };
+    list.entryVms = { memberOf("sav-1-a", "sav-1", "sav", loadOf(1, 0)).vm,
+        memberOf("sav-1-b", "sav-1", "sav", loadOf(1, 0)).vm };
+    list.entryVms[1].state = Fleet::MemberState::Leaving;
+    fleet.offer(list);
+    membership.list.clear();
+    const auto answer = service.lookup({ stock, std::nullopt });
+    BOOST_REQUIRE(answer);
+    BOOST_REQUIRE(answer->targets.size() == 1U);
+    BOOST_TEST(answer->targets[0].vm.value() == "sav-1-a");
+}
+
 BOOST_AUTO_TEST_CASE(DrawsFailureDomainsByTheirShares)
 {
     auto next = configuration;
