Add the typed steering document, its editor, and its spread over the fleet

Teams hold sections, the founder overrides single values without erasing them, and the effective values name their holder. All problems of a document are reported at once. An edit carries an id kept in the document and is a conditional update, so it is applied again after another team's edit and at most once after a lost answer.

Two members of each failure domain watch the store; the others fetch a newer version from whoever shows it in gossip. A starting process puts nothing in force before the store has answered or, while that is away, all peers that it can reach: taking the first answer was ruled out because a lagging peer would make the version go down through a restart.

--- a/src/libs/configuration/configurationholder.cpp
+++ b/src/libs/configuration/configurationholder.cpp
@@ -1,5 +1,7 @@
 #include "configuration/configurationholder.h"
 
+#include "core/invariant.h"
+
 namespace Configuration {
 
 auto ConfigurationHolder::current() const -> std::shared_ptr<const SteeringConfiguration>
@@ -14,6 +16,7 @@
     const std::lock_guard lock(m_mutex);
     if (candidate->version <= m_current->version)
         return false;
+    Core::invariant(m_current->version < candidate->version, "configuration.version-never-decreases");
     m_current = std::move(candidate);
     return true;
 }
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -15,6 +15,9 @@
     Core::Version fleet;
     /// Time since the store last confirmed the document's version to somebody in the sender's failure domain.
     Core::Duration confirmedAge = Core::Duration::max();
+    /// Newer version in the store that cannot be put in force, and why; 0 when there is none.
+    Core::Version refusedVersion;
+    std::string refusalReason;
 };
 
 /// What is known of the document in one failure domain.
--- /dev/null
+++ b/src/libs/spread/versionspreader.cpp
@@ -0,0 +1,173 @@
+#include "spread/versionspreader.h"
+
+#include "fleet/rendezvous.h"
+#include "spread/statusassessment.h"
+
+#include <algorithm>
+
+namespace Spread {
+
+namespace {
+
+    /// Members of a failure domain that watch the store for one object.
+    constexpr std::size_t watchersPerDomain = 2;
+
+    auto agedInstant(Core::Instant now, Core::Duration age) -> std::optional<Core::Instant>
+    {
+        if (age == Core::Duration::max())
+            return std::nullopt;
+        return now - std::max(age, Core::Duration(0));
+    }
+
+    auto ageOf(const std::optional<Core::Instant>& instant, Core::Instant now) -> Core::Duration
+    {
+        return instant ? now - *instant : Core::Duration::max();
+    }
+
+} // namespace
+
+VersionSpreader::VersionSpreader(Collaborators collaborators, Identity identity, ReplicaTiming timing)
+    : m_collaborators(collaborators)
+    , m_identity(std::move(identity))
+    , m_document(std::make_shared<ObjectReplica>(
+          ObjectReplica::Collaborators { collaborators.clock, collaborators.scheduler, collaborators.store,
+              collaborators.events, collaborators.port, collaborators.documentSink, *this },
+          ReplicatedObject::SteeringDocument, timing))
+    , m_fleetList(std::make_shared<ObjectReplica>(
+          ObjectReplica::Collaborators { collaborators.clock, collaborators.scheduler, collaborators.store,
+              collaborators.events, collaborators.port, collaborators.fleetSink, *this },
+          ReplicatedObject::FleetList, timing))
+{
+}
+
+auto VersionSpreader::attach(std::shared_ptr<Membership::GossipMember> gossip) -> void { m_gossip = std::move(gossip); }
+
+auto VersionSpreader::start() -> void
+{
+    m_fleetList->start();
+    m_document->start();
+}
+
+auto VersionSpreader::stop() -> void
+{
+    m_fleetList->stop();
+    m_document->stop();
+}
+
+auto VersionSpreader::replica(ReplicatedObject object) const -> ObjectReplica&
+{
+    return object == ReplicatedObject::SteeringDocument ? *m_document : *m_fleetList;
+}
+
+auto VersionSpreader::heldVersions() const -> Membership::HeldVersions
+{
+    const auto document = m_document->status();
+    return { document.version, document.digest, m_fleetList->status().version,
+        ageOf(document.confirmedAt, m_collaborators.clock.now()), document.refused.version, document.refused.reason };
+}
+
+auto VersionSpreader::ownReport() const -> Membership::DomainReport
+{
+    const auto document = m_document->status();
+    Membership::DomainReport report { m_identity.failureDomain, document.version, document.version,
+        ageOf(document.confirmedAt, m_collaborators.clock.now()), Core::Duration(0) };
+    for (const auto& member : m_gossip->members()) {
+        if (member.vm.failureDomain != m_identity.failureDomain || member.vm.id == m_identity.vm
+            || member.health == Membership::MemberHealth::Suspected)
+            continue;
+        report.lowest = std::min(report.lowest, member.configurationVersion);
+        report.highest = std::max(report.highest, member.configurationVersion);
+    }
+    return report;
+}
+
+auto VersionSpreader::domainReports() const -> std::vector<Membership::DomainReport>
+{
+    std::vector<Membership::DomainReport> reports { ownReport() };
+    const auto now = m_collaborators.clock.now();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [domain, heard] : m_reports)
+        reports.push_back({ domain, heard.lowest, heard.highest, ageOf(heard.confirmedAt, now), now - heard.heardAt });
+    return reports;
+}
+
+auto VersionSpreader::seen(const Membership::Gossip& gossip) -> void
+{
+    const auto now = m_collaborators.clock.now();
+    const auto& versions = gossip.versions;
+    m_document->peerHolds(gossip.senderAddress, versions.document);
+    m_fleetList->peerHolds(gossip.senderAddress, versions.fleet);
+    if (gossip.failureDomain == m_identity.failureDomain) {
+        if (const auto confirmedAt = agedInstant(now, versions.confirmedAge))
+            m_document->peerConfirmed(versions.document, *confirmedAt);
+        if (versions.refusedVersion.value() != 0)
+            m_document->peerRefused(versions.refusedVersion, versions.refusalReason);
+    }
+    for (const auto& report : gossip.domains)
+        takeReport(report, now);
+}
+
+auto VersionSpreader::takeReport(const Membership::DomainReport& report, Core::Instant now) -> void
+{
+    if (report.failureDomain == m_identity.failureDomain)
+        return;
+    const auto heardAt = now - std::max(report.heardAge, Core::Duration(0));
+    const std::lock_guard lock(m_mutex);
+    const auto [entry, isNew] = m_reports.try_emplace(report.failureDomain);
+    if (isNew || entry->second.heardAt < heardAt)
+        entry->second = { report.lowest, report.highest, agedInstant(now, report.confirmedAge), heardAt };
+}
+
+auto VersionSpreader::answerFetch(ReplicatedObject object, Core::Version newerThan) const -> FetchAnswer
+{
+    return replica(object).answerFetch(newerThan);
+}
+
+auto VersionSpreader::watchDuty(ReplicatedObject object) const -> WatchDuty
+{
+    std::vector<std::string> alive;
+    for (const auto& member : m_gossip->members()) {
+        if (member.vm.failureDomain == m_identity.failureDomain && member.health == Membership::MemberHealth::Alive)
+            alive.push_back(member.vm.id.value());
+    }
+    const auto key = m_identity.failureDomain.value() + "/" + storeName(object);
+    const auto position = Fleet::rendezvousPosition(key, m_identity.vm.value(), alive);
+    if (position == 0)
+        return WatchDuty::WatchAndRead;
+    return position < watchersPerDomain ? WatchDuty::Watch : WatchDuty::None;
+}
+
+auto VersionSpreader::startupPeers() const -> std::set<Core::Address>
+{
+    std::set<Core::Address> peers(m_identity.seeds.begin(), m_identity.seeds.end());
+    for (const auto& vm : m_collaborators.fleet.current()->entryVms)
+        peers.insert(vm.peerAddress);
+    for (const auto& member : m_gossip->members())
+        peers.insert(member.vm.peerAddress);
+    peers.erase(m_identity.peerAddress);
+    return peers;
+}
+
+auto VersionSpreader::adopted(ReplicatedObject) -> void { m_gossip->pushNow(); }
+
+auto VersionSpreader::configurationStatus() const -> ConfigurationStatus
+{
+    const auto now = m_collaborators.clock.now();
+    const auto document = m_document->status();
+    ConfigurationStatus status;
+    status.vm = m_identity.vm;
+    status.failureDomain = m_identity.failureDomain;
+    status.version = document.version;
+    status.inForceFor = document.version.value() == 0 ? Core::Duration(0) : now - document.adoptedAt;
+    status.fleetVersion = m_fleetList->status().version;
+    status.refusedVersion = document.refused.version;
+    status.refusalReason = document.refused.reason;
+    if (const auto held = m_document->answerFetch(Core::Version(0)))
+        status.documentText = held->text;
+    const auto reports = domainReports();
+    for (const auto& report : reports)
+        status.domains.push_back(assess(report, reports, document.refused));
+    return status;
+}
+
+} // namespace Spread
--- /dev/null
+++ b/src/libs/spread/versionspreader.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "membership/gossipmember.h"
+#include "spread/configurationstatus.h"
+#include "spread/objectreplica.h"
+
+#include <functional>
+#include <map>
+
+namespace Spread {
+
+/// Replicates the steering document and the fleet list: a few members of each failure domain watch the store, the
+/// others learn of newer versions by gossip and fetch them from the peer that holds them.
+class VersionSpreader : public Membership::VersionExchange,
+                        public ReplicaServer,
+                        public DutySource,
+                        public StatusSource {
+public:
+    struct Collaborators {
+        const Ports::Clock& clock;
+        Ports::Scheduler& scheduler;
+        Ports::ObjectStore& store;
+        Ports::EventSink& events;
+        ReplicaPort& port;
+        ReplicaSink& documentSink;
+        ReplicaSink& fleetSink;
+        const Fleet::FleetSource& fleet;
+    };
+    struct Identity {
+        Core::EntryVmId vm;
+        Core::FailureDomainId failureDomain;
+        Core::Address peerAddress;
+        std::vector<Core::Address> seeds;
+    };
+
+    VersionSpreader(Collaborators collaborators, Identity identity, ReplicaTiming timing = {});
+
+    /// The gossip that carries the versions; must be set before start().
+    auto attach(std::shared_ptr<Membership::GossipMember> gossip) -> void;
+    auto start() -> void;
+    auto stop() -> void;
+
+    [[nodiscard]] auto heldVersions() const -> Membership::HeldVersions override;
+    [[nodiscard]] auto domainReports() const -> std::vector<Membership::DomainReport> override;
+    auto seen(const Membership::Gossip& gossip) -> void override;
+    [[nodiscard]] auto answerFetch(ReplicatedObject object, Core::Version newerThan) const -> FetchAnswer override;
+    [[nodiscard]] auto watchDuty(ReplicatedObject object) const -> WatchDuty override;
+    [[nodiscard]] auto startupPeers() const -> std::set<Core::Address> override;
+    auto adopted(ReplicatedObject object) -> void override;
+    [[nodiscard]] auto configurationStatus() const -> ConfigurationStatus override;
+
+private:
+    struct HeardReport {
+        Core::Version lowest;
+        Core::Version highest;
+        std::optional<Core::Instant> confirmedAt;
+        Core::Instant heardAt;
+    };
+
+    [[nodiscard]] auto replica(ReplicatedObject object) const -> ObjectReplica&;
+    [[nodiscard]] auto ownReport() const -> Membership::DomainReport;
+    auto takeReport(const Membership::DomainReport& report, Core::Instant now) -> void;
+
+    Collaborators m_collaborators;
+    const Identity m_identity;
+    std::shared_ptr<ObjectReplica> m_document;
+    std::shared_ptr<ObjectReplica> m_fleetList;
+    std::shared_ptr<Membership::GossipMember> m_gossip;
+    mutable std::mutex m_mutex;
+    std::map<Core::FailureDomainId, HeardReport> m_reports;
+};
+
+} // namespace Spread
--- a/src/plugins/jsoncodec/jsoncodec.cpp
+++ b/src/plugins/jsoncodec/jsoncodec.cpp
@@ -1,5 +1,8 @@
 #include "jsoncodec/jsoncodec.h"
 
+#include "configuration/effectivevalues.h"
+#include "jsoncodec/jsondocumentcodec.h"
+
 #include <nlohmann/json.hpp>
 
 namespace JsonCodec {
@@ -33,25 +36,6 @@
             Core::ConnectionCount(object.at("connections").get<std::uint32_t>()), stateFrom(object) };
     }
 
-    auto policyFrom(const std::string& name, const json& object) -> Configuration::ServicePolicy
-    {
-        Configuration::ServicePolicy policy;
-        policy.service = Core::ServiceId(name);
-        policy.pool = Core::ServiceId(object.value("pool", name));
-        const auto rankText = object.at("rank").get<std::string>();
-        const auto rank = Core::parseRank(rankText);
-        if (!rank)
-            throw std::invalid_argument("unknown rank '" + rankText + "'");
-        policy.rank = *rank;
-        policy.isIdempotent = object.value("idempotent", policy.isIdempotent);
-        policy.needsBackup = object.value("backup", policy.needsBackup);
-        policy.targetLatency = Core::Millis(object.value("targetMs", policy.targetLatency.count()));
-        policy.worth = object.value("worth", policy.worth);
-        policy.floor = Core::Share(object.value("floor", policy.floor.value()));
-        policy.maximumBody = Core::Bytes(object.value("maximumBodyBytes", policy.maximumBody.value()));
-        return policy;
-    }
-
     auto invalidDocument(const std::exception& error, const char* what) -> tl::unexpected<Core::Error>
     {
         return Core::fail(Core::ErrorKind::InvalidDocument, std::string(what) + " is not valid: " + error.what(),
@@ -78,18 +62,7 @@
 auto parseSteeringDocument(const std::string& text, Core::Version version)
     -> Core::Result<Configuration::SteeringConfiguration>
 {
-    try {
-        const auto document = json::parse(text);
-        Configuration::SteeringConfiguration configuration;
-        configuration.version = version;
-        for (const auto& [team, section] : document.at("sections").items()) {
-            for (const auto& [name, object] : section.at("services").items())
-                configuration.services[Core::ServiceId(name)] = policyFrom(name, object);
-        }
-        return configuration;
-    } catch (const std::exception& error) {
-        return invalidDocument(error, "the steering document");
-    }
+    return JsonDocumentCodec().decode(text, version).and_then(Configuration::composeConfiguration);
 }
 
 } // namespace JsonCodec
--- /dev/null
+++ b/src/plugins/jsoncodec/jsondocumentcodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "configuration/documentcodec.h"
+
+namespace JsonCodec {
+
+/// Steering document as JSON, as docs/INTERFACES.md describes it.
+class JsonDocumentCodec : public Configuration::DocumentCodec {
+public:
+    [[nodiscard]] auto decode(const std::string& text, Core::Version version) const
+        -> Core::Result<Configuration::SteeringDocument> override;
+    [[nodiscard]] auto encode(const Configuration::SteeringDocument& document) const -> std::string override;
+    [[nodiscard]] auto decodeSection(const std::string& text) const
+        -> Core::Result<Configuration::SectionValues> override;
+    [[nodiscard]] auto encodeSection(const Configuration::SectionValues& values) const -> std::string override;
+};
+
+} // namespace JsonCodec
--- a/src/plugins/membershippeer/gossipcodec.cpp
+++ b/src/plugins/membershippeer/gossipcodec.cpp
@@ -133,7 +133,7 @@
         const auto& versions = gossip.versions;
         return json::array({ gossip.sender.value(), gossip.failureDomain.value(), gossip.senderAddress.value(),
             json::array({ versions.document.value(), versions.documentDigest, versions.fleet.value(),
-                packAge(versions.confirmedAge) }),
+                packAge(versions.confirmedAge), versions.refusedVersion.value(), versions.refusalReason }),
             packAll(gossip.records), packAll(gossip.digest), packAll(gossip.domains) });
     }
 
@@ -142,7 +142,8 @@
         const auto& versions = value.at(3);
         return { idAt<Core::EntryVmId>(value, 0), idAt<Core::FailureDomainId>(value, 1), idAt<Core::Address>(value, 2),
             HeldVersions { numberAt<Core::Version>(versions, 0), versions.at(1).get<std::uint64_t>(),
-                numberAt<Core::Version>(versions, 2), unpackAge(versions.at(3)) },
+                numberAt<Core::Version>(versions, 2), unpackAge(versions.at(3)), numberAt<Core::Version>(versions, 4),
+                versions.at(5).get<std::string>() },
             unpackAll(value.at(4), unpackRecord), unpackAll(value.at(5), unpackDigestEntry),
             unpackAll(value.at(6), unpackReport) };
     }
--- /dev/null
+++ b/src/plugins/spreadpeer/replicapeer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "ports/peertransport.h"
+#include "spread/replicaport.h"
+
+namespace SpreadPeer {
+
+/// Fetches copies over the transport between entry VMs, encoded as CBOR.
+class ReplicaPeer : public Spread::ReplicaPort {
+public:
+    explicit ReplicaPeer(Ports::PeerTransport& transport);
+
+    auto fetch(const Core::Address& peer, Spread::ReplicatedObject object, Core::Version newerThan,
+        Core::Duration timeout, Callback callback) -> void override;
+
+private:
+    Ports::PeerTransport& m_transport;
+};
+
+/// Registers the handler that answers fetches; the server must outlive the router's calls.
+auto registerReplicaHandlers(Ports::PeerRouter& router, const Spread::ReplicaServer& server) -> void;
+
+} // namespace SpreadPeer
