Drain failure domains and stop entry VMs in steps

Cause: a drained failure domain took new work for as long as callers sent it, and a planned stop refused callers at once that still held a valid look-up answer. A drained failure domain leaves the answers by capped steps, serves until the last of them has expired, and then relays against credits or refuses not run; cut off from all others it goes on serving. A planned stop waits for the look-up lifetime, at most leave-limit-ms, before it refuses new requests.

Ruled out: leaving the answers at once on a drain. That moves the whole traffic of a failure domain in one lifetime, against the cap.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "jsoncodec/jsoncodec.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace App {
@@ -12,6 +13,7 @@
     constexpr auto fleetListName = "fleet/list";
     constexpr Core::Millis housekeepingInterval { 10'000 };
     const Ports::EventKind processStarted { "process.started" };
+    const Ports::EventKind processLeaving { "process.leaving" };
     const Ports::EventKind processStopped { "process.stopped" };
     const Ports::EventKind configurationTaken { "configuration.taken" };
     const Ports::EventKind configurationRefused { "configuration.refused" };
@@ -45,6 +47,7 @@
     , m_front(m_requests, m_clock, m_random)
     , m_server(m_runtime.context(), settings.listen, m_front)
     , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
+    , m_leaveLimit(settings.leaveLimit)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
 }
@@ -66,7 +69,7 @@
     m_steering.start();
     m_signals.async_wait([this](boost::system::error_code error, int) {
         if (!error)
-            shutDown();
+            leave();
     });
     m_runtime.run();
     m_events.record({ processStopped, {}, {} });
@@ -105,11 +108,21 @@
     });
 }
 
+auto EntryVmProcess::leave() -> void
+{
+    // Callers that hold a look-up answer go on using this entry VM until it expires.
+    const auto wait = std::min<Core::Duration>(m_configuration.current()->lookupLifetime, m_leaveLimit);
+    m_events.record({ processLeaving, {}, { { "waitMs", std::to_string(Core::asMillis(wait)) } } });
+    m_steering.leave();
+    m_leaveTimer = m_runtime.after(wait, [this] { shutDown(); });
+}
+
 auto EntryVmProcess::shutDown() -> void
 {
     m_documentFollower->stop();
     m_fleetFollower->stop();
-    m_steering.stop();
+    m_requests.refuseNew();
+    m_steering.refuseNew();
     m_bookings.close();
     auto handOver = [this] { m_bookings.handOver([this] { m_runtime.stop(); }); };
     auto stopPeers = [this, handOver] { m_peerServer.shutDown(handOver); };
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -40,6 +40,9 @@
     auto takeSteeringDocument(const Ports::StoredObject& object) -> void;
     auto takeFleetList(const Ports::StoredObject& object) -> void;
     auto scheduleHousekeeping() -> void;
+    /// First part of the planned stop: leaves the look-up answers, and serves until those that are out expire.
+    auto leave() -> void;
+    /// Second part: refuses new requests, ends those in flight, and hands the ledger over.
     auto shutDown() -> void;
 
     Runtime::SystemClock m_clock;
@@ -68,6 +71,8 @@
     HttpServer::Server m_server;
     PeerStream::PeerStreamServer m_peerServer;
     std::unique_ptr<Ports::Timer> m_housekeeping;
+    const Core::Millis m_leaveLimit;
+    std::unique_ptr<Ports::Timer> m_leaveTimer;
     boost::asio::signal_set m_signals;
 };
 
--- a/src/app/servesettings.cpp
+++ b/src/app/servesettings.cpp
@@ -14,6 +14,7 @@
     constexpr std::int64_t maximumThreads = 64;
     constexpr std::int64_t minimumTimeline = 256;
     constexpr std::int64_t maximumTimeline = 100'000;
+    constexpr std::int64_t maximumLeaveLimit = 600'000;
     constexpr std::int64_t maximumConnectionLimit = 100'000;
 
     auto identity() -> std::vector<Setting>
@@ -48,6 +49,8 @@
                 Occurrence::Optional, "2" },
             { SettingName("maximum-connections"), "connections of callers that are open at the same time",
                 std::make_shared<IntegerRule>(1, maximumConnectionLimit), Occurrence::Optional, "4096" },
+            { SettingName("leave-limit-ms"), "longest time that a planned stop waits for look-up answers to expire",
+                std::make_shared<IntegerRule>(0, maximumLeaveLimit), Occurrence::Optional, "10000" },
             { SettingName("timeline-capacity"), "events that the time line holds",
                 std::make_shared<IntegerRule>(minimumTimeline, maximumTimeline), Occurrence::Optional, "8192" },
             { SettingName("log-level"), "least severe level that is logged",
@@ -96,6 +99,7 @@
     settings.logLevel = resolution.text("log-level");
     settings.timelineCapacity = static_cast<std::size_t>(resolution.integer("timeline-capacity"));
     settings.maximumConnections = static_cast<std::size_t>(resolution.integer("maximum-connections"));
+    settings.leaveLimit = Core::Millis(resolution.integer("leave-limit-ms"));
     return settings;
 }
 
--- a/src/app/servesettings.h
+++ b/src/app/servesettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/units.h"
 #include "settings/resolution.h"
 
 #include <string>
@@ -26,6 +27,8 @@
     std::size_t timelineCapacity = 0;
     /// Connections of callers that are open at the same time.
     std::size_t maximumConnections = 0;
+    /// Longest time for which a planned stop goes on serving callers that hold a look-up answer.
+    Core::Millis leaveLimit { 0 };
 };
 
 /// Every setting of the serve command.
--- a/src/libs/serving/requestservice.cpp
+++ b/src/libs/serving/requestservice.cpp
@@ -72,6 +72,10 @@
 auto RequestService::check(const Core::ServiceRequest& request, const Configuration::ServicePolicy& policy) const
     -> std::optional<Core::Refusal>
 {
+    if (m_refusesNew) {
+        return notRun(
+            Core::RefusalReason::ShuttingDown, "the entry VM is stopping", "use another one of a new look-up answer");
+    }
     if (request.body.size() > policy.maximumBody.value()) {
         return notRun(Core::RefusalReason::RequestTooLarge, "the body is larger than the service accepts",
             "send at most " + std::to_string(policy.maximumBody.value()) + " bytes");
--- a/src/libs/serving/requestservice.h
+++ b/src/libs/serving/requestservice.h
@@ -8,6 +8,8 @@
 #include "ports/requesthandler.h"
 #include "serving/lookupdecision.h"
 
+#include <atomic>
+
 namespace Serving {
 
 /// Entry VM's view of one request: checks it, and hands it to the dispatcher of its failure domain, or to the booking
@@ -28,6 +30,8 @@
 
     auto lookup(const Ports::LookupQuery& query) -> Core::Result<Ports::LookupAnswer> override;
     auto handle(Core::ServiceRequest request, Core::ReplyCallback callback) -> void override;
+    /// From now on new requests without an idempotency key are refused; those with one are the booking gate's to judge.
+    auto refuseNew() -> void { m_refusesNew = true; }
 
 private:
     auto check(const Core::ServiceRequest& request, const Configuration::ServicePolicy& policy) const
@@ -35,6 +39,7 @@
     auto setKeyPrefix(Ports::LookupTarget& target, const Configuration::ServicePolicy* policy) const -> void;
 
     Collaborators m_collaborators;
+    std::atomic<bool> m_refusesNew { false };
 };
 
 } // namespace Serving
--- a/src/libs/steering/relaydispatcher.cpp
+++ b/src/libs/steering/relaydispatcher.cpp
@@ -1,5 +1,7 @@
 #include "steering/relaydispatcher.h"
 
+#include <algorithm>
+
 namespace Steering {
 
 namespace {
@@ -39,7 +41,8 @@
 
 RelayDispatcher::RelayDispatcher(Collaborators collaborators, Core::FailureDomainId failureDomain)
     : m_collaborators(collaborators)
-    , m_failureDomain(std::move(failureDomain))
+    , m_failureDomain(failureDomain)
+    , m_drain(std::move(failureDomain))
 {
 }
 
@@ -57,6 +60,10 @@
 
 auto RelayDispatcher::route(const JourneyPointer& journey) -> void
 {
+    if (takesNoNewWork()) {
+        spill(journey);
+        return;
+    }
     if (spareSlots(ownLoad(journey->request.service)) > 0) {
         runLocally(journey);
         return;
@@ -87,6 +94,11 @@
 
 auto RelayDispatcher::stayInFailureDomain(const JourneyPointer& journey) -> void
 {
+    if (takesNoNewWork() && isServedElsewhere(journey->request.service)) {
+        journey->callback(Core::Refusal { Core::RunOutcome::NotRun, Core::RefusalReason::ShuttingDown,
+            "the failure domain is drained", "ask for a new look-up answer", {} });
+        return;
+    }
     const auto owner = bestOwner(*journey);
     if (owner && ownLoad(journey->request.service).usableSlots.value() == 0)
         relay(journey, owner->vm, std::nullopt);
@@ -94,6 +106,21 @@
         runLocally(journey);
 }
 
+auto RelayDispatcher::takesNoNewWork() -> bool
+{
+    const auto phase = m_drain.phase(m_collaborators.clock.now(), *m_collaborators.configuration.current());
+    return phase == DrainPhase::NoNewWork;
+}
+
+auto RelayDispatcher::isServedElsewhere(const Core::ServiceId& service) const -> bool
+{
+    const auto all = m_collaborators.candidates.current();
+    const auto found = all->find(service);
+    return found != all->end()
+        && std::any_of(found->second.begin(), found->second.end(),
+            [this](const Candidate& candidate) { return candidate.vm.failureDomain != m_failureDomain; });
+}
+
 auto RelayDispatcher::relay(const JourneyPointer& journey, const Fleet::EntryVm& target, std::optional<CreditId> credit)
     -> void
 {
@@ -126,7 +153,7 @@
     if (mayTryAgain(*journey))
         route(journey);
     else
-        runLocally(journey);
+        stayInFailureDomain(journey);
 }
 
 auto RelayDispatcher::finishWithReply(const JourneyPointer& journey, Core::Reply reply) -> void
--- a/src/libs/steering/relaydispatcher.h
+++ b/src/libs/steering/relaydispatcher.h
@@ -8,6 +8,7 @@
 #include "ports/eventsink.h"
 #include "ports/randomsource.h"
 #include "steering/creditports.h"
+#include "steering/domaindrain.h"
 #include "steering/relaycandidates.h"
 #include "steering/relayport.h"
 #include "steering/retrybudget.h"
@@ -54,6 +55,8 @@
 
     auto route(const JourneyPointer& journey) -> void;
     auto runLocally(const JourneyPointer& journey) -> void;
+    [[nodiscard]] auto takesNoNewWork() -> bool;
+    [[nodiscard]] auto isServedElsewhere(const Core::ServiceId& service) const -> bool;
     auto spill(const JourneyPointer& journey) -> void;
     auto stayInFailureDomain(const JourneyPointer& journey) -> void;
     auto relay(const JourneyPointer& journey, const Fleet::EntryVm& target, std::optional<CreditId> credit) -> void;
@@ -69,6 +72,7 @@
 
     Collaborators m_collaborators;
     const Core::FailureDomainId m_failureDomain;
+    DomainDrain m_drain;
     RetryBudget m_retries;
     Core::Sharded<InFlight> m_inFlight;
 };
--- a/src/libs/steering/relayreceiver.cpp
+++ b/src/libs/steering/relayreceiver.cpp
@@ -57,6 +57,8 @@
         if (admission == Admission::Full)
             return notRun(Core::RefusalReason::Overloaded, "too many relayed requests are open", "try again later");
     }
+    if (m_refusesNew)
+        return notRun(Core::RefusalReason::ShuttingDown, "the entry VM is stopping", "try again elsewhere");
     return refuseWithoutCredit(call);
 }
 
--- a/src/libs/steering/relayreceiver.h
+++ b/src/libs/steering/relayreceiver.h
@@ -7,7 +7,9 @@
 #include "steering/creditports.h"
 #include "steering/relayport.h"
 
+#include <atomic>
 #include <map>
+#include <optional>
 
 namespace Steering {
 
@@ -24,6 +26,8 @@
     RelayReceiver(Collaborators collaborators, Core::FailureDomainId failureDomain);
 
     auto accept(RelayCall call, Core::ReplyCallback callback) -> void override;
+    /// From now on new requests are refused; those in flight go on.
+    auto refuseNew() -> void { m_refusesNew = true; }
 
 private:
     struct Attempts {
@@ -39,6 +43,7 @@
 
     Collaborators m_collaborators;
     const Core::FailureDomainId m_failureDomain;
+    std::atomic<bool> m_refusesNew { false };
     Core::Sharded<Attempts> m_attempts;
 };
 
--- a/src/libs/steering/steeringsystem.cpp
+++ b/src/libs/steering/steeringsystem.cpp
@@ -24,11 +24,13 @@
 
 auto SteeringSystem::start() -> void { m_follower->start(); }
 
-auto SteeringSystem::stop() -> void
+auto SteeringSystem::leave() -> void
 {
     m_grantor.stopGranting();
     m_follower->stop();
     m_loader->stop();
 }
 
+auto SteeringSystem::refuseNew() -> void { m_receiver.refuseNew(); }
+
 } // namespace Steering
--- a/src/libs/steering/steeringsystem.h
+++ b/src/libs/steering/steeringsystem.h
@@ -38,8 +38,10 @@
 
     /// Begins to follow the table of client blocks.
     auto start() -> void;
-    /// Grants no more credits and follows no table; requests in flight go on.
-    auto stop() -> void;
+    /// Grants no more credits and follows no table; callers and relays are still served.
+    auto leave() -> void;
+    /// Takes no more relayed requests; those in flight go on.
+    auto refuseNew() -> void;
 
     [[nodiscard]] auto dispatcher() -> Dispatch::Dispatcher& { return m_dispatcher; }
     [[nodiscard]] auto relayHandler() -> RelayHandler& { return m_receiver; }
--- a/tests/auto/steering/tst_relay.cpp
+++ b/tests/auto/steering/tst_relay.cpp
@@ -46,6 +46,17 @@
         configuration.offer(next);
     }
 
+    auto drain() -> void
+    {
+        auto next = *configuration.current();
+        next.version = Core::Version(next.version.value() + 1);
+        next.drained = { Core::FailureDomainId("atl-1") };
+        configuration.offer(next);
+        // The drain is noticed with the first request.
+        send("first");
+        local.requests.clear();
+    }
+
     auto send(const std::string& id, std::uint32_t hops = 0) -> void
     {
         Core::ServiceRequest request;
@@ -207,6 +218,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(InADrainedFailureDomain)
+
+BOOST_AUTO_TEST_CASE(ServesUntilTheLastAnswerThatNamesItHasExpired)
+{
+    loads.loads = { loadOf(3, 0) };
+    membership.list = { memberOf("sav-1-a", "sav-1", "sav", loadOf(3, 0)) };
+    drain();
+    send("cached");
+    BOOST_TEST(local.requests.size() == 1U);
+    clock.time += Steering::timeToLeaveAnswers(*configuration.current());
+    send("late");
+    BOOST_TEST(local.requests.size() == 1U);
+    BOOST_TEST((outcome(0) == Core::RunOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(ThatIsCutOffGoesOnServing)
+{
+    loads.loads = { loadOf(3, 0) };
+    drain();
+    clock.time += Steering::timeToLeaveAnswers(*configuration.current()) * 2;
+    send("r");
+    BOOST_TEST(local.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatReceivesARelayedRequest)
 
 auto callFrom(const std::string& failureDomain) -> Steering::RelayCall
@@ -245,6 +282,14 @@
     BOOST_TEST(credits.settled == 0);
 }
 
+BOOST_AUTO_TEST_CASE(WhileItStopsRefusesItNotRun)
+{
+    receiver.refuseNew();
+    receiver.accept(callFrom("atl-1"), [this](Core::Reply reply) { replies.push_back(std::move(reply)); });
+    BOOST_TEST(local.requests.empty());
+    BOOST_TEST((outcome(0) == Core::RunOutcome::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(StartsADuplicatedNonIdempotentAttemptOnce)
 {
     offer(stockPolicy(false));
