--- a/src/plugins/httpfront/httpfront.cpp
+++ b/src/plugins/httpfront/httpfront.cpp
@@ -119,8 +119,8 @@
     }
     query.client = ClientBlocks::parseAddress(client);
     if (!client.empty() && !query.client) {
-        respond(encodeError({ Core::ErrorKind::InvalidArgument, "the look-up's client is not an IP address",
-            "send the client's IPv4 or IPv6 address, or leave it out" }));
+        respond(HttpProblem::encodeError({ Core::ErrorKind::InvalidArgument,
+            "the look-up's client is not an IP address", "send the client's IPv4 or IPv6 address, or leave it out" }));
         return;
     }
     respond(encodeLookup(m_handler.lookup(query)));
