Add a benchmark that compares dispatch policies on a virtual clock

Runs the dispatcher of one failure domain over simulated upstreams, on the same arrivals as two baselines, for both deployments, with the services on pools of their own and on a shared one. Nine cases: unloaded, steady, floods of deferrable and urgent work, one flooding caller, a drain, stopped and lying reports, and a request that crashes upstreams.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build check-format format lint test
+.PHONY: all bench packages build check-format format lint test
 
 all: build
 
@@ -25,3 +25,6 @@
 
 test: packages check-format build lint
 	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+bench: build
+	@$(BUILD)/tests/bench/policy/bench_policy --json docs/measurements/policy.json
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -33,3 +33,10 @@
     add_test(NAME ${name} COMMAND tst_${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
+
+# Adds the benchmark program bench_NAME from the sources of the current folder.
+function(add_project_benchmark name)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    add_executable(bench_${name} ${sources})
+    target_link_libraries(bench_${name} PRIVATE project_flags ${ARGN})
+endfunction()
--- /dev/null
+++ b/tests/bench/policy/outcomebook.cpp
@@ -0,0 +1,40 @@
+#include "outcomebook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace PolicyBench {
+
+auto GroupOutcome::percentile(double share) const -> double
+{
+    if (latencies.empty())
+        return 0;
+    auto sorted = latencies;
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
+    const auto nth = sorted.begin() + static_cast<std::ptrdiff_t>(std::max<std::size_t>(rank, 1) - 1);
+    std::nth_element(sorted.begin(), nth, sorted.end());
+    return Core::asMillis(*nth);
+}
+
+auto OutcomeBook::replied(const Group& group, const Core::Reply& reply, Core::Duration latency, Core::Duration deadline)
+    -> void
+{
+    auto& outcome = m_groups[group];
+    if (const auto* refusal = std::get_if<Core::Refusal>(&reply)) {
+        ++(refusal->outcome == Core::RunOutcome::NotRun ? outcome.refusedNotRun : outcome.unknown);
+        return;
+    }
+    outcome.latencies.push_back(latency);
+    if (latency > deadline) {
+        ++outcome.answeredLate;
+        return;
+    }
+    ++outcome.answeredInTime;
+}
+
+auto OutcomeBook::landed(const Group& group, bool hasLanded) -> void
+{
+    ++(hasLanded ? m_groups[group].landed : m_groups[group].notLanded);
+}
+
+} // namespace PolicyBench
--- /dev/null
+++ b/tests/bench/policy/report.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "scenario.h"
+
+#include <ostream>
+
+namespace PolicyBench {
+
+auto printHeading(std::ostream& stream) -> void;
+/// One line for each group of requests.
+auto print(std::ostream& stream, const RunResult& result) -> void;
+/// The results as a JSON document.
+auto toJson(const std::vector<RunResult>& results) -> std::string;
+
+} // namespace PolicyBench
--- /dev/null
+++ b/tests/bench/policy/workload.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "scenario.h"
+#include "support/virtualtime.h"
+
+#include <random>
+
+namespace PolicyBench {
+
+/// Offers the requests of a scenario to a dispatcher and books what becomes of them. The arrivals depend on the seed
+/// only, never on the answers.
+class Workload {
+public:
+    /// Times within a run, from its start.
+    static constexpr Core::Duration windowStart = std::chrono::seconds(10);
+    static constexpr Core::Duration windowEnd = std::chrono::seconds(40);
+    static constexpr Core::Duration runEnd = std::chrono::seconds(120);
+
+    Workload(const Preset& preset, const Scenario& scenario, TestSupport::VirtualTime& time,
+        Dispatch::Dispatcher& dispatcher, OutcomeBook& book, std::uint64_t seed);
+
+    auto start() -> void;
+    /// Books what has still not landed.
+    auto finish() -> void;
+
+private:
+    struct Stream {
+        ServiceSize service;
+        std::string group;
+        Core::Duration meanGap {};
+        Core::Duration end {};
+        std::uint32_t callers = 1;
+        bool isResubmitted = false;
+        std::mt19937_64 random;
+    };
+
+    auto addStream(const ServiceSize& service, const std::string& group, double slotShare) -> Stream&;
+    auto scheduleNext(const std::shared_ptr<Stream>& stream) -> void;
+    auto offer(const std::shared_ptr<Stream>& stream) -> void;
+    auto submit(const std::shared_ptr<Stream>& stream, const Core::ServiceRequest& request, bool isMeasured,
+        bool isFirst) -> void;
+    auto sendCrashRequest() -> void;
+    [[nodiscard]] auto isInWindow() const -> bool;
+
+    const Preset& m_preset;
+    const Scenario& m_scenario;
+    TestSupport::VirtualTime& m_time;
+    Dispatch::Dispatcher& m_dispatcher;
+    OutcomeBook& m_book;
+    std::uint64_t m_seed;
+    Core::Instant m_startedAt;
+    std::uint64_t m_nextId = 0;
+    std::map<std::string, std::uint64_t> m_openLandings;
+    std::vector<std::shared_ptr<Stream>> m_streams;
+};
+
+} // namespace PolicyBench
