--- a/src/libs/core/refusal.cpp
+++ b/src/libs/core/refusal.cpp
@@ -45,8 +45,6 @@
         return "shutting-down";
     case RefusalReason::NotConfigured:
         return "not-configured";
-    case RefusalReason::InternalError:
-        return "internal-error";
     }
     return "invalid-request";
 }
--- a/src/libs/core/refusal.h
+++ b/src/libs/core/refusal.h
@@ -33,7 +33,6 @@
     UpstreamAnswerInvalid,
     ShuttingDown,
     NotConfigured,
-    InternalError,
 };
 
 auto toString(RunOutcome outcome) -> std::string;
--- a/src/libs/dispatch/rankeddispatcher.cpp
+++ b/src/libs/dispatch/rankeddispatcher.cpp
@@ -211,9 +211,7 @@
     }
     if (result.outcome == UpstreamOutcome::Answered && result.answer.id != assignment.pending->request.id)
         result.outcome = UpstreamOutcome::Invalid;
-    if (result.outcome == UpstreamOutcome::Lost)
-        m_quarantine.endWithCrash(assignment.pending->fingerprint, upstream, now);
-    else
+    if (result.outcome != UpstreamOutcome::Lost)
         m_quarantine.end(assignment.pending->fingerprint, result.outcome == UpstreamOutcome::Answered);
     switch (result.outcome) {
     case UpstreamOutcome::Answered:
@@ -227,6 +225,8 @@
         finishTimedOut(pool, assignment, result.reusedConnection);
         break;
     case UpstreamOutcome::Lost:
+        finishLost(pool, assignment, result);
+        break;
     case UpstreamOutcome::Invalid:
         finishPossiblyRun(pool, assignment, result);
         break;
@@ -273,6 +273,20 @@
         reject(assignment.pending, reason);
 }
 
+auto RankedDispatcher::finishLost(const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result)
+    -> void
+{
+    const auto suspicion = m_quarantine.endWithCrash(
+        assignment.pending->fingerprint, assignment.upstream.id, m_collaborators.clock.now());
+    auto resume = [this, pool, assignment, result] { finishPossiblyRun(pool, assignment, result); };
+    // The caller may send the request again through another entry VM as soon as it is answered, so the others are told
+    // first. The slot stays taken meanwhile.
+    if (m_announcer != nullptr)
+        m_announcer->announce(suspicion, std::move(resume));
+    else
+        resume();
+}
+
 auto RankedDispatcher::finishTimedOut(const PoolId& pool, const Assignment& assignment, bool reusedConnection) -> void
 {
     judgeFailure(pool, assignment.upstream, reusedConnection);
--- a/src/libs/dispatch/rankeddispatcher.h
+++ b/src/libs/dispatch/rankeddispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/dispatchpool.h"
 #include "dispatch/openrequests.h"
 #include "dispatch/requestquarantine.h"
+#include "dispatch/suspicionannouncer.h"
 #include "dispatch/waketimer.h"
 #include "fleet/fleetholder.h"
 #include "fleet/upstreamownership.h"
@@ -42,6 +43,8 @@
     /// Takes no new request; calls back when the last reply has been given.
     auto drain(OpenRequests::DrainedCallback callback) -> void;
     [[nodiscard]] auto quarantine() -> CrashSuspicionExchange& { return m_quarantine; }
+    /// Sets who tells other entry VMs of crashes; to be called before the first request.
+    auto setSuspicionAnnouncer(SuspicionAnnouncer& announcer) -> void { m_announcer = &announcer; }
 
 private:
     using PoolId = Core::ServiceId;
@@ -66,6 +69,7 @@
     auto finishNotRun(const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result) -> void;
     auto finishPossiblyRun(const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result)
         -> void;
+    auto finishLost(const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result) -> void;
     auto finishTimedOut(const PoolId& pool, const Assignment& assignment, bool reusedConnection) -> void;
     auto judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool reusedConnection) -> void;
     auto retryOrReject(const PoolId& pool, const PendingPointer& pending, Core::RefusalReason reason) -> void;
@@ -80,6 +84,7 @@
     AdmissionLimit m_admission;
     OpenRequests m_open;
     RequestQuarantine m_quarantine;
+    SuspicionAnnouncer* m_announcer = nullptr;
     std::atomic<std::uint64_t> m_fleetVersion { 0 };
     std::shared_ptr<WakeTimer> m_tickTimer;
     std::shared_ptr<WakeTimer> m_wakeTimer;
--- a/src/libs/dispatch/requestquarantine.cpp
+++ b/src/libs/dispatch/requestquarantine.cpp
@@ -42,7 +42,7 @@
 }
 
 auto RequestQuarantine::endWithCrash(
-    const RequestFingerprint& fingerprint, const Core::UpstreamId& upstream, Core::Instant now) -> void
+    const RequestFingerprint& fingerprint, const Core::UpstreamId& upstream, Core::Instant now) -> CrashSuspicion
 {
     const std::lock_guard lock(m_mutex);
     stopRunning(fingerprint);
@@ -50,6 +50,7 @@
     auto& entry = m_entries[fingerprint];
     entry.upstreams.insert(upstream);
     entry.lastSeen = now;
+    return { fingerprint, entry.upstreams };
 }
 
 auto RequestQuarantine::suspicions() const -> std::vector<CrashSuspicion>
--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -36,9 +36,9 @@
     [[nodiscard]] auto tryBegin(const RequestFingerprint& fingerprint, Core::Instant now) -> bool;
     /// The request ended without a lost connection.
     auto end(const RequestFingerprint& fingerprint, bool isAnswered) -> void;
-    /// The upstream's connection was lost while it ran the request.
+    /// The upstream's connection was lost while it ran the request. Returns what is now suspected of it.
     auto endWithCrash(const RequestFingerprint& fingerprint, const Core::UpstreamId& upstream, Core::Instant now)
-        -> void;
+        -> CrashSuspicion;
 
     [[nodiscard]] auto suspicions() const -> std::vector<CrashSuspicion> override;
     auto merge(const std::vector<CrashSuspicion>& suspicions, Core::Instant now) -> bool override;
--- /dev/null
+++ b/src/plugins/suspicionpeer/suspicionpeer.cpp
@@ -0,0 +1,68 @@
+#include "suspicionpeer/suspicionpeer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace SuspicionPeer {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr auto suspicionKind = "dispatch.suspicion";
+    constexpr Core::Millis sendTimeout { 200 };
+
+    auto encode(const Dispatch::CrashSuspicion& suspicion) -> std::string
+    {
+        json upstreams = json::array();
+        for (const auto& upstream : suspicion.upstreams)
+            upstreams.push_back(upstream.value());
+        std::string payload;
+        json::to_cbor(json { suspicion.fingerprint.high, suspicion.fingerprint.low, upstreams }, payload);
+        return payload;
+    }
+
+    auto decode(const std::string& payload) -> Core::Result<Dispatch::CrashSuspicion>
+    {
+        try {
+            const auto fields = json::from_cbor(payload);
+            Dispatch::CrashSuspicion suspicion;
+            suspicion.fingerprint = { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>() };
+            for (const auto& upstream : fields.at(2))
+                suspicion.upstreams.insert(Core::UpstreamId(upstream.get<std::string>()));
+            return suspicion;
+        } catch (const std::exception& error) {
+            return Core::fail(Core::ErrorKind::InvalidMessage,
+                std::string("a peer's crash suspicion cannot be read: ") + error.what(),
+                "run compatible releases on all entry VMs");
+        }
+    }
+
+} // namespace
+
+SuspicionPeer::SuspicionPeer(Ports::PeerTransport& transport)
+    : m_transport(transport)
+{
+}
+
+auto SuspicionPeer::send(
+    const Fleet::EntryVm& target, const Dispatch::CrashSuspicion& suspicion, std::function<void()> callback) -> void
+{
+    m_transport.call(target.peerAddress, { suspicionKind, encode(suspicion) }, sendTimeout,
+        [callback = std::move(callback)](const Core::Result<std::string>&) { callback(); });
+}
+
+auto registerSuspicionHandler(Ports::PeerRouter& router, Suspicion::SuspicionSpread& spread) -> void
+{
+    router.registerHandler(
+        suspicionKind, [&spread](const std::string& payload, const Ports::PeerRouter::Respond& respond) {
+            const auto suspicion = decode(payload);
+            if (!suspicion) {
+                respond(tl::unexpected(suspicion.error()));
+                return;
+            }
+            spread.accept(*suspicion);
+            respond(std::string());
+        });
+}
+
+} // namespace SuspicionPeer
