Add a demonstration of a small system under load

make demo starts platform, upstreams and six entry VMs on free ports, edits a section, lets an override land over it, kills an entry VM, drains an upstream, and checks what callers were told against the upstreams' books. Its parts that need the section, status and timeline commands fail until those exist.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build$(if $(SANITIZE),-$(SANITIZE))
 JOBS ?= $(shell nproc)
 
-.PHONY: all bench packages build check-format format lint test
+.PHONY: all bench packages build check-format format lint test demo
 
 all: build
 
@@ -28,3 +28,6 @@
 
 bench: build
 	@$(BUILD)/tests/bench/policy/bench_policy --json docs/measurements/policy.json
+
+demo: packages build
+	@$(BUILD)/tests/demo/dragonflywinch-demo
--- /dev/null
+++ b/tests/demo/main.cpp
@@ -0,0 +1,43 @@
+#include "demo.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+constexpr int interruptedExit = 130;
+
+/// Ends every process of the demonstration when a signal asks for it.
+auto endOnSignal() -> void
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::thread([signals] {
+        int number = 0;
+        sigwait(&signals, &number);
+        StandIns::ChildProcess::killAll();
+        std::_Exit(interruptedExit);
+    }).detach();
+}
+
+} // namespace
+
+auto main() -> int
+{
+    endOnSignal();
+    try {
+        const auto broken = Demo::Demo({ DRAGONFLYWINCH_BINARY, STANDINS_BINARY }).run();
+        for (const auto& line : broken)
+            std::cerr << "FAILED: " << line << '\n';
+        std::cout << (broken.empty() ? "all checks passed" : "some checks failed") << '\n';
+        return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+    } catch (const std::exception& error) {
+        std::cerr << "FAILED: " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- a/tests/standins/callerload.cpp
+++ b/tests/standins/callerload.cpp
@@ -215,7 +215,7 @@
                 if (result)
                     handleResponse(request, result->response);
                 else
-                    handleFailure(request);
+                    handleFailure(request, result.error().stage);
             });
     }
 
@@ -243,10 +243,11 @@
         attemptLater(request);
     }
 
-    auto handleFailure(const RequestPointer& request) -> void
+    auto handleFailure(const RequestPointer& request, HttpClient::FailureStage stage) -> void
     {
         request->lastOutcome = "unknown";
         const std::lock_guard lock(m_mutex);
+        m_report.cutRequests += stage == HttpClient::FailureStage::AfterWrite ? 1 : 0;
         // The entry VM may be gone: ask another one which to use.
         m_lookups.erase(request->workload.service);
         auto timer = std::make_shared<std::unique_ptr<Ports::Timer>>();
--- a/tests/standins/callerload.h
+++ b/tests/standins/callerload.h
@@ -43,6 +43,8 @@
     std::vector<std::vector<std::string>> bookings;
     /// Answers that carried another request's id or body.
     std::uint64_t crossedAnswers = 0;
+    /// Requests whose connection ended after they were written and before their answer.
+    std::uint64_t cutRequests = 0;
 };
 
 /// Callers that ask for look-ups, cache them, send requests and retry as docs/INTERFACES.md allows.
--- a/tests/standins/childprocess.cpp
+++ b/tests/standins/childprocess.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <set>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -20,6 +21,18 @@
     constexpr auto pollInterval = std::chrono::milliseconds(5);
     constexpr int signalExitBase = 128;
 
+    /// Processes that have not ended yet.
+    struct Running {
+        std::mutex mutex;
+        std::set<pid_t> pids;
+    };
+
+    auto running() -> Running&
+    {
+        static Running instance;
+        return instance;
+    }
+
     auto spawn(const std::string& program, std::vector<std::string> arguments, int outputDescriptor) -> pid_t
     {
         arguments.insert(arguments.begin(), program);
@@ -30,8 +43,16 @@
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_adddup2(&actions, outputDescriptor, STDOUT_FILENO);
+        // The parent may block signals that the child has to take.
+        sigset_t noSignals;
+        sigemptyset(&noSignals);
+        posix_spawnattr_t attributes;
+        posix_spawnattr_init(&attributes);
+        posix_spawnattr_setsigmask(&attributes, &noSignals);
+        posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
         pid_t pid = -1;
-        const int error = ::posix_spawn(&pid, program.c_str(), &actions, nullptr, pointers.data(), environ);
+        const int error = ::posix_spawn(&pid, program.c_str(), &actions, &attributes, pointers.data(), environ);
+        posix_spawnattr_destroy(&attributes);
         posix_spawn_file_actions_destroy(&actions);
         if (error != 0)
             throw std::runtime_error("cannot start " + program);
@@ -47,6 +68,10 @@
         throw std::runtime_error("cannot create a pipe");
     m_pid = spawn(program, std::move(arguments), descriptors[1]);
     ::close(descriptors[1]);
+    {
+        const std::lock_guard lock(running().mutex);
+        running().pids.insert(m_pid);
+    }
     m_reader = std::thread([this, descriptor = descriptors[0]] { readLines(descriptor); });
 }
 
@@ -56,7 +81,15 @@
         ::kill(m_pid, SIGKILL);
         wait();
     }
-    m_reader.join();
+    if (m_reader.joinable())
+        m_reader.join();
+}
+
+auto ChildProcess::killAll() -> void
+{
+    const std::lock_guard lock(running().mutex);
+    for (const auto pid : running().pids)
+        ::kill(pid, SIGKILL);
 }
 
 auto ChildProcess::signal(int number) -> void { ::kill(m_pid, number); }
@@ -66,9 +99,20 @@
     int status = 0;
     ::waitpid(m_pid, &status, 0);
     m_hasEnded = true;
+    {
+        const std::lock_guard lock(running().mutex);
+        running().pids.erase(m_pid);
+    }
     return WIFEXITED(status) ? WEXITSTATUS(status) : signalExitBase + WTERMSIG(status);
 }
 
+auto ChildProcess::allLines() -> std::vector<std::string>
+{
+    if (m_reader.joinable())
+        m_reader.join();
+    return lines();
+}
+
 auto ChildProcess::lines() const -> std::vector<std::string>
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/childprocess.h
+++ b/tests/standins/childprocess.h
@@ -17,9 +17,15 @@
     ChildProcess(const ChildProcess&) = delete;
     auto operator=(const ChildProcess&) -> ChildProcess& = delete;
 
+    /// Kills every process that is still running; for signal handling threads.
+    static auto killAll() -> void;
+
     auto signal(int number) -> void;
+    [[nodiscard]] auto pid() const -> pid_t { return m_pid; }
     /// Waits for the end and returns the exit code, or 128 plus the signal's number.
     auto wait() -> int;
+    /// Lines after the process has ended and closed its output.
+    [[nodiscard]] auto allLines() -> std::vector<std::string>;
     [[nodiscard]] auto lines() const -> std::vector<std::string>;
     /// Waits until a line contains the text and returns the line; throws std::runtime_error after 20 s.
     [[nodiscard]] auto waitForLine(const std::string& text) const -> std::string;
