--- a/src/libs/steering/creditgrantor.cpp
+++ b/src/libs/steering/creditgrantor.cpp
@@ -13,6 +13,8 @@
     constexpr Core::Millis creditLifetime { 500 };
     /// Time beyond it for which the destination still accepts the credit, to allow for the relay's own delay.
     constexpr Core::Millis relayAllowance { 500 };
+    /// Time for which an expired grant still tells a duplicate from a first copy.
+    constexpr Core::Millis duplicateWindow { 30'000 };
     /// Part of the free headroom that one grant may take, so that several sources get some.
     constexpr double grantShare = 0.5;
 
@@ -35,23 +37,22 @@
     const auto now = m_collaborators.clock.now();
     const std::lock_guard lock(m_mutex);
     auto& state = m_services[request.service];
-    expire(state, now);
-    const auto count = std::min(request.wanted, offer(state, load));
+    forget(state, now);
+    const auto count = std::min(request.wanted, offer(state, load, now));
     if (count == 0 || state.grants.contains(id))
         return none;
     state.grants.emplace(
         id, Grant { request.source, now + creditLifetime + relayAllowance, std::vector<bool>(count, false), count });
-    Core::invariant(outstanding(state) <= spareSlots(load), "steering.credits-within-headroom");
+    Core::invariant(outstanding(state, now) <= spareSlots(load), "steering.credits-within-headroom");
     return { id, count, creditLifetime };
 }
 
-auto CreditGrantor::offer(ServiceState& state, const Fleet::ServiceLoad& load) const -> std::uint32_t
+auto CreditGrantor::offer(ServiceState& state, const Fleet::ServiceLoad& load, Core::Instant now) const -> std::uint32_t
 {
     if (load.usableSlots.value() == 0) {
         state.wasUnusable = true;
         return 0;
     }
-    const auto now = m_collaborators.clock.now();
     if (state.wasUnusable)
         state.usableSince = now;
     state.wasUnusable = false;
@@ -59,7 +60,7 @@
     const auto usableFor = now - std::max(state.usableSince, m_startedAt);
     const auto ramp = usableFor >= slowStart ? 1.0 : Core::asMillis(usableFor) / Core::asMillis(slowStart);
     const auto offered = static_cast<std::uint32_t>(ramp * spareSlots(load));
-    const auto taken = outstanding(state);
+    const auto taken = outstanding(state, now);
     if (taken >= offered)
         return 0;
     return std::max(1U, static_cast<std::uint32_t>(grantShare * (offered - taken)));
@@ -71,15 +72,20 @@
     const auto load = loadOf(m_collaborators.ownLoads.serviceLoads(), service);
     const std::lock_guard lock(m_mutex);
     auto& state = m_services[service];
-    expire(state, m_collaborators.clock.now());
+    const auto now = m_collaborators.clock.now();
+    forget(state, now);
     const auto found = state.grants.find(credit.grant);
-    if (m_isStopped || found == state.grants.end() || found->second.source != source)
-        return Redemption::Invalid;
+    if (found == state.grants.end())
+        return Redemption::MayBeCopy;
     auto& grant = found->second;
-    if (credit.index >= grant.isUsed.size() || grant.isUsed[credit.index])
+    if (grant.source != source || credit.index >= grant.isUsed.size())
         return Redemption::Invalid;
+    if (grant.isUsed[credit.index])
+        return Redemption::MayBeCopy;
     grant.isUsed[credit.index] = true;
     --grant.unused;
+    if (m_isStopped || grant.expires <= now)
+        return Redemption::Invalid;
     if (spareSlots(load) <= state.unsettled)
         return Redemption::HeadroomGone;
     ++state.unsettled;
@@ -101,16 +107,16 @@
     return m_isStopped || m_collaborators.configuration.current()->drained.contains(m_failureDomain);
 }
 
-auto CreditGrantor::expire(ServiceState& state, Core::Instant now) -> void
+auto CreditGrantor::forget(ServiceState& state, Core::Instant now) -> void
 {
-    std::erase_if(state.grants, [now](const auto& entry) { return entry.second.expires <= now; });
+    std::erase_if(state.grants, [now](const auto& entry) { return entry.second.expires + duplicateWindow <= now; });
 }
 
-auto CreditGrantor::outstanding(const ServiceState& state) -> std::uint32_t
+auto CreditGrantor::outstanding(const ServiceState& state, Core::Instant now) -> std::uint32_t
 {
     auto sum = state.unsettled;
     for (const auto& [id, grant] : state.grants)
-        sum += grant.unused;
+        sum += now < grant.expires ? grant.unused : 0;
     return sum;
 }
 
--- a/src/libs/steering/creditgrantor.h
+++ b/src/libs/steering/creditgrantor.h
@@ -51,9 +51,10 @@
     };
 
     [[nodiscard]] auto isDrained() const -> bool;
-    auto offer(ServiceState& state, const Fleet::ServiceLoad& load) const -> std::uint32_t;
-    static auto expire(ServiceState& state, Core::Instant now) -> void;
-    static auto outstanding(const ServiceState& state) -> std::uint32_t;
+    auto offer(ServiceState& state, const Fleet::ServiceLoad& load, Core::Instant now) const -> std::uint32_t;
+    /// Drops grants that no duplicate is expected for any more.
+    static auto forget(ServiceState& state, Core::Instant now) -> void;
+    static auto outstanding(const ServiceState& state, Core::Instant now) -> std::uint32_t;
 
     Collaborators m_collaborators;
     const Core::FailureDomainId m_failureDomain;
--- a/src/libs/steering/creditports.h
+++ b/src/libs/steering/creditports.h
@@ -35,8 +35,10 @@
 
 enum class Redemption : std::uint8_t {
     Accepted,
-    /// Unknown, expired, used before, or of another service or source.
+    /// Expired, or of another service or source.
     Invalid,
+    /// Used, or of a grant that is no longer known: an earlier copy of the same relay may have come with it.
+    MayBeCopy,
     /// The destination's own work has taken the headroom since the grant.
     HeadroomGone,
 };
--- a/src/libs/steering/relayreceiver.cpp
+++ b/src/libs/steering/relayreceiver.cpp
@@ -70,6 +70,9 @@
     switch (redemption) {
     case Redemption::Accepted:
         return std::nullopt;
+    case Redemption::MayBeCopy:
+        return Core::Refusal { Core::RunOutcome::Unknown, Core::RefusalReason::UpstreamFailed,
+            "an earlier copy of this request may have arrived before", "ask again", {} };
     case Redemption::HeadroomGone:
         return notRun(Core::RefusalReason::Overloaded, "the other failure domain's own work took its headroom",
             "try again later");
--- a/tests/auto/steering/tst_relay.cpp
+++ b/tests/auto/steering/tst_relay.cpp
@@ -282,6 +282,16 @@
     BOOST_TEST(credits.settled == 0);
 }
 
+BOOST_AUTO_TEST_CASE(DoesNotCallADuplicateNotRun)
+{
+    auto call = callFrom("sav-1");
+    call.credit = Steering::CreditId { Steering::GrantId(1), 0 };
+    credits.redemption = Steering::Redemption::MayBeCopy;
+    receiver.accept(call, [this](Core::Reply reply) { replies.push_back(std::move(reply)); });
+    BOOST_TEST(local.requests.empty());
+    BOOST_TEST((outcome(0) == Core::RunOutcome::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(WhileItStopsRefusesItNotRun)
 {
     receiver.refuseNew();
