--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -20,21 +20,31 @@
     const Ports::EventKind fleetTaken { "fleet.taken" };
     const Ports::EventKind fleetRefused { "fleet.refused" };
 
+    auto callerLimits(const ServeSettings& settings) -> HttpServer::Limits
+    {
+        HttpServer::Limits limits;
+        limits.maximumConnections = settings.maximumConnections;
+        return limits;
+    }
+
 } // namespace
 
 EntryVmProcess::EntryVmProcess(const ServeSettings& settings)
     : m_runtime(settings.threads)
-    , m_events(settings.id.value(), m_clock)
+    , m_observation(settings, { m_clock, m_configuration })
+    , m_events(m_observation.events())
     , m_client(m_runtime.context())
     , m_store(m_client, settings.store)
     , m_upstreams(m_client, m_clock)
+    , m_meteredUpstreams(m_upstreams, m_observation.metrics())
     , m_peers(m_runtime.context())
     , m_documentFollower(std::make_shared<Configuration::ObjectFollower>(m_store, m_runtime, steeringDocumentName,
           [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
     , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
           m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
     , m_ownership(settings.failureDomain)
-    , m_dispatcher({ m_clock, m_runtime, m_upstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
+    , m_dispatcher(
+          { m_clock, m_runtime, m_meteredUpstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
     , m_suspicionPeer(m_peers)
     , m_suspicions({ m_clock, m_random, m_members, m_suspicionPeer, m_dispatcher.quarantine() }, settings.id)
     , m_relayPeer(m_peers)
@@ -46,12 +56,18 @@
           { settings.id, { m_random.next(), m_random.next() }, settings.failureDomain, settings.region }, {})
     , m_requests({ m_clock, m_configuration, m_steering.lookups(), m_steering.dispatcher(), m_bookings.coordinator(),
           m_bookings.prefixes(), m_events })
-    , m_front(m_requests, m_clock, m_random)
-    , m_server(m_runtime.context(), settings.listen, m_front)
+    , m_meteredRequests({ m_requests, m_clock, m_configuration, m_observation.metrics() })
+    , m_front(m_meteredRequests, m_clock, m_random)
+    , m_paths(m_front)
+    , m_server(m_runtime.context(), settings.listen, m_paths, callerLimits(settings))
     , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
     , m_leaveLimit(settings.leaveLimit)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
+    m_observation.addPaths(m_paths);
+    if (!settings.adminListen.value().empty())
+        m_adminServer
+            = std::make_unique<HttpServer::Server>(m_runtime.context(), settings.adminListen, m_observation.admin());
 }
 
 EntryVmProcess::~EntryVmProcess() = default;
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "app/observation.h"
 #include "app/servesettings.h"
 #include "app/standalone.h"
 #include "clientblocks/jsonclientblocks.h"
 #include "configuration/configurationholder.h"
 #include "configuration/objectfollower.h"
 #include "dispatch/rankeddispatcher.h"
-#include "eventlog/eventlog.h"
 #include "fleet/fleetholder.h"
 #include "fleet/wholedomainownership.h"
 #include "httpclient/httpclient.h"
@@ -20,6 +20,8 @@
 #include "peerstream/peerstreamserver.h"
 #include "relaypeer/relaypeer.h"
 #include "runtime/asioruntime.h"
+#include "serving/meteredrequesthandler.h"
+#include "serving/meteredupstreamclient.h"
 #include "serving/requestservice.h"
 #include "steering/steeringsystem.h"
 #include "suspicionpeer/suspicionpeer.h"
@@ -49,13 +51,15 @@
     Runtime::SystemClock m_clock;
     Runtime::SystemRandom m_random;
     Runtime::AsioRuntime m_runtime;
-    EventLog::EventLog m_events;
+    Configuration::ConfigurationHolder m_configuration;
+    Observation m_observation;
+    Ports::EventSink& m_events;
     HttpClient::Client m_client;
     HttpStore::HttpObjectStore m_store;
     HttpUpstream::HttpUpstreamClient m_upstreams;
+    Serving::MeteredUpstreamClient m_meteredUpstreams;
     PeerStream::PeerStreamClient m_peers;
     PeerStream::HandlerTable m_peerHandlers;
-    Configuration::ConfigurationHolder m_configuration;
     Fleet::FleetHolder m_fleet;
     std::shared_ptr<Configuration::ObjectFollower> m_documentFollower;
     std::shared_ptr<Configuration::ObjectFollower> m_fleetFollower;
@@ -70,8 +74,11 @@
     LedgerPeer::LedgerPeerClient m_ledgerPeers;
     Ledger::BookingSystem m_bookings;
     Serving::RequestService m_requests;
+    Serving::MeteredRequestHandler m_meteredRequests;
     HttpFront::HttpFront m_front;
+    HttpServer::PathRouter m_paths;
     HttpServer::Server m_server;
+    std::unique_ptr<HttpServer::Server> m_adminServer;
     PeerStream::PeerStreamServer m_peerServer;
     std::unique_ptr<Ports::Timer> m_housekeeping;
     const Core::Millis m_leaveLimit;
--- a/src/libs/core/refusal.cpp
+++ b/src/libs/core/refusal.cpp
@@ -45,6 +45,8 @@
         return "shutting-down";
     case RefusalReason::NotConfigured:
         return "not-configured";
+    case RefusalReason::InternalError:
+        return "internal-error";
     }
     return "invalid-request";
 }
--- a/src/libs/core/refusal.h
+++ b/src/libs/core/refusal.h
@@ -33,6 +33,7 @@
     UpstreamAnswerInvalid,
     ShuttingDown,
     NotConfigured,
+    InternalError,
 };
 
 auto toString(RunOutcome outcome) -> std::string;
--- /dev/null
+++ b/src/libs/timeline/filter.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "timeline/entry.h"
+
+#include <optional>
+
+namespace Timeline {
+
+/// Which entries a reader wants; an empty member selects all.
+struct Filter {
+    Core::RequestId request;
+    /// Selects entries of this process and those that name it in a field "vm".
+    Core::EntryVmId vm;
+    /// Prefix of the kind, for example "booking".
+    std::string kindPrefix;
+    std::optional<Core::WallTime> since;
+    std::optional<Core::WallTime> until;
+
+    [[nodiscard]] auto matches(const Entry& entry) const -> bool;
+};
+
+} // namespace Timeline
--- a/src/plugins/eventlog/eventlog.cpp
+++ b/src/plugins/eventlog/eventlog.cpp
@@ -1,33 +1,95 @@
 #include "eventlog/eventlog.h"
 
+#include "timeline/loglevels.h"
+#include "timelinecodec/timelinecodec.h"
+
 #include <easylogging++.h>
-#include <nlohmann/json.hpp>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
 namespace EventLog {
 
-EventLog::EventLog(std::string process, const Ports::Clock& clock)
-    : m_process(std::move(process))
-    , m_clock(clock)
+namespace {
+
+    auto configureLogger() -> void
+    {
+        el::Configurations configuration;
+        configuration.setToDefault();
+        configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+        configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+        el::Loggers::reconfigureLogger("default", configuration);
+    }
+
+    auto writeLine(const Timeline::Entry& entry) -> void
+    {
+        const auto line = TimelineCodec::encodeEntry(entry);
+        switch (Timeline::logLevelOf(entry.event.kind)) {
+        case Ports::LogLevel::Debug:
+            LOG(DEBUG) << line;
+            return;
+        case Ports::LogLevel::Info:
+            LOG(INFO) << line;
+            return;
+        case Ports::LogLevel::Warning:
+            LOG(WARNING) << line;
+            return;
+        case Ports::LogLevel::Error:
+            LOG(ERROR) << line;
+            return;
+        }
+    }
+
+} // namespace
+
+EventLog::EventLog(Ports::LogLevel level, std::size_t queueLimit)
+    : m_level(level)
+    , m_queueLimit(queueLimit)
+{
+    configureLogger();
+    m_writer = std::thread([this] { writeWaiting(); });
+}
+
+EventLog::~EventLog()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_one();
+    m_writer.join();
+}
+
+auto EventLog::write(const Timeline::Entry& entry) -> void
 {
-    el::Configurations configuration;
-    configuration.setToDefault();
-    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
-    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    el::Loggers::reconfigureLogger("default", configuration);
+    if (Timeline::logLevelOf(entry.event.kind) < m_level)
+        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_queue.size() >= m_queueLimit) {
+            ++m_dropped;
+            return;
+        }
+        m_queue.push_back(entry);
+    }
+    m_changed.notify_one();
 }
 
-auto EventLog::record(Ports::Event event) -> void
+auto EventLog::writeWaiting() -> void
 {
-    nlohmann::json line { { "timeUs", m_clock.wallTime().time_since_epoch().count() }, { "level", "info" },
-        { "process", m_process }, { "event", event.kind.value() } };
-    if (!event.request.value().empty())
-        line["request"] = event.request.value();
-    for (auto& field : event.fields)
-        line[field.name] = std::move(field.value);
-    LOG(INFO) << line.dump();
+    while (true) {
+        std::deque<Timeline::Entry> batch;
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
+            if (m_queue.empty())
+                return;
+            batch = std::exchange(m_queue, {});
+        }
+        for (const auto& entry : batch)
+            writeLine(entry);
+    }
 }
 
 } // namespace EventLog
--- a/src/plugins/eventlog/eventlog.h
+++ b/src/plugins/eventlog/eventlog.h
@@ -1,20 +1,45 @@
 #pragma once
 
-#include "ports/clock.h"
-#include "ports/eventsink.h"
+#include "ports/logcontrol.h"
+#include "timeline/entry.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
 
 namespace EventLog {
 
-/// Writes each event to standard error as one line of JSON: time, process, event, request and fields.
-class EventLog : public Ports::EventSink {
+/// Entries that may wait for a slow output before further ones are dropped and counted.
+inline constexpr std::size_t defaultQueueLimit = 16'384;
+
+/// Writes each entry to standard output as one line of JSON, from a thread of its own.
+class EventLog : public Timeline::EntrySink, public Ports::LogControl {
 public:
-    EventLog(std::string process, const Ports::Clock& clock);
+    explicit EventLog(Ports::LogLevel level, std::size_t queueLimit = defaultQueueLimit);
+    /// Writes what waits.
+    ~EventLog() override;
+    EventLog(const EventLog&) = delete;
+    auto operator=(const EventLog&) -> EventLog& = delete;
 
-    auto record(Ports::Event event) -> void override;
+    auto write(const Timeline::Entry& entry) -> void override;
+    [[nodiscard]] auto level() const -> Ports::LogLevel override { return m_level; }
+    auto setLevel(Ports::LogLevel level) -> void override { m_level = level; }
+    /// Entries that were dropped because the output was slow.
+    [[nodiscard]] auto dropped() const -> std::uint64_t { return m_dropped; }
 
 private:
-    std::string m_process;
-    const Ports::Clock& m_clock;
+    auto writeWaiting() -> void;
+
+    std::atomic<Ports::LogLevel> m_level;
+    std::size_t m_queueLimit;
+    std::atomic<std::uint64_t> m_dropped { 0 };
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<Timeline::Entry> m_queue;
+    bool m_isStopping = false;
+    std::thread m_writer;
 };
 
 } // namespace EventLog
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -26,6 +26,8 @@
 
 namespace {
 
+    constexpr int maximumInterimResponses = 8;
+
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Stream = beast::basic_stream<Tcp, Strand>;
 
@@ -37,6 +39,7 @@
         Stream stream;
         beast::flat_buffer buffer;
         bool isReused = false;
+        std::chrono::steady_clock::time_point idleSince;
     };
 
     using ConnectionPointer = std::shared_ptr<Connection>;
@@ -103,18 +106,32 @@
         co_await http::async_write(connection->stream, call->request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return tl::unexpected(Failure { stageAfterWrite(error), connection->isReused, error.message() });
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(self->m_limits.maximumBody.value());
-        co_await http::async_read(
-            connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        auto response = co_await self->readFinalResponse(*connection, error);
         if (error)
             co_return tl::unexpected(Failure { stageAfterWrite(error), connection->isReused, error.message() });
-        Exchange result { parser.release(), connection->isReused };
+        Exchange result { std::move(response), connection->isReused };
         if (result.response.keep_alive() && connection->buffer.size() == 0)
             self->keep(call->address, connection);
         co_return result;
     }
 
+    /// Skips interim responses, of which a server may send a few before its answer.
+    auto readFinalResponse(Connection& connection, Error& error) -> asio::awaitable<HttpResponse>
+    {
+        for (int interim = 0; interim < maximumInterimResponses; ++interim) {
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(m_limits.maximumBody.value());
+            co_await http::async_read(
+                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return HttpResponse();
+            if (http::to_status_class(parser.get().result()) != http::status_class::informational)
+                co_return parser.release();
+        }
+        error = http::make_error_code(http::error::bad_status);
+        co_return HttpResponse();
+    }
+
     /// Returns what went wrong, or an empty text.
     auto connect(Connection& connection, const Call& call) -> asio::awaitable<std::string>
     {
@@ -137,7 +154,8 @@
             while (!connections.empty()) {
                 auto connection = std::move(connections.back());
                 connections.pop_back();
-                if (isStillOpen(*connection)) {
+                const bool isFresh = connection->idleSince + m_limits.idleTimeout > std::chrono::steady_clock::now();
+                if (isFresh && isStillOpen(*connection)) {
                     connection->isReused = true;
                     return connection;
                 }
@@ -149,6 +167,7 @@
     auto keep(const Core::Address& address, const ConnectionPointer& connection) -> void
     {
         connection->stream.expires_never();
+        connection->idleSince = std::chrono::steady_clock::now();
         m_idle.with(address, [&](Pool& pool) {
             auto& connections = pool[address];
             if (connections.size() < m_limits.idleConnectionsPerAddress)
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -48,6 +48,9 @@
     Core::Bytes maximumBody { 4 * 1024 * 1024 };
     std::size_t idleConnectionsPerAddress = 64;
     Core::Millis connectTimeout { 1000 };
+    /// Connections that were idle for longer are closed instead of used: something between the two ends may have
+    /// forgotten them.
+    Core::Millis idleTimeout { 30'000 };
 };
 
 /// HTTP/1.1 client with a pool of idle connections for each address. A connection whose exchange failed is closed.
--- a/src/plugins/httpfront/httpfront.cpp
+++ b/src/plugins/httpfront/httpfront.cpp
@@ -3,6 +3,7 @@
 #include "clientblocks/addressparser.h"
 #include "core/incarnation.h"
 #include "httpfront/replyencoding.h"
+#include "httpproblem/httpproblem.h"
 
 #include <algorithm>
 #include <boost/url/parse.hpp>
@@ -68,14 +69,15 @@
     else if (target.substr(0, servicePrefix.size()) == servicePrefix)
         handleService(std::move(request), respond);
     else
-        respond(encodeError({ Core::ErrorKind::NotFound, "nothing is served at this path",
+        respond(HttpProblem::encodeError({ Core::ErrorKind::NotFound, "nothing is served at this path",
             "use /v1/lookup or /v1/services/SERVICE/OPERATION" }));
 }
 
 auto HttpFront::malformed(http::status status, const std::string& detail) -> HttpServer::HttpResponse
 {
-    const auto reason = status == http::status::bad_request ? Core::RefusalReason::InvalidRequest
-                                                            : Core::RefusalReason::RequestTooLarge;
+    const bool isTooLarge
+        = status == http::status::payload_too_large || status == http::status::request_header_fields_too_large;
+    const auto reason = isTooLarge ? Core::RefusalReason::RequestTooLarge : Core::RefusalReason::InvalidRequest;
     const Core::Refusal refusal { Core::RunOutcome::NotRun, reason, "the HTTP request cannot be read: " + detail,
         "send a request as docs/INTERFACES.md describes", {} };
     auto response = encodeRefusal(Core::RequestId(), refusal);
@@ -83,6 +85,20 @@
     return response;
 }
 
+auto HttpFront::failed() -> HttpServer::HttpResponse
+{
+    return encodeRefusal(Core::RequestId(),
+        { Core::RunOutcome::Unknown, Core::RefusalReason::InternalError, "the request failed inside the entry VM",
+            "ask again with the same idempotency key; operators read the log", {} });
+}
+
+auto HttpFront::overloaded() -> HttpServer::HttpResponse
+{
+    return encodeRefusal(Core::RequestId(),
+        { Core::RunOutcome::NotRun, Core::RefusalReason::Overloaded, "too many connections are open",
+            "close idle connections, or use another entry VM of the look-up answer", {} });
+}
+
 auto HttpFront::handleLookup(const HttpServer::HttpRequest& request, const Respond& respond) -> void
 {
     const auto url = boost::urls::parse_origin_form(request.target());
@@ -97,14 +113,14 @@
         }
     }
     if (query.service.value().empty()) {
-        respond(encodeError({ Core::ErrorKind::InvalidArgument, "the look-up names no service",
+        respond(HttpProblem::encodeError({ Core::ErrorKind::InvalidArgument, "the look-up names no service",
             "ask for /v1/lookup?service=SERVICE" }));
         return;
     }
     query.client = ClientBlocks::parseAddress(client);
     if (!client.empty() && !query.client) {
-        respond(encodeError({ Core::ErrorKind::InvalidArgument, "the look-up's client is not an IP address",
-            "send the client's IPv4 or IPv6 address, or leave it out" }));
+        respond(HttpProblem::encodeError({ Core::ErrorKind::InvalidArgument,
+            "the look-up's client is not an IP address", "send the client's IPv4 or IPv6 address, or leave it out" }));
         return;
     }
     respond(encodeLookup(m_handler.lookup(query)));
--- a/src/plugins/httpfront/httpfront.h
+++ b/src/plugins/httpfront/httpfront.h
@@ -14,6 +14,8 @@
 
     auto handle(HttpServer::HttpRequest request, Respond respond) -> void override;
     auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpServer::HttpResponse override;
+    auto failed() -> HttpServer::HttpResponse override;
+    auto overloaded() -> HttpServer::HttpResponse override;
 
 private:
     auto handleLookup(const HttpServer::HttpRequest& request, const Respond& respond) -> void;
--- a/src/plugins/httpfront/replyencoding.cpp
+++ b/src/plugins/httpfront/replyencoding.cpp
@@ -1,5 +1,7 @@
 #include "httpfront/replyencoding.h"
 
+#include "httpproblem/httpproblem.h"
+
 #include <nlohmann/json.hpp>
 
 namespace HttpFront {
@@ -9,7 +11,15 @@
     namespace http = boost::beast::http;
     using nlohmann::json;
 
-    constexpr int httpVersion = 11;
+    using HttpProblem::encodeError;
+    using HttpProblem::headerSafe;
+    using HttpProblem::makeResponse;
+
+    /// Lower ones are interim responses.
+    constexpr int lowestFinalStatus = 200;
+    constexpr int highestStatus = 599;
+
+    auto dump(const json& value) -> std::string { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
 
     auto statusFor(const Core::Refusal& refusal) -> http::status
     {
@@ -30,6 +40,8 @@
         case RefusalReason::DeadlinePassed:
         case RefusalReason::UpstreamTimeout:
             return http::status::gateway_timeout;
+        case RefusalReason::InternalError:
+            return http::status::internal_server_error;
         case RefusalReason::UpstreamFailed:
         case RefusalReason::UpstreamAnswerInvalid:
         case RefusalReason::HomeUnreachable:
@@ -46,26 +58,6 @@
         return http::status::service_unavailable;
     }
 
-    auto statusFor(Core::ErrorKind kind) -> http::status
-    {
-        switch (kind) {
-        case Core::ErrorKind::NotFound:
-            return http::status::not_found;
-        case Core::ErrorKind::InvalidArgument:
-            return http::status::bad_request;
-        default:
-            return http::status::service_unavailable;
-        }
-    }
-
-    auto makeResponse(http::status status, const std::string& contentType, std::string body) -> HttpServer::HttpResponse
-    {
-        HttpServer::HttpResponse response { status, httpVersion };
-        response.set(http::field::content_type, contentType);
-        response.body() = std::move(body);
-        return response;
-    }
-
     auto lookupJson(const Ports::LookupAnswer& answer) -> json
     {
         auto targets = json::array();
@@ -77,6 +69,13 @@
         return { { "targets", targets }, { "lifetimeMs", answer.lifetime.count() } };
     }
 
+    auto invalidStatus(int status) -> Core::Refusal
+    {
+        return { Core::RunOutcome::Unknown, Core::RefusalReason::UpstreamAnswerInvalid,
+            "the upstream answered with the status " + std::to_string(status) + ", which is no final HTTP status",
+            "ask again with the same idempotency key; operators check the upstream", {} };
+    }
+
 } // namespace
 
 auto encodeReply(const Core::RequestId& id, Core::Reply reply) -> HttpServer::HttpResponse
@@ -84,9 +83,11 @@
     if (const auto* refusal = std::get_if<Core::Refusal>(&reply))
         return encodeRefusal(id, *refusal);
     auto& answer = std::get<Core::Answer>(reply);
+    if (answer.status < lowestFinalStatus || answer.status > highestStatus)
+        return encodeRefusal(id, invalidStatus(answer.status));
     auto response = makeResponse(static_cast<http::status>(answer.status), answer.contentType, std::move(answer.body));
-    response.set("X-Request-Id", answer.id.value());
-    response.set("X-Upstream", answer.upstream.value());
+    response.set("X-Request-Id", headerSafe(answer.id.value()));
+    response.set("X-Upstream", headerSafe(answer.upstream.value()));
     return response;
 }
 
@@ -95,8 +96,9 @@
     const json problem { { "type", "urn:dragonflywinch:refusal:" + toString(refusal.reason) },
         { "title", toString(refusal.reason) }, { "outcome", toString(refusal.outcome) }, { "detail", refusal.message },
         { "remedy", refusal.remedy }, { "keyPrefix", refusal.keyPrefix } };
-    auto response = makeResponse(statusFor(refusal), "application/problem+json", problem.dump());
-    response.set("X-Request-Id", id.value());
+    auto response = makeResponse(statusFor(refusal), "application/problem+json", dump(problem));
+    if (!id.value().empty())
+        response.set("X-Request-Id", headerSafe(id.value()));
     response.set("X-Outcome", toString(refusal.outcome));
     return response;
 }
@@ -105,17 +107,10 @@
 {
     if (!answer)
         return encodeError(answer.error());
-    auto response = makeResponse(http::status::ok, "application/json", lookupJson(*answer).dump());
+    auto response = makeResponse(http::status::ok, "application/json", dump(lookupJson(*answer)));
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(answer->lifetime).count();
     response.set(http::field::cache_control, "max-age=" + std::to_string(seconds));
     return response;
 }
 
-auto encodeError(const Core::Error& error) -> HttpServer::HttpResponse
-{
-    const json problem { { "type", "urn:dragonflywinch:error:" + toString(error.kind) },
-        { "title", toString(error.kind) }, { "detail", error.message }, { "remedy", error.remedy } };
-    return makeResponse(statusFor(error.kind), "application/problem+json", problem.dump());
-}
-
 } // namespace HttpFront
--- a/src/plugins/httpfront/replyencoding.h
+++ b/src/plugins/httpfront/replyencoding.h
@@ -10,6 +10,5 @@
 /// Problem details (RFC 9457) for a refusal.
 auto encodeRefusal(const Core::RequestId& id, const Core::Refusal& refusal) -> HttpServer::HttpResponse;
 auto encodeLookup(const Core::Result<Ports::LookupAnswer>& answer) -> HttpServer::HttpResponse;
-auto encodeError(const Core::Error& error) -> HttpServer::HttpResponse;
 
 } // namespace HttpFront
--- /dev/null
+++ b/src/plugins/httpserver/connection.cpp
@@ -0,0 +1,284 @@
+#include "httpserver/connection.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace HttpServer {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace detail {
+
+    namespace {
+
+        using Error = boost::system::error_code;
+
+        /// After an error response the rest of the request is read and thrown away for so long: a connection that is
+        /// closed with unread input is reset, which can destroy the response on its way.
+        constexpr Core::Millis discardTime { 500 };
+        constexpr std::size_t discardLimit = 4UL * 1024 * 1024;
+
+        auto statusFor(const Error& error) -> http::status
+        {
+            if (error == http::error::header_limit)
+                return http::status::request_header_fields_too_large;
+            if (error == http::error::body_limit)
+                return http::status::payload_too_large;
+            return http::status::bad_request;
+        }
+
+        /// The connection is at its end, so that no response can be sent.
+        auto isDisconnect(const Error& error) -> bool
+        {
+            return error == http::error::end_of_stream || error == asio::error::eof
+                || error.category() == asio::error::get_system_category();
+        }
+
+        /// Any other coding would leave the end of the request open to interpretation.
+        auto hasUnknownTransferCoding(const HttpRequest& request) -> bool
+        {
+            const auto [first, last] = request.equal_range(http::field::transfer_encoding);
+            if (first == last)
+                return false;
+            return std::next(first) != last || !beast::iequals(first->value(), "chunked");
+        }
+
+        auto hasNoBody(http::status status) -> bool
+        {
+            return status == http::status::no_content || status == http::status::not_modified
+                || http::to_status_class(status) == http::status_class::informational;
+        }
+
+        class ResponseTicket {
+        public:
+            ResponseTicket(std::weak_ptr<Connection> connection, std::shared_ptr<const ServerState> server)
+                : m_connection(std::move(connection))
+                , m_server(std::move(server))
+            {
+            }
+            ~ResponseTicket() { deliver(std::nullopt); }
+            ResponseTicket(const ResponseTicket&) = delete;
+            auto operator=(const ResponseTicket&) -> ResponseTicket& = delete;
+
+            auto deliver(std::optional<HttpResponse> response) -> void
+            {
+                if (m_isUsed.exchange(true) || m_server->isDestroyed)
+                    return;
+                if (const auto connection = m_connection.lock())
+                    connection->deliver(std::move(response));
+            }
+
+        private:
+            std::weak_ptr<Connection> m_connection;
+            std::shared_ptr<const ServerState> m_server;
+            std::atomic<bool> m_isUsed { false };
+        };
+
+    } // namespace
+
+    auto makeRespond(const std::shared_ptr<Connection>& connection, std::shared_ptr<const ServerState> server)
+        -> HttpHandler::Respond
+    {
+        auto ticket = std::make_shared<ResponseTicket>(connection, std::move(server));
+        return [ticket = std::move(ticket)](HttpResponse response) { ticket->deliver(std::move(response)); };
+    }
+
+    Connection::Connection(Socket socket, Environment environment)
+        : m_socket(std::move(socket))
+        , m_environment(std::move(environment))
+        , m_timeout(m_socket.get_executor())
+        , m_responseArrival(m_socket.get_executor())
+    {
+        Error ignored;
+        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    auto Connection::serve(std::shared_ptr<Connection> self) -> asio::awaitable<void>
+    {
+        while (co_await self->waitForRequest()) {
+            if (!co_await self->serveOne())
+                break;
+        }
+        Error ignored;
+        self->m_socket.shutdown(Socket::shutdown_send, ignored);
+        self->m_timeout.cancel();
+    }
+
+    auto Connection::refuse(std::shared_ptr<Connection> self) -> asio::awaitable<void>
+    {
+        auto response = self->m_environment.handler.overloaded();
+        response.keep_alive(false);
+        response.prepare_payload();
+        (void)co_await self->write(response);
+        co_await self->discardInput();
+    }
+
+    auto Connection::stopWhenIdle() -> void
+    {
+        asio::post(executor(), [self = shared_from_this()] {
+            if (self->m_isIdle && !self->hasInput())
+                self->m_socket.cancel();
+        });
+    }
+
+    auto Connection::deliver(std::optional<HttpResponse> response) -> void
+    {
+        asio::post(executor(), [self = shared_from_this(), response = std::move(response)]() mutable {
+            self->m_isAnswered = true;
+            self->m_response = std::move(response);
+            self->m_responseArrival.cancel();
+        });
+    }
+
+    /// Returns whether a request has begun to arrive.
+    auto Connection::waitForRequest() -> asio::awaitable<bool>
+    {
+        if (hasInput())
+            co_return true;
+        if (m_environment.server->isShuttingDown)
+            co_return false;
+        m_isIdle = true;
+        armTimeout(m_environment.limits.idleTimeout);
+        Error error;
+        co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        m_isIdle = false;
+        co_return !error;
+    }
+
+    /// Reads one request and writes its response. Returns whether the connection stays open.
+    auto Connection::serveOne() -> asio::awaitable<bool>
+    {
+        Parser parser;
+        if (const auto error = co_await readRequest(parser)) {
+            if (m_hasTimedOut || !isDisconnect(error))
+                co_await writeMalformed(parser, error);
+            co_return false;
+        }
+        auto request = parser.release();
+        const bool keepAlive = request.keep_alive();
+        const bool isHead = request.method() == http::verb::head;
+        auto response = co_await ask(std::move(request));
+        response.keep_alive(keepAlive && !m_environment.server->isShuttingDown);
+        if (hasNoBody(response.result()))
+            response.body().clear();
+        response.prepare_payload();
+        if (isHead)
+            response.body().clear();
+        const bool isWritten = co_await write(response);
+        co_return isWritten&& response.keep_alive();
+    }
+
+    auto Connection::readRequest(Parser& parser) -> asio::awaitable<Error>
+    {
+        const auto& limits = m_environment.limits;
+        parser.header_limit(static_cast<std::uint32_t>(limits.maximumHeader.value()));
+        parser.body_limit(limits.maximumBody.value());
+        armTimeout(limits.idleTimeout);
+        Error error;
+        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return error;
+        if (hasUnknownTransferCoding(parser.get()))
+            co_return http::make_error_code(http::error::bad_transfer_encoding);
+        if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            error = co_await writeContinue();
+        if (!error)
+            co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        m_timeout.cancel();
+        co_return error;
+    }
+
+    auto Connection::ask(HttpRequest request) -> asio::awaitable<HttpResponse>
+    {
+        m_isAnswered = false;
+        m_response.reset();
+        try {
+            m_environment.handler.handle(std::move(request), makeRespond(shared_from_this(), m_environment.server));
+        } catch (const std::exception&) {
+            // The ticket that the handler did not use delivers the failure.
+        }
+        while (!m_isAnswered) {
+            Error ignored;
+            m_responseArrival.expires_at(asio::steady_timer::time_point::max());
+            co_await m_responseArrival.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        if (!m_response)
+            co_return m_environment.handler.failed();
+        co_return std::move(*m_response);
+    }
+
+    auto Connection::write(HttpResponse& response) -> asio::awaitable<bool>
+    {
+        armTimeout(m_environment.limits.idleTimeout);
+        Error error;
+        co_await http::async_write(m_socket, response, asio::redirect_error(asio::use_awaitable, error));
+        m_timeout.cancel();
+        co_return !error;
+    }
+
+    auto Connection::writeContinue() -> asio::awaitable<Error>
+    {
+        constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+        Error error;
+        co_await asio::async_write(m_socket, asio::buffer(interimResponse.data(), interimResponse.size()),
+            asio::redirect_error(asio::use_awaitable, error));
+        co_return error;
+    }
+
+    auto Connection::writeMalformed(const Parser& parser, const Error& cause) -> asio::awaitable<void>
+    {
+        if (m_hasTimedOut && !parser.got_some())
+            co_return;
+        const auto status = m_hasTimedOut ? http::status::request_timeout : statusFor(cause);
+        const auto detail = m_hasTimedOut ? std::string("it did not arrive in time") : cause.message();
+        auto response = m_environment.handler.malformed(status, detail);
+        response.keep_alive(false);
+        response.prepare_payload();
+        if (co_await write(response))
+            co_await discardInput();
+    }
+
+    auto Connection::discardInput() -> asio::awaitable<void>
+    {
+        Error error;
+        m_socket.shutdown(Socket::shutdown_send, error);
+        armTimeout(discardTime);
+        std::array<char, 4096> bytes {};
+        std::size_t discarded = 0;
+        while (!error && discarded < discardLimit)
+            discarded += co_await m_socket.async_read_some(
+                asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        m_timeout.cancel();
+    }
+
+    auto Connection::armTimeout(Core::Duration timeout) -> void
+    {
+        m_hasTimedOut = false;
+        const auto generation = ++m_timeoutGeneration;
+        m_timeout.expires_after(timeout);
+        m_timeout.async_wait([self = shared_from_this(), generation](Error error) {
+            if (error || generation != self->m_timeoutGeneration)
+                return;
+            self->m_hasTimedOut = true;
+            Error ignored;
+            self->m_socket.cancel(ignored);
+        });
+    }
+
+    auto Connection::hasInput() -> bool
+    {
+        Error ignored;
+        return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+    }
+
+} // namespace detail
+
+} // namespace HttpServer
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -1,66 +1,30 @@
 #include "httpserver/httpserver.h"
 
+#include "httpserver/connection.h"
 #include "runtime/endpoints.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 #include <mutex>
 #include <set>
 
 namespace HttpServer {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using Error = boost::system::error_code;
 using Tcp = asio::ip::tcp;
+using detail::Connection;
 
 namespace {
 
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-
-    auto statusFor(const Error& error) -> http::status
-    {
-        if (error == http::error::header_limit)
-            return http::status::request_header_fields_too_large;
-        if (error == http::error::body_limit)
-            return http::status::payload_too_large;
-        return http::status::bad_request;
-    }
-
-    /// The connection is at its end, so that no response can be sent.
-    auto isDisconnect(const Error& error) -> bool
-    {
-        return error == http::error::end_of_stream || error == beast::error::timeout
-            || error.category() == asio::error::get_system_category() || error == asio::error::eof;
-    }
-
-    using Stream = beast::basic_stream<Tcp, asio::strand<asio::io_context::executor_type>>;
-
-    /// One connection; lives as long as its coroutine.
-    struct Connection {
-        explicit Connection(Tcp::socket socket, asio::strand<asio::io_context::executor_type> strand)
-            : stream(std::move(strand))
-        {
-            const auto protocol = socket.local_endpoint().protocol();
-            stream.socket().assign(protocol, socket.release());
-            stream.socket().set_option(Tcp::no_delay(true));
-        }
-        Stream stream;
-        beast::flat_buffer buffer;
-        bool isIdle = true;
-    };
+    /// Connections that may be told at the same time that there are too many; further ones are just closed.
+    constexpr std::size_t maximumRefusals = 64;
+    constexpr int httpVersion = 11;
 
 } // namespace
 
@@ -84,25 +48,24 @@
         std::vector<std::shared_ptr<Connection>> connections;
         {
             const std::lock_guard lock(m_mutex);
-            m_isShuttingDown = true;
+            m_state->isShuttingDown = true;
             m_done = std::move(done);
             connections.assign(m_connections.begin(), m_connections.end());
         }
-        for (const auto& connection : connections) {
-            asio::post(connection->stream.get_executor(), [connection] {
-                if (connection->isIdle)
-                    connection->stream.cancel();
-            });
-        }
+        for (const auto& connection : connections)
+            connection->stopWhenIdle();
         finishIfEmpty();
     }
 
+    auto abandon() -> void { m_state->isDestroyed = true; }
+
 private:
     static auto acceptLoop(std::shared_ptr<Implementation> self) -> asio::awaitable<void>
     {
         while (self->m_acceptor.is_open()) {
             Error error;
-            auto socket = co_await self->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            auto socket = co_await self->m_acceptor.async_accept(
+                asio::make_strand(self->m_context), asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
@@ -111,96 +74,46 @@
                 co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
                 continue;
             }
-            self->serve(std::move(socket));
+            self->take(std::move(socket));
         }
     }
 
-    auto serve(Tcp::socket socket) -> void
+    auto take(detail::Socket socket) -> void
     {
-        try {
-            auto connection = std::make_shared<Connection>(std::move(socket), asio::make_strand(m_context));
-            if (!add(connection))
-                return;
-            asio::co_spawn(connection->stream.get_executor(), connectionLoop(shared_from_this(), connection),
+        const Connection::Environment environment { m_handler, m_limits, m_state };
+        auto connection = std::make_shared<Connection>(std::move(socket), environment);
+        const auto executor = connection->executor();
+        const auto admission = admit(connection);
+        if (admission == Admission::Served) {
+            asio::co_spawn(executor, Connection::serve(connection),
                 [self = shared_from_this(), connection](const std::exception_ptr&) { self->remove(connection); });
-        } catch (const boost::system::system_error&) {
-            // The peer was gone before the connection could be set up.
-        }
-    }
-
-    static auto connectionLoop(std::shared_ptr<Implementation> self, std::shared_ptr<Connection> connection)
-        -> asio::awaitable<void>
-    {
-        while (!self->isShuttingDown() && co_await self->serveOne(*connection)) { }
-        Error ignored;
-        connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    }
-
-    /// Reads one request and writes its response. Returns whether the connection stays open.
-    auto serveOne(Connection& connection) -> asio::awaitable<bool>
-    {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.maximumHeader.value()));
-        parser.body_limit(m_limits.maximumBody.value());
-        connection.stream.expires_after(m_limits.idleTimeout);
-        Error error;
-        co_await http::async_read_header(
-            connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        connection.isIdle = false;
-        if (!error)
-            co_await http::async_read(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            if (!isDisconnect(error))
-                co_await writeMalformed(connection, error);
-            co_return false;
+        } else if (admission == Admission::Refused) {
+            asio::co_spawn(executor, Connection::refuse(connection),
+                [self = shared_from_this()](const std::exception_ptr&) { self->endRefusal(); });
         }
-        auto request = parser.release();
-        const bool keepAlive = request.keep_alive();
-        auto response = co_await ask(std::move(request));
-        response.keep_alive(keepAlive && !isShuttingDown());
-        response.prepare_payload();
-        connection.stream.expires_after(m_limits.idleTimeout);
-        co_await http::async_write(connection.stream, response, asio::redirect_error(asio::use_awaitable, error));
-        connection.isIdle = true;
-        co_return !error && response.keep_alive();
     }
 
-    auto writeMalformed(Connection& connection, const Error& cause) -> asio::awaitable<void>
-    {
-        auto response = m_handler.malformed(statusFor(cause), cause.message());
-        response.keep_alive(false);
-        response.prepare_payload();
-        Error ignored;
-        co_await http::async_write(connection.stream, response, asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    enum class Admission : std::uint8_t { Served, Refused, Closed };
 
-    auto ask(HttpRequest request) -> asio::awaitable<HttpResponse>
-    {
-        auto initiate = [this, request = std::move(request)](auto completion) mutable {
-            auto shared = std::make_shared<decltype(completion)>(std::move(completion));
-            m_handler.handle(std::move(request), [shared](HttpResponse response) {
-                auto executor = asio::get_associated_executor(*shared);
-                asio::post(
-                    executor, [shared, response = std::move(response)]() mutable { (*shared)(std::move(response)); });
-            });
-        };
-        co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(HttpResponse)>(
-            std::move(initiate), asio::use_awaitable);
-    }
-
-    auto isShuttingDown() -> bool
+    auto admit(const std::shared_ptr<Connection>& connection) -> Admission
     {
         const std::lock_guard lock(m_mutex);
-        return m_isShuttingDown;
+        if (m_state->isShuttingDown)
+            return Admission::Closed;
+        if (m_connections.size() < m_limits.maximumConnections) {
+            m_connections.insert(connection);
+            return Admission::Served;
+        }
+        if (m_refusals == maximumRefusals)
+            return Admission::Closed;
+        ++m_refusals;
+        return Admission::Refused;
     }
 
-    auto add(const std::shared_ptr<Connection>& connection) -> bool
+    auto endRefusal() -> void
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_isShuttingDown)
-            m_connections.insert(connection);
-        return !m_isShuttingDown;
+        --m_refusals;
     }
 
     auto remove(const std::shared_ptr<Connection>& connection) -> void
@@ -217,7 +130,7 @@
         std::function<void()> done;
         {
             const std::lock_guard lock(m_mutex);
-            if (!m_isShuttingDown || !m_connections.empty())
+            if (!m_state->isShuttingDown || !m_connections.empty())
                 return;
             done = std::exchange(m_done, nullptr);
         }
@@ -226,22 +139,27 @@
     }
 
     asio::io_context& m_context;
-    asio::basic_socket_acceptor<Tcp, asio::strand<asio::io_context::executor_type>> m_acceptor;
+    asio::basic_socket_acceptor<Tcp, detail::Strand> m_acceptor;
     HttpHandler& m_handler;
     Limits m_limits;
+    std::shared_ptr<detail::ServerState> m_state = std::make_shared<detail::ServerState>();
     std::mutex m_mutex;
     std::set<std::shared_ptr<Connection>> m_connections;
-    bool m_isShuttingDown = false;
+    std::size_t m_refusals = 0;
     std::function<void()> m_done;
 };
 
+auto HttpHandler::failed() -> HttpResponse { return { http::status::internal_server_error, httpVersion }; }
+
+auto HttpHandler::overloaded() -> HttpResponse { return { http::status::service_unavailable, httpVersion }; }
+
 Server::Server(asio::io_context& context, const Core::Address& address, HttpHandler& handler, Limits limits)
     : m_implementation(std::make_shared<Implementation>(context, address, handler, limits))
 {
     m_implementation->start();
 }
 
-Server::~Server() = default;
+Server::~Server() { m_implementation->abandon(); }
 
 auto Server::port() const -> std::uint16_t { return m_implementation->port(); }
 
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -20,10 +20,14 @@
     using Respond = std::function<void(HttpResponse)>;
 
     virtual ~HttpHandler() = default;
-    /// Must call respond exactly once, from any thread.
+    /// Calls respond once, from any thread; further calls are ignored.
     virtual auto handle(HttpRequest request, Respond respond) -> void = 0;
     /// Response to a request that could not be parsed.
     virtual auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpResponse = 0;
+    /// Response to a request whose handler threw, or gave up without responding.
+    virtual auto failed() -> HttpResponse;
+    /// Response to a connection beyond the limit, before any request was read.
+    virtual auto overloaded() -> HttpResponse;
 };
 
 struct Limits {
@@ -31,9 +35,11 @@
     Core::Bytes maximumBody { 1024 * 1024 };
     /// Time for which a connection may be idle, or take to send one request.
     Core::Millis idleTimeout { 60'000 };
+    /// Connections beyond this are told so and closed.
+    std::size_t maximumConnections = 4096;
 };
 
-/// HTTP/1.1 server on one listening socket.
+/// HTTP/1.1 server on one listening socket. The handler must outlive the context's threads.
 class Server {
 public:
     /// Listens at once. Throws boost::system::system_error when the address cannot be bound.
--- /dev/null
+++ b/src/plugins/httpserver/pathrouter.cpp
@@ -0,0 +1,46 @@
+#include "httpserver/pathrouter.h"
+
+namespace HttpServer {
+
+namespace {
+
+    auto isBelow(std::string_view path, std::string_view route) -> bool
+    {
+        return path.starts_with(route) && (path.size() == route.size() || path[route.size()] == '/');
+    }
+
+} // namespace
+
+PathRouter::PathRouter(HttpHandler& fallback)
+    : m_fallback(fallback)
+{
+}
+
+auto PathRouter::add(std::string path, HttpHandler& handler) -> void
+{
+    m_routes.push_back({ std::move(path), &handler });
+}
+
+auto PathRouter::handle(HttpRequest request, Respond respond) -> void
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    const auto path = target.substr(0, target.find('?'));
+    const Route* best = nullptr;
+    for (const auto& route : m_routes) {
+        if (isBelow(path, route.path) && (best == nullptr || route.path.size() > best->path.size()))
+            best = &route;
+    }
+    auto& handler = best == nullptr ? m_fallback : *best->handler;
+    handler.handle(std::move(request), std::move(respond));
+}
+
+auto PathRouter::malformed(boost::beast::http::status status, const std::string& detail) -> HttpResponse
+{
+    return m_fallback.malformed(status, detail);
+}
+
+auto PathRouter::failed() -> HttpResponse { return m_fallback.failed(); }
+
+auto PathRouter::overloaded() -> HttpResponse { return m_fallback.overloaded(); }
+
+} // namespace HttpServer
--- a/src/plugins/httpupstream/httpupstreamclient.cpp
+++ b/src/plugins/httpupstream/httpupstreamclient.cpp
@@ -1,5 +1,6 @@
 #include "httpupstream/httpupstreamclient.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace HttpUpstream {
@@ -39,6 +40,13 @@
         return request;
     }
 
+    /// A request from another entry VM did not pass this one's HTTP parser.
+    auto fitsRequestLine(const std::string& text) -> bool
+    {
+        return std::none_of(text.begin(), text.end(),
+            [](char character) { return (character >= 0 && character <= ' ') || character == '\x7f'; });
+    }
+
     auto outcomeFor(HttpClient::FailureStage stage) -> UpstreamOutcome
     {
         switch (stage) {
@@ -104,6 +112,11 @@
         callback({ UpstreamOutcome::NotSent, {}, false, false, "the deadline has passed" });
         return;
     }
+    if (!fitsRequestLine(call.request.operation) || !fitsRequestLine(call.request.id.value())) {
+        callback(
+            { UpstreamOutcome::NotSent, {}, false, false, "the operation or request id holds control characters" });
+        return;
+    }
     m_client.send({ call.address, encode(call, remaining), remaining },
         [id = call.request.id, upstream = call.upstream, callback = std::move(callback)](
             tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
