Merge the time lines of several processes on the command line

The hybrid logical clock travels with each message between entry VMs, in a header of the request and of the response.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -37,7 +37,7 @@
     , m_store(m_client, settings.store)
     , m_upstreams(m_client, m_clock)
     , m_meteredUpstreams(m_upstreams, m_observation.metrics())
-    , m_peers(m_runtime.context())
+    , m_peers(m_runtime.context(), &m_observation.causalClock())
     , m_documentFollower(std::make_shared<Configuration::ObjectFollower>(m_store, m_runtime, steeringDocumentName,
           [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
     , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
@@ -60,7 +60,7 @@
     , m_front(m_meteredRequests, m_clock, m_random)
     , m_paths(m_front)
     , m_server(m_runtime.context(), settings.listen, m_paths, callerLimits(settings))
-    , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers)
+    , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers, &m_observation.causalClock())
     , m_leaveLimit(settings.leaveLimit)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 #include "app/commandline.h"
 #include "app/servecommand.h"
 #include "app/settingscommand.h"
+#include "app/timelinecommand.h"
 
 #include <iostream>
 
@@ -11,6 +12,7 @@
     std::vector<std::unique_ptr<App::Command>> commands;
     commands.push_back(std::make_unique<App::ServeCommand>());
     commands.push_back(std::make_unique<App::SettingsCommand>());
+    commands.push_back(std::make_unique<App::TimelineCommand>());
     return commands;
 }
 
--- a/src/plugins/peerstream/clientconnection.cpp
+++ b/src/plugins/peerstream/clientconnection.cpp
@@ -40,9 +40,10 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(asio::io_context& context, Core::Address peer)
+ClientConnection::ClientConnection(asio::io_context& context, Core::Address peer, HopClock clock)
     : H2Session(Socket(asio::make_strand(context)), Role::Client)
     , m_peer(std::move(peer))
+    , m_clock(clock)
     , m_connectTimer(executor())
     , m_deadlineTimer(executor())
 {
@@ -121,7 +122,9 @@
 
 auto ClientConnection::open(PendingCall pending) -> void
 {
-    const auto stream = submitRequest(requestHeaders(m_peer, pending.message.kind), std::move(pending.message.payload));
+    auto headers = requestHeaders(m_peer, pending.message.kind);
+    m_clock.stamp(headers);
+    const auto stream = submitRequest(headers, std::move(pending.message.payload));
     if (stream < 0) {
         // Stream ids are used up, or the other end is shutting down: the next call takes a new connection.
         m_isFinished = true;
@@ -193,6 +196,7 @@
 
 auto ClientConnection::onHeader(StreamId stream, std::string_view name, std::string_view value) -> void
 {
+    m_clock.observe(name, value);
     const auto found = m_calls.find(stream);
     if (found == m_calls.end())
         return;
--- a/src/plugins/peerstream/clientconnection.h
+++ b/src/plugins/peerstream/clientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peerstream/h2session.h"
+#include "peerstream/hopclock.h"
 #include "ports/peertransport.h"
 
 #include <atomic>
@@ -11,7 +12,7 @@
 /// Client end of one connection to another entry VM; carries many calls at the same time.
 class ClientConnection : public H2Session {
 public:
-    ClientConnection(boost::asio::io_context& context, Core::Address peer);
+    ClientConnection(boost::asio::io_context& context, Core::Address peer, HopClock clock);
 
     /// Connects on the first call. Calls back exactly once, on the connection's strand.
     auto call(Ports::PeerMessage message, Core::Duration timeout, Ports::PeerTransport::ReplyCallback callback) -> void;
@@ -55,6 +56,7 @@
     auto expirePending() -> void;
 
     Core::Address m_peer;
+    HopClock m_clock;
     std::deque<PendingCall> m_pending;
     std::map<StreamId, OpenCall> m_calls;
     boost::asio::steady_timer m_connectTimer;
--- a/src/plugins/peerstream/messagelimits.h
+++ b/src/plugins/peerstream/messagelimits.h
@@ -13,5 +13,7 @@
 inline constexpr auto errorKindHeader = "x-error-kind";
 inline constexpr auto errorMessageHeader = "x-error-message";
 inline constexpr auto errorRemedyHeader = "x-error-remedy";
+/// Stamp of the sender's hybrid logical clock, on requests and responses.
+inline constexpr auto hybridTimeHeader = "x-hybrid-time";
 
 } // namespace PeerStream
--- a/src/plugins/peerstream/peerstreamclient.h
+++ b/src/plugins/peerstream/peerstreamclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/sharded.h"
+#include "ports/causalclock.h"
 #include "ports/peertransport.h"
 #include "ports/scheduler.h"
 
@@ -15,7 +16,8 @@
 /// Carries messages to other entry VMs over one HTTP/2 connection for each of them.
 class PeerStreamClient : public Ports::PeerTransport {
 public:
-    explicit PeerStreamClient(boost::asio::io_context& context);
+    /// The clock, if any, is carried with each message.
+    explicit PeerStreamClient(boost::asio::io_context& context, Ports::CausalClock* clock = nullptr);
     ~PeerStreamClient() override;
 
     auto call(const Core::Address& peer, Ports::PeerMessage message, Core::Duration timeout, ReplyCallback callback)
@@ -29,6 +31,7 @@
     auto connectionTo(const Core::Address& peer) -> std::shared_ptr<ClientConnection>;
 
     boost::asio::io_context& m_context;
+    Ports::CausalClock* m_clock;
     Core::Sharded<Connections> m_connections;
 };
 
--- a/src/plugins/peerstream/peerstreamserver.cpp
+++ b/src/plugins/peerstream/peerstreamserver.cpp
@@ -22,11 +22,13 @@
 
 class PeerStreamServer::Implementation : public std::enable_shared_from_this<PeerStreamServer::Implementation> {
 public:
-    Implementation(asio::io_context& context, const Core::Address& address, const HandlerTable& handlers)
+    Implementation(
+        asio::io_context& context, const Core::Address& address, const HandlerTable& handlers, HopClock clock)
         : m_context(context)
         , m_acceptor(asio::make_strand(context), Runtime::requireEndpoint(address))
         , m_retryTimer(m_acceptor.get_executor())
         , m_handlers(handlers)
+        , m_clock(clock)
     {
     }
 
@@ -79,7 +81,8 @@
     {
         auto onClosed = [self = shared_from_this()](
                             const std::shared_ptr<ServerConnection>& connection) { self->remove(connection); };
-        auto connection = std::make_shared<ServerConnection>(std::move(socket), m_handlers, std::move(onClosed));
+        auto connection
+            = std::make_shared<ServerConnection>(std::move(socket), m_handlers, m_clock, std::move(onClosed));
         {
             const std::lock_guard lock(m_mutex);
             if (m_isShuttingDown)
@@ -115,6 +118,7 @@
     Acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
     const HandlerTable& m_handlers;
+    HopClock m_clock;
     std::mutex m_mutex;
     std::set<std::shared_ptr<ServerConnection>> m_connections;
     bool m_isShuttingDown = false;
@@ -122,8 +126,8 @@
 };
 
 PeerStreamServer::PeerStreamServer(
-    asio::io_context& context, const Core::Address& address, const HandlerTable& handlers)
-    : m_implementation(std::make_shared<Implementation>(context, address, handlers))
+    asio::io_context& context, const Core::Address& address, const HandlerTable& handlers, Ports::CausalClock* clock)
+    : m_implementation(std::make_shared<Implementation>(context, address, handlers, HopClock(clock)))
 {
     m_implementation->acceptNext();
 }
--- a/src/plugins/peerstream/peerstreamserver.h
+++ b/src/plugins/peerstream/peerstreamserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peerstream/handlertable.h"
+#include "ports/causalclock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -12,7 +13,9 @@
 class PeerStreamServer {
 public:
     /// Listens at once. Throws boost::system::system_error when the address cannot be bound.
-    PeerStreamServer(boost::asio::io_context& context, const Core::Address& address, const HandlerTable& handlers);
+    /// The clock, if any, is carried with each message.
+    PeerStreamServer(boost::asio::io_context& context, const Core::Address& address, const HandlerTable& handlers,
+        Ports::CausalClock* clock = nullptr);
     ~PeerStreamServer();
 
     [[nodiscard]] auto port() const -> std::uint16_t;
--- a/src/plugins/peerstream/serverconnection.cpp
+++ b/src/plugins/peerstream/serverconnection.cpp
@@ -19,6 +19,11 @@
         return text;
     }
 
+    auto answerHeaders() -> std::vector<HeaderField>
+    {
+        return { { ":status", statusOk }, { "content-type", "application/cbor" } };
+    }
+
     auto errorHeaders(const Core::Error& error) -> std::vector<HeaderField>
     {
         return { { ":status", statusFailed }, { errorKindHeader, toString(error.kind) },
@@ -27,9 +32,10 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(Socket socket, const HandlerTable& handlers, ClosedCallback onClosed)
+ServerConnection::ServerConnection(Socket socket, const HandlerTable& handlers, HopClock clock, ClosedCallback onClosed)
     : H2Session(std::move(socket), Role::Server)
     , m_handlers(handlers)
+    , m_clock(clock)
     , m_onClosed(std::move(onClosed))
 {
 }
@@ -56,6 +62,7 @@
 
 auto ServerConnection::onHeader(StreamId stream, std::string_view name, std::string_view value) -> void
 {
+    m_clock.observe(name, value);
     const std::string_view prefix(pathPrefix);
     if (name == ":path" && value.starts_with(prefix))
         m_messages[stream].kind = value.substr(prefix.size());
@@ -94,10 +101,9 @@
 {
     if (isClosed() || !m_messages.contains(stream))
         return;
-    if (result)
-        submitResponse(stream, { { ":status", statusOk }, { "content-type", "application/cbor" } }, std::move(*result));
-    else
-        submitResponse(stream, errorHeaders(result.error()), {});
+    auto headers = result ? answerHeaders() : errorHeaders(result.error());
+    m_clock.stamp(headers);
+    submitResponse(stream, headers, result ? std::move(*result) : std::string());
     flush();
 }
 
--- a/src/plugins/peerstream/serverconnection.h
+++ b/src/plugins/peerstream/serverconnection.h
@@ -2,6 +2,7 @@
 
 #include "peerstream/h2session.h"
 #include "peerstream/handlertable.h"
+#include "peerstream/hopclock.h"
 
 #include <functional>
 
@@ -12,7 +13,7 @@
 public:
     using ClosedCallback = std::function<void(const std::shared_ptr<ServerConnection>&)>;
 
-    ServerConnection(Socket socket, const HandlerTable& handlers, ClosedCallback onClosed);
+    ServerConnection(Socket socket, const HandlerTable& handlers, HopClock clock, ClosedCallback onClosed);
 
     auto start() -> void;
     /// Takes no further message, answers those that are open, and then closes.
@@ -33,6 +34,7 @@
     auto closeIfDone() -> void;
 
     const HandlerTable& m_handlers;
+    HopClock m_clock;
     ClosedCallback m_onClosed;
     std::map<StreamId, Ports::PeerMessage> m_messages;
     bool m_isShuttingDown = false;
--- a/tests/standins/childprocess.cpp
+++ b/tests/standins/childprocess.cpp
@@ -119,6 +119,13 @@
     return m_lines;
 }
 
+auto ChildProcess::allLines() const -> std::vector<std::string>
+{
+    std::unique_lock lock(m_mutex);
+    m_readAll.wait(lock, [this] { return m_hasReadAll; });
+    return m_lines;
+}
+
 auto ChildProcess::waitForLine(const std::string& text) const -> std::string
 {
     const auto deadline = std::chrono::steady_clock::now() + lineTimeout;
@@ -145,6 +152,11 @@
         m_lines.emplace_back(buffer, static_cast<std::size_t>(length));
     }
     std::free(buffer);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_hasReadAll = true;
+    }
+    m_readAll.notify_all();
     std::fclose(stream);
 }
 
--- a/tests/standins/childprocess.h
+++ b/tests/standins/childprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <mutex>
 #include <string>
 #include <sys/types.h>
@@ -27,6 +28,8 @@
     /// Lines after the process has ended and closed its output.
     [[nodiscard]] auto allLines() -> std::vector<std::string>;
     [[nodiscard]] auto lines() const -> std::vector<std::string>;
+    /// Lines until the end of the output; call it after wait().
+    [[nodiscard]] auto allLines() const -> std::vector<std::string>;
     /// Waits until a line contains the text and returns the line; throws std::runtime_error after 20 s.
     [[nodiscard]] auto waitForLine(const std::string& text) const -> std::string;
 
@@ -37,6 +40,8 @@
     bool m_hasEnded = false;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_lines;
+    bool m_hasReadAll = false;
+    mutable std::condition_variable m_readAll;
     std::thread m_reader;
 };
 
