Start no request that can no longer end in time

Under the urgent flood most requests left the queue shortly before their deadline, timed out at the upstream and then counted against healthy endpoints, which were paused and ejected. A request now leaves the queue only when the time that nearly every request of its service stays within (mean and two deviations, as in RFC 6298) still fits; otherwise it is refused as not run. The early refusal at admission uses the same time.

--- a/src/libs/dispatch/dispatchpool.cpp
+++ b/src/libs/dispatch/dispatchpool.cpp
@@ -54,7 +54,7 @@
 auto DispatchPool::retry(PendingPointer pending, RefusalReason reason, Core::Instant now) -> DispatchEffects
 {
     DispatchEffects effects;
-    const auto expectedEnd = now + m_queue.meanServiceTime(pending->policy.service);
+    const auto expectedEnd = now + m_queue.longestServiceTime(pending->policy.service);
     const bool mayRetry = pending->attempts < m_limits.attempts && expectedEnd < pending->request.deadline
         && m_upstreams.hasUsable() && m_retryBudget.tryTake();
     if (!mayRetry) {
@@ -105,7 +105,7 @@
     if (m_upstreams.freeSlots(now) > m_queue.size())
         return std::nullopt;
     const auto wait = m_queue.predictedWait(pending, m_upstreams.usableSlots(now));
-    const auto end = now + wait + m_queue.meanServiceTime(pending.policy.service);
+    const auto end = now + wait + m_queue.longestServiceTime(pending.policy.service);
     if (end > pending.request.deadline)
         return RefusalReason::DeadlineUnreachable;
     return std::nullopt;
@@ -124,6 +124,10 @@
         auto pending = m_queue.pop(lowestRankToStart(now), now);
         if (!pending)
             break;
+        if (now + m_queue.longestServiceTime(pending->policy.service) > pending->request.deadline) {
+            effects.rejections.push_back({ std::move(pending), RefusalReason::DeadlineUnreachable });
+            continue;
+        }
         const auto upstream = m_upstreams.acquire(pending->tried, now);
         pending->tried.push_back(upstream->id);
         ++pending->attempts;
--- a/src/libs/dispatch/rankqueue.cpp
+++ b/src/libs/dispatch/rankqueue.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/rankqueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Dispatch {
 
@@ -8,6 +9,8 @@
 
     /// Weight of the newest sample in exponentially weighted means.
     constexpr double sampleWeight = 0.1;
+    /// Deviations above the mean that nearly every service time stays within.
+    constexpr double deviationsToLongest = 2;
     /// Requests whose slot time a floor may save up.
     constexpr double owedRequests = 4;
     /// Slot time that a service is charged before its first answer.
@@ -87,8 +90,20 @@
 auto RankQueue::recordServiceTime(const Core::ServiceId& service, Core::Duration time) -> void
 {
     const auto found = m_lanes.find(service);
-    if (found != m_lanes.end())
-        found->second.meanMicros = blend(found->second.meanMicros, micros(time));
+    if (found == m_lanes.end())
+        return;
+    auto& lane = found->second;
+    if (lane.meanMicros > 0)
+        lane.deviationMicros = blend(lane.deviationMicros, std::abs(micros(time) - lane.meanMicros));
+    lane.meanMicros = blend(lane.meanMicros, micros(time));
+}
+
+auto RankQueue::longestServiceTime(const Core::ServiceId& service) const -> Core::Duration
+{
+    const auto found = m_lanes.find(service);
+    if (found == m_lanes.end())
+        return Core::Duration::zero();
+    return duration(found->second.meanMicros + deviationsToLongest * found->second.deviationMicros);
 }
 
 auto RankQueue::meanServiceTime(const Core::ServiceId& service) const -> Core::Duration
--- a/src/libs/dispatch/rankqueue.h
+++ b/src/libs/dispatch/rankqueue.h
@@ -25,6 +25,8 @@
     /// Next request to start; null when only lower ranks than the given one wait and no floor is owed.
     [[nodiscard]] auto pop(Core::Rank lowest, Core::Instant now) -> PendingPointer;
     [[nodiscard]] auto popExpired(Core::Instant now) -> std::vector<PendingPointer>;
+    /// Time that nearly every request of the service stays within; zero until the first answer.
+    [[nodiscard]] auto longestServiceTime(const Core::ServiceId& service) const -> Core::Duration;
     /// Bound for the time that a new request would wait for its start.
     [[nodiscard]] auto predictedWait(const PendingRequest& pending, std::uint32_t slots) -> Core::Duration;
     auto recordServiceTime(const Core::ServiceId& service, Core::Duration time) -> void;
@@ -41,6 +43,8 @@
         Configuration::ServicePolicy policy;
         FairQueue waiting;
         double meanMicros = 0;
+        /// Mean absolute deviation from the mean, as in RFC 6298.
+        double deviationMicros = 0;
         /// Slot time that the floor owes, in microseconds.
         double owedMicros = 0;
         /// Slot time used, divided by worth.
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(isRefusedNotRun("hopeless", RefusalReason::DeadlineUnreachable));
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatCanNoLongerEndInTimeIsNotStarted)
+{
+    for (int index = 0; index < 10; ++index) {
+        send("measured-" + std::to_string(index), urgent);
+        time.runFor(50ms);
+    }
+    upstreams.setServiceTime(urgent.service, 100ms);
+    send("running", urgent);
+    time.runFor(10ms);
+    send("waiting", urgent, 90ms);
+    time.runFor(500ms);
+    BOOST_TEST(isAnswered("running"));
+    BOOST_TEST(isRefusedNotRun("waiting", RefusalReason::DeadlineUnreachable));
+    BOOST_TEST(!upstreams.runs().contains(Core::RequestId("waiting")));
+}
+
 BOOST_AUTO_TEST_CASE(AFullQueueGivesUpDeferrableWorkForUrgentWork)
 {
     for (int index = 0; index < 2049; ++index)
--- a/tests/bench/policy/workload.cpp
+++ b/tests/bench/policy/workload.cpp
@@ -19,7 +19,7 @@
             return preset.slots();
         if (preset.services[1].policy.pool == preset.services[0].policy.pool)
             return preset.slots();
-        return std::accumulate(service.endpointSlots.begin(), service.endpointSlots.end(), 0);
+        return std::accumulate(service.endpointSlots.begin(), service.endpointSlots.end(), 0U);
     }
 
 } // namespace
