Let reports of a drain order the upstreams, not remove them

A load report that falsely says that an upstream drains took its slots away while others were full. An upstream that really drains says so in its answers, and takes no more work from then on; a report alone now makes it the last choice.

The other cases did not change. A new test failed before the change.

--- a/src/libs/dispatch/upstreampool.cpp
+++ b/src/libs/dispatch/upstreampool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 
 namespace Dispatch {
 
@@ -29,13 +30,13 @@
     -> std::optional<Fleet::Upstream>
 {
     const Endpoint* best = nullptr;
-    std::pair<bool, double> bestScore;
+    std::tuple<bool, bool, double> bestScore;
     for (const auto* endpoint : candidates()) {
         if (!endpoint->hasFreeSlot(now))
             continue;
         const auto& id = endpoint->upstream().id;
         const bool isTried = std::find(tried.begin(), tried.end(), id) != tried.end();
-        const std::pair score(isTried, endpoint->pressure(now));
+        const std::tuple score(isTried, endpoint->reportsDraining(), endpoint->pressure(now));
         if (best == nullptr || score < bestScore) {
             best = endpoint;
             bestScore = score;
@@ -139,13 +140,12 @@
 
 auto UpstreamPool::candidates() const -> std::vector<const Endpoint*>
 {
-    std::vector<const Endpoint*> preferred;
-    std::vector<const Endpoint*> others;
+    std::vector<const Endpoint*> usable;
     for (const auto& [id, endpoint] : m_endpoints) {
         if (endpoint.isUsable())
-            (endpoint.reportsDraining() ? others : preferred).push_back(&endpoint);
+            usable.push_back(&endpoint);
     }
-    return preferred.empty() ? others : preferred;
+    return usable;
 }
 
 auto UpstreamPool::ejectIfAllowed(Endpoint& endpoint, Core::Instant now) -> void
--- a/src/libs/dispatch/upstreampool.h
+++ b/src/libs/dispatch/upstreampool.h
@@ -25,7 +25,8 @@
 
     /// Takes the platform's list. An endpoint that appears after the first list is cold.
     auto refresh(const std::vector<OwnedUpstream>& upstreams, Settings settings, Core::Instant now) -> void;
-    /// Takes a slot of the least loaded endpoint, of one not yet tried if possible; empty when no slot is free.
+    /// Takes a slot of the least loaded endpoint, if possible of one that is not yet tried and does not report a drain;
+    /// empty when no slot is free. Reports may mislead, so they only order the endpoints.
     [[nodiscard]] auto acquire(const std::vector<Core::UpstreamId>& tried, Core::Instant now)
         -> std::optional<Fleet::Upstream>;
     auto release(const Core::UpstreamId& upstream) -> void;
@@ -48,7 +49,7 @@
     [[nodiscard]] auto endpointsToQuery(Core::Instant now) const -> std::vector<Fleet::Upstream>;
 
 private:
-    /// Endpoints that may take work. Reports of drains count only while they leave one to use: they may mislead.
+    /// Endpoints that may take work.
     [[nodiscard]] auto candidates() const -> std::vector<const Endpoint*>;
     auto ejectIfAllowed(Endpoint& endpoint, Core::Instant now) -> void;
 
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -262,6 +262,21 @@
     BOOST_TEST(isAnswered("look-up"));
 }
 
+BOOST_AUTO_TEST_CASE(AFalseDrainOfOneUpstreamCostsNoSlots)
+{
+    dispatcher.start();
+    upstreams.behaviour(Core::UpstreamId("u1")).lie
+        = Ports::LoadReport { Core::SlotCount(2), Core::SlotCount(0), true };
+    time.runFor(2s);
+    for (int index = 0; index < 4; ++index)
+        send("look-up-" + std::to_string(index), urgent);
+    time.runFor(5ms);
+    BOOST_TEST(arrivalsAt("u1") == 0U);
+    send("fifth", urgent);
+    time.runFor(5ms);
+    BOOST_TEST(arrivalsAt("u1") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AStuckReportOfFullSlotsLeavesTheUpstreamInUse)
 {
     dispatcher.start();
