Keep slots free of deferrable work for the usual urgent load

Under the deferrable flood an urgent request waited for one of the long deferrable requests to end. Deferrable work now leaves as many slots free as the recent urgent load and 1.5 standard deviations of it would use beyond those in use; a floor that is owed goes through. Without urgent requests nothing is reserved.

A new test failed before the change.

--- a/src/libs/dispatch/dispatchpool.cpp
+++ b/src/libs/dispatch/dispatchpool.cpp
@@ -37,6 +37,8 @@
 auto DispatchPool::admit(PendingPointer pending, Core::Instant now) -> DispatchEffects
 {
     m_retryBudget.addAttempt(m_retryShare);
+    if (pending->policy.rank == Core::Rank::Urgent)
+        m_urgentReserve.recordArrival(m_queue.meanServiceTime(pending->policy.service), now);
     DispatchEffects effects;
     if (const auto reason = rejectionFor(*pending, now)) {
         effects.rejections.push_back({ std::move(pending), *reason });
@@ -66,8 +68,10 @@
     return effects;
 }
 
-auto DispatchPool::release(const Core::UpstreamId& upstream, Core::Instant now) -> DispatchEffects
+auto DispatchPool::release(const Core::UpstreamId& upstream, Core::Rank rank, Core::Instant now) -> DispatchEffects
 {
+    if (rank == Core::Rank::Urgent)
+        m_urgentReserve.end();
     m_upstreams.release(upstream);
     return advance(now);
 }
@@ -131,6 +135,8 @@
         const auto upstream = m_upstreams.acquire(pending->tried, now);
         pending->tried.push_back(upstream->id);
         ++pending->attempts;
+        if (pending->policy.rank == Core::Rank::Urgent)
+            m_urgentReserve.begin();
         const auto deadline = attemptDeadline(*pending, now);
         effects.assignments.push_back({ std::move(pending), *upstream, deadline });
     }
@@ -140,7 +146,10 @@
         effects.wakeAt = pauseEnd;
 }
 
-auto DispatchPool::lowestRankToStart(Core::Instant) const -> Core::Rank { return Core::Rank::Deferrable; }
+auto DispatchPool::lowestRankToStart(Core::Instant now) const -> Core::Rank
+{
+    return m_upstreams.freeSlots(now) > m_urgentReserve.slots(now) ? Core::Rank::Deferrable : Core::Rank::Normal;
+}
 
 auto DispatchPool::attemptDeadline(const PendingRequest& pending, Core::Instant now) const -> Core::Instant
 {
--- a/src/libs/dispatch/dispatchpool.h
+++ b/src/libs/dispatch/dispatchpool.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/rankqueue.h"
 #include "dispatch/retrybudget.h"
+#include "dispatch/slotreserve.h"
 #include "dispatch/upstreampool.h"
 #include "fleet/serviceload.h"
 
@@ -48,7 +49,7 @@
     /// Queues a request again whose attempt failed, or rejects it for the reason of that attempt.
     auto retry(PendingPointer pending, Core::RefusalReason reason, Core::Instant now) -> DispatchEffects;
     /// The attempt's slot is free again.
-    auto release(const Core::UpstreamId& upstream, Core::Instant now) -> DispatchEffects;
+    auto release(const Core::UpstreamId& upstream, Core::Rank rank, Core::Instant now) -> DispatchEffects;
     /// Expires waiting requests and fills free slots.
     auto advance(Core::Instant now) -> DispatchEffects;
     auto recordServiceTime(const Core::ServiceId& service, Core::Duration time) -> void;
@@ -68,6 +69,7 @@
     RankQueue m_queue;
     UpstreamPool m_upstreams;
     RetryBudget m_retryBudget;
+    SlotReserve m_urgentReserve;
 };
 
 } // namespace Dispatch
--- a/src/libs/dispatch/rankeddispatcher.cpp
+++ b/src/libs/dispatch/rankeddispatcher.cpp
@@ -184,7 +184,7 @@
     auto& pending = *assignment.pending;
     if (!m_quarantine.tryBegin(pending.fingerprint, now)) {
         reject(assignment.pending, RefusalReason::RequestQuarantined);
-        release(pool, assignment.upstream.id);
+        release(pool, assignment);
         return;
     }
     Core::invariant(pending.policy.isIdempotent || pending.possibleRuns == 0, "dispatch.started-once");
@@ -241,7 +241,7 @@
     decide(pool, [&](DispatchPool& state) {
         state.recordServiceTime(assignment.pending->policy.service, now - startedAt);
         state.upstreams().recordHealth(assignment.upstream.id, Endpoint::Health::Good, now);
-        return state.release(assignment.upstream.id, now);
+        return state.release(assignment.upstream.id, assignment.pending->policy.rank, now);
     });
 }
 
@@ -256,7 +256,7 @@
             state.upstreams().recordShed(upstream, now);
         else
             state.upstreams().recordHealth(upstream, Endpoint::Health::Bad, now);
-        return state.release(upstream, now);
+        return state.release(upstream, assignment.pending->policy.rank, now);
     });
     retryOrReject(pool, assignment.pending, reasonFor(result.outcome));
 }
@@ -265,7 +265,7 @@
     const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result) -> void
 {
     judgeFailure(pool, assignment.upstream, result.reusedConnection);
-    release(pool, assignment.upstream.id);
+    release(pool, assignment);
     const auto reason = reasonFor(result.outcome);
     if (assignment.pending->policy.isIdempotent)
         retryOrReject(pool, assignment.pending, reason);
@@ -296,7 +296,7 @@
             const bool isNotRun = outcome == Ports::CancelOutcome::CancelledBeforeStart;
             if (isNotRun)
                 --assignment.pending->possibleRuns;
-            release(pool, assignment.upstream.id);
+            release(pool, assignment);
             if (isNotRun || assignment.pending->policy.isIdempotent)
                 retryOrReject(pool, assignment.pending, RefusalReason::UpstreamTimeout);
             else
@@ -331,10 +331,12 @@
     decide(pool, [&](DispatchPool& state) { return state.retry(pending, reason, now); });
 }
 
-auto RankedDispatcher::release(const PoolId& pool, const Core::UpstreamId& upstream) -> void
+auto RankedDispatcher::release(const PoolId& pool, const Assignment& assignment) -> void
 {
     const auto now = m_collaborators.clock.now();
-    decide(pool, [&](DispatchPool& state) { return state.release(upstream, now); });
+    decide(pool, [&](DispatchPool& state) {
+        return state.release(assignment.upstream.id, assignment.pending->policy.rank, now);
+    });
 }
 
 auto RankedDispatcher::settle(const PendingPointer& pending, Core::Reply reply) -> void
--- a/src/libs/dispatch/rankeddispatcher.h
+++ b/src/libs/dispatch/rankeddispatcher.h
@@ -73,7 +73,7 @@
     auto finishTimedOut(const PoolId& pool, const Assignment& assignment, bool reusedConnection) -> void;
     auto judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool reusedConnection) -> void;
     auto retryOrReject(const PoolId& pool, const PendingPointer& pending, Core::RefusalReason reason) -> void;
-    auto release(const PoolId& pool, const Core::UpstreamId& upstream) -> void;
+    auto release(const PoolId& pool, const Assignment& assignment) -> void;
 
     auto settle(const PendingPointer& pending, Core::Reply reply) -> void;
     auto reject(const PendingPointer& pending, Core::RefusalReason reason) -> void;
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -143,6 +143,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(UnderAFloodOfDeferrableWork, ThreeUpstreams)
+
+BOOST_AUTO_TEST_CASE(SlotsStayFreeForTheUsualUrgentLoad)
+{
+    for (int index = 0; index < 400; ++index) {
+        send("look-up-" + std::to_string(index), urgent);
+        time.runFor(10ms);
+    }
+    time.runFor(100ms);
+    const auto before = arrivalsAt("u1") + arrivalsAt("u2") + arrivalsAt("u3");
+    for (int index = 0; index < 20; ++index)
+        send("audit-" + std::to_string(index), deferrable, 60s);
+    time.runFor(5ms);
+    const auto started = arrivalsAt("u1") + arrivalsAt("u2") + arrivalsAt("u3") - before;
+    BOOST_TEST(started >= 1U);
+    BOOST_TEST(started <= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(AllSlotsServeItWhileNothingIsUrgent)
+{
+    for (int index = 0; index < 20; ++index)
+        send("audit-" + std::to_string(index), deferrable, 60s);
+    time.runFor(5ms);
+    BOOST_TEST(arrivalsAt("u1") + arrivalsAt("u2") + arrivalsAt("u3") == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhenAnUpstream, ThreeUpstreams)
 
 BOOST_AUTO_TEST_CASE(ShedsABookingUnrunAnotherOneRunsItOnce)
