Choose backups from the fleet list, and keep unknown homes unsealed

Membership hands on only a few members of each failure domain, so a home took its backup from these few: with 200 entry VMs in a failure domain each would have held the records of dozens of homes. Candidates now come from the fleet list; one that the view does not know is asked for its incarnation. A home that the view does not know is asked before its backup, so that a look at the backup does not seal a healthy epoch.

Ruled out: more representatives in the gossip, which costs bytes on every node for something that a home needs once in an epoch.

Story and threads tests added; the randomised run now also lets views forget members.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -51,8 +51,9 @@
     , m_steering({ m_clock, m_random, m_runtime, m_store, m_events, m_configuration, m_fleet, m_members, m_dispatcher,
                      m_dispatcher, m_relayPeer, m_relayPeer, m_clientBlocks },
           { settings.id, settings.failureDomain, settings.region })
-    , m_ledgerPeers(m_peers, m_members, m_clock)
-    , m_bookings({ m_clock, m_runtime, m_members, m_events, m_steering.dispatcher(), m_ledgerPeers, m_ledgerPeers },
+    , m_ledgerPeers(m_peers, m_members, m_fleet, m_clock)
+    , m_bookings(
+          { m_clock, m_runtime, m_members, m_events, m_steering.dispatcher(), m_ledgerPeers, m_ledgerPeers, m_fleet },
           { settings.id, { m_random.next(), m_random.next() }, settings.failureDomain, settings.region }, {})
     , m_requests({ m_clock, m_configuration, m_steering.lookups(), m_steering.dispatcher(), m_bookings.coordinator(),
           m_bookings.prefixes(), m_events })
--- a/src/libs/ledger/backupledger.h
+++ b/src/libs/ledger/backupledger.h
@@ -32,6 +32,7 @@
     /// Forgets epochs that nothing has touched for the retention time.
     auto dropExpired() -> void;
 
+    [[nodiscard]] auto incarnation() const -> const Core::Incarnation& { return m_self; }
     [[nodiscard]] auto budget() const -> const LedgerBudget& { return m_budget; }
 
 private:
--- a/src/libs/ledger/bookingcoordinator.cpp
+++ b/src/libs/ledger/bookingcoordinator.cpp
@@ -40,7 +40,9 @@
 auto BookingCoordinator::isHomeUsable(const Core::KeyPrefix& prefix) const -> bool
 {
     const auto member = m_collaborators.members.find(prefix.home);
-    return member && member->health != Membership::MemberHealth::Suspected && !isHomeGone(prefix);
+    // The view knows only a few members of other failure domains; one that it does not know is asked first.
+    return prefix.home != m_identity.vm
+        && (!member || (member->health != Membership::MemberHealth::Suspected && !isHomeGone(prefix)));
 }
 
 auto BookingCoordinator::execute(
--- a/src/libs/ledger/bookingsystem.cpp
+++ b/src/libs/ledger/bookingsystem.cpp
@@ -13,7 +13,8 @@
     : m_scheduler(collaborators.scheduler)
     , m_limits(limits)
     , m_records(limits)
-    , m_epochs({ collaborators.clock, collaborators.scheduler, collaborators.members, collaborators.events, m_records },
+    , m_epochs({ collaborators.clock, collaborators.scheduler, collaborators.members, collaborators.events, m_records,
+                   collaborators.fleet, collaborators.backupPort },
           identity, limits)
     , m_home({ collaborators.clock, collaborators.dispatcher, collaborators.backupPort, collaborators.events, m_records,
                  m_epochs },
--- a/src/libs/ledger/bookingsystem.h
+++ b/src/libs/ledger/bookingsystem.h
@@ -15,6 +15,7 @@
         Dispatch::Dispatcher& dispatcher;
         BackupPort& backupPort;
         HomeRelayPort& relayPort;
+        const Fleet::FleetSource& fleet;
     };
 
     BookingSystem(const Collaborators& collaborators, const HomeIdentity& identity, const LedgerLimits& limits);
--- a/src/libs/ledger/epochmanager.cpp
+++ b/src/libs/ledger/epochmanager.cpp
@@ -1,6 +1,7 @@
 #include "ledger/epochmanager.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Ledger {
 
@@ -9,13 +10,10 @@
     const Ports::EventKind epochOpened { "booking.epoch.opened" };
     const Ports::EventKind epochClosed { "booking.epoch.closed" };
 
-    /// Rendezvous weight of a candidate for one home incarnation (SplitMix64 finaliser).
-    auto rendezvousWeight(const Core::Incarnation& home, const Core::Incarnation& candidate) -> std::uint64_t
+    /// Rendezvous weight of a candidate for one home, above 0.
+    auto rendezvousWeight(const Core::EntryVmId& home, const Core::EntryVmId& candidate) -> std::uint64_t
     {
-        auto mixed = home.low ^ candidate.low ^ (candidate.high << 1U);
-        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9;
-        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111eb;
-        return mixed ^ (mixed >> 31U);
+        return std::hash<std::string> {}(home.value() + '/' + candidate.value()) | 1U;
     }
 
 } // namespace
@@ -51,43 +49,75 @@
         m_timer = std::move(timer);
 }
 
-auto EpochManager::isUsableBackup(const Membership::Member& member) const -> bool
+auto EpochManager::incarnationOf(const Core::EntryVmId& vm) const -> std::optional<Core::Incarnation>
 {
-    return member.health == Membership::MemberHealth::Alive && member.vm.id != m_identity.vm
-        && member.vm.region == m_identity.region && member.vm.failureDomain != m_identity.failureDomain
-        && member.incarnation != Core::Incarnation();
+    if (const auto member = m_collaborators.members.find(vm)) {
+        if (member->health != Membership::MemberHealth::Alive)
+            return std::nullopt;
+        if (member->incarnation != Core::Incarnation())
+            return member->incarnation;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto introduced = m_introduced.find(vm);
+    return introduced == m_introduced.end() ? Core::Incarnation() : introduced->second;
 }
 
-auto EpochManager::chooseBackup() const -> Backup
+auto EpochManager::candidates() const -> std::vector<Backup>
 {
-    Core::Incarnation failed;
+    Core::EntryVmId failed;
     {
         const std::lock_guard lock(m_mutex);
         failed = m_failedBackup;
     }
-    Backup best;
-    std::uint64_t bestWeight = 0;
-    for (const auto& member : m_collaborators.members.members()) {
-        if (!isUsableBackup(member))
+    std::vector<Backup> found;
+    const auto fleet = m_collaborators.fleet.current();
+    for (const auto& vm : fleet->entryVms) {
+        if (vm.state != Fleet::MemberState::Live || vm.id == m_identity.vm || vm.region != m_identity.region
+            || vm.failureDomain == m_identity.failureDomain)
             continue;
-        // One that failed lately is taken only when there is no other.
-        const auto weight
-            = member.incarnation == failed ? 0 : rendezvousWeight(m_identity.incarnation, member.incarnation) | 1U;
-        if (best.vm.value().empty() || weight > bestWeight) {
-            best = { member.vm.id, member.incarnation };
-            bestWeight = weight;
-        }
+        if (const auto incarnation = incarnationOf(vm.id))
+            found.push_back({ vm.id, *incarnation, vm.id == failed ? 0 : rendezvousWeight(m_identity.vm, vm.id) });
+    }
+    std::sort(found.begin(), found.end(), [](const auto& one, const auto& other) { return one.weight > other.weight; });
+    return found;
+}
+
+auto EpochManager::chooseBackup() -> Backup
+{
+    const auto ordered = candidates();
+    const auto known = std::find_if(
+        ordered.begin(), ordered.end(), [](const Backup& backup) { return backup.incarnation != Core::Incarnation(); });
+    if (!ordered.empty() && known != ordered.begin())
+        introduce(ordered.front().vm);
+    return known == ordered.end() ? Backup() : *known;
+}
+
+auto EpochManager::introduce(const Core::EntryVmId& vm) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_isIntroducing, true))
+            return;
     }
-    return best;
+    m_collaborators.backups.introduce(
+        vm, m_limits.resolveTimeout, [this, vm](const Core::Result<Core::Incarnation>& incarnation) {
+            const std::lock_guard lock(m_mutex);
+            m_isIntroducing = false;
+            if (incarnation)
+                m_introduced[vm] = *incarnation;
+            else
+                m_failedBackup = vm;
+        });
 }
 
 auto EpochManager::isBackupGone(const Core::KeyPrefix& prefix) const -> bool
 {
     if (!hasBackup(prefix))
         return false;
+    // One that the view does not know shows by its missing acknowledgements whether it is gone.
     const auto member = m_collaborators.members.find(prefix.backup);
-    return !member || member->health != Membership::MemberHealth::Alive
-        || member->incarnation != prefix.backupIncarnation;
+    return member
+        && (member->health != Membership::MemberHealth::Alive || member->incarnation != prefix.backupIncarnation);
 }
 
 auto EpochManager::refresh() -> void
@@ -185,7 +215,8 @@
         if (found == m_epochs.end() || found->closed)
             return;
         found->closed = m_collaborators.clock.now();
-        m_failedBackup = found->prefix.backupIncarnation;
+        m_failedBackup = found->prefix.backup;
+        m_introduced.erase(found->prefix.backup);
         m_collaborators.records.close(epoch);
     }
     recordClosings({ { epoch, reason } });
--- a/src/libs/ledger/epochmanager.h
+++ b/src/libs/ledger/epochmanager.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "fleet/fleetlist.h"
+#include "fleet/fleetholder.h"
 #include "ledger/bookinggate.h"
 #include "ledger/homerecords.h"
+#include "ledger/peerports.h"
 #include "membership/membershipview.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
@@ -31,6 +32,9 @@
         const Membership::MembershipView& members;
         Ports::EventSink& events;
         HomeRecords& records;
+        /// Names the candidates: the members view knows only a few of other failure domains.
+        const Fleet::FleetSource& fleet;
+        BackupPort& backups;
     };
 
     EpochManager(Collaborators collaborators, HomeIdentity identity, const LedgerLimits& limits);
@@ -57,7 +61,9 @@
     };
     struct Backup {
         Core::EntryVmId vm;
+        /// Zero while it is not known.
         Core::Incarnation incarnation;
+        std::uint64_t weight = 0;
     };
     struct Closing {
         Core::Epoch epoch;
@@ -65,8 +71,12 @@
     };
 
     auto schedule() -> void;
-    auto isUsableBackup(const Membership::Member& member) const -> bool;
-    auto chooseBackup() const -> Backup;
+    /// Candidates in other failure domains of the own region, the preferred one first.
+    auto candidates() const -> std::vector<Backup>;
+    auto incarnationOf(const Core::EntryVmId& vm) const -> std::optional<Core::Incarnation>;
+    /// The preferred candidate whose incarnation is known; asks for the incarnation of one that is preferred to it.
+    auto chooseBackup() -> Backup;
+    auto introduce(const Core::EntryVmId& vm) -> void;
     auto isBackupGone(const Core::KeyPrefix& prefix) const -> bool;
     auto takeExpired(Core::Instant now, bool backupGone) -> std::vector<Closing>;
     auto needsNext(Core::Instant now, const Backup& candidate) const -> bool;
@@ -81,7 +91,10 @@
     mutable std::mutex m_mutex;
     std::deque<OpenEpoch> m_epochs;
     Core::Epoch m_last;
-    Core::Incarnation m_failedBackup;
+    /// Taken only when there is no other candidate.
+    Core::EntryVmId m_failedBackup;
+    std::map<Core::EntryVmId, Core::Incarnation> m_introduced;
+    bool m_isIntroducing = false;
     bool m_isStopped = false;
     std::unique_ptr<Ports::Timer> m_timer;
 };
--- a/src/libs/ledger/peerports.h
+++ b/src/libs/ledger/peerports.h
@@ -12,9 +12,12 @@
 public:
     using IntentCallback = std::function<void(IntentOutcome)>;
     using KeepCallback = std::function<void(Core::Result<void>)>;
+    using IntroduceCallback = std::function<void(Core::Result<Core::Incarnation>)>;
     using ResolveCallback = std::function<void(Core::Result<Resolution>)>;
 
     virtual ~BackupPort() = default;
+    /// Asks an entry VM for its incarnation, which a key must name.
+    virtual auto introduce(const Core::EntryVmId& vm, Core::Duration timeout, IntroduceCallback callback) -> void = 0;
     virtual auto announce(Intent intent, Core::Duration timeout, IntentCallback callback) -> void = 0;
     virtual auto keep(Outcome outcome, Core::Duration timeout, KeepCallback callback) -> void = 0;
     virtual auto resolve(Query query, Core::Duration timeout, ResolveCallback callback) -> void = 0;
--- a/src/plugins/ledgerpeer/ledgercodec.cpp
+++ b/src/plugins/ledgerpeer/ledgercodec.cpp
@@ -73,6 +73,18 @@
 
 } // namespace
 
+auto encode(const Core::Incarnation& incarnation) -> std::string { return pack(toString(incarnation)); }
+
+auto decodeIncarnation(const std::string& payload) -> Core::Result<Core::Incarnation>
+{
+    return unpack<Core::Incarnation>(payload, [](const json& value) {
+        const auto incarnation = Core::parseIncarnation(value.get<std::string>());
+        if (!incarnation)
+            throw InvalidField();
+        return *incarnation;
+    });
+}
+
 auto encode(const Ledger::Intent& intent) -> std::string
 {
     return pack({ toString(intent.key), intent.request.value(), intent.fingerprint.value() });
--- a/src/plugins/ledgerpeer/ledgercodec.h
+++ b/src/plugins/ledgerpeer/ledgercodec.h
@@ -8,6 +8,8 @@
 namespace LedgerPeer {
 
 /// CBOR of the ledger's messages. Each decoder fails with InvalidMessage when the payload is anything else.
+auto encode(const Core::Incarnation& incarnation) -> std::string;
+auto decodeIncarnation(const std::string& payload) -> Core::Result<Core::Incarnation>;
 auto encode(const Ledger::Intent& intent) -> std::string;
 auto decodeIntent(const std::string& payload) -> Core::Result<Ledger::Intent>;
 auto encode(Ledger::IntentOutcome outcome) -> std::string;
--- a/src/plugins/ledgerpeer/ledgerpeer.cpp
+++ b/src/plugins/ledgerpeer/ledgerpeer.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    constexpr auto introduceKind = "ledger.introduce";
     constexpr auto intentKind = "ledger.intent";
     constexpr auto outcomeKind = "ledger.outcome";
     constexpr auto queryKind = "ledger.query";
@@ -29,24 +30,44 @@
 
 } // namespace
 
-LedgerPeerClient::LedgerPeerClient(
-    Ports::PeerTransport& transport, const Membership::MembershipView& members, const Ports::Clock& clock)
+LedgerPeerClient::LedgerPeerClient(Ports::PeerTransport& transport, const Membership::MembershipView& members,
+    const Fleet::FleetSource& fleet, const Ports::Clock& clock)
     : m_transport(transport)
     , m_members(members)
+    , m_fleet(fleet)
     , m_clock(clock)
 {
 }
 
+auto LedgerPeerClient::addressOf(const Core::EntryVmId& peer) const -> std::optional<Core::Address>
+{
+    if (const auto member = m_members.find(peer))
+        return member->vm.peerAddress;
+    const auto fleet = m_fleet.current();
+    for (const auto& vm : fleet->entryVms) {
+        if (vm.id == peer)
+            return vm.peerAddress;
+    }
+    return std::nullopt;
+}
+
+auto LedgerPeerClient::introduce(const Core::EntryVmId& vm, Core::Duration timeout, IntroduceCallback callback) -> void
+{
+    call(vm, { introduceKind, {} }, timeout, [callback = std::move(callback)](const Core::Result<std::string>& reply) {
+        callback(reply.and_then(decodeIncarnation));
+    });
+}
+
 auto LedgerPeerClient::call(const Core::EntryVmId& peer, Ports::PeerMessage message, Core::Duration timeout,
     Ports::PeerTransport::ReplyCallback callback) -> void
 {
-    const auto member = m_members.find(peer);
-    if (!member) {
+    const auto address = addressOf(peer);
+    if (!address) {
         callback(Core::fail(Core::ErrorKind::Unreachable, "no address is known for entry VM '" + peer.value() + "'",
             "check that the platform's fleet list names it"));
         return;
     }
-    m_transport.call(member->vm.peerAddress, std::move(message), timeout, std::move(callback));
+    m_transport.call(*address, std::move(message), timeout, std::move(callback));
 }
 
 auto LedgerPeerClient::announce(Ledger::Intent intent, Core::Duration timeout, IntentCallback callback) -> void
@@ -86,6 +107,8 @@
     const Configuration::ConfigurationSource& configuration, const Ports::Clock& clock) -> void
 {
     using Respond = Ports::PeerRouter::Respond;
+    router.registerHandler(introduceKind,
+        [&backup](const std::string&, const Respond& respond) { respond(encode(backup.incarnation())); });
     router.registerHandler(intentKind, [&backup](const std::string& payload, const Respond& respond) {
         respond(decodeIntent(payload).map(
             [&](const Ledger::Intent& intent) { return encode(backup.acknowledge(intent)); }));
--- a/tests/auto/ledger/tst_acknowledgement.cpp
+++ b/tests/auto/ledger/tst_acknowledgement.cpp
@@ -8,6 +8,7 @@
 /// Backup whose callbacks the test calls, as often as it likes.
 class HeldBackup : public Ledger::BackupPort, public Ledger::HomeRelayPort {
 public:
+    auto introduce(const Core::EntryVmId&, Core::Duration, IntroduceCallback) -> void override { }
     auto announce(Ledger::Intent, Core::Duration, IntentCallback callback) -> void override
     {
         intents.push_back(std::move(callback));
@@ -39,12 +40,16 @@
 struct HomeWithHeldBackup {
     HomeWithHeldBackup()
     {
+        Fleet::FleetList list { Core::Version(1), {}, {} };
         for (const auto* vm : { "vm-0", "vm-1" }) {
             auto& member = members.known[Core::EntryVmId(vm)];
             member.vm = { Core::EntryVmId(vm), Core::FailureDomainId(vm), Core::RegionId("atl"), {}, {},
                 Fleet::MemberState::Live };
             member.incarnation = { 1, members.known.size() };
         }
+        for (const auto& [id, member] : members.known)
+            list.entryVms.push_back(member.vm);
+        fleet.offer(std::move(list));
         system.start();
         policy.isIdempotent = false;
         request.id = Core::RequestId("r-1");
@@ -63,10 +68,11 @@
     Fakes::VirtualWorld world { 1 };
     Fakes::VirtualNode node { world, Core::Address("10.0.0.1:1") };
     Fakes::FakeMembers members;
+    Fleet::FleetHolder fleet;
     IgnoredEvents events;
     CountedUpstreams upstreams;
     HeldBackup backup;
-    Ledger::BookingSystem system { { world, node, members, events, upstreams, backup, backup },
+    Ledger::BookingSystem system { { world, node, members, events, upstreams, backup, backup, fleet },
         { Core::EntryVmId("vm-0"), { 1, 1 }, Core::FailureDomainId("vm-0"), Core::RegionId("atl") }, {} };
     Configuration::ServicePolicy policy;
     Core::ServiceRequest request;
--- a/tests/auto/ledger/tst_booking.cpp
+++ b/tests/auto/ledger/tst_booking.cpp
@@ -325,6 +325,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhoseHomeAndBackupKnowEachOtherFromTheFleetListOnly)
+
+BOOST_AUTO_TEST_CASE(RunsWithABackupThatToldItsIncarnation)
+{
+    fleet.crash(home);
+    fleet.startKnowingNobody(home);
+    fleet.forget(backup, home);
+    fleet.forget(other, home);
+    fleet.world.runFor(untilAllIsOver);
+    const auto fresh = fleet.freshKey(home);
+    BOOST_REQUIRE(fresh);
+    const auto reply = fleet.send(other, *fresh);
+    fleet.world.runFor(untilAllIsOver);
+    BOOST_TEST(isAnswer(reply));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(OfAServiceWithoutABackup)
 
 BOOST_AUTO_TEST_CASE(RunsWithoutAnIntent)
--- a/tests/auto/ledgersoak/bookingchaos.cpp
+++ b/tests/auto/ledgersoak/bookingchaos.cpp
@@ -125,6 +125,8 @@
 {
     if (m_fleet.world.chance(0.7))
         m_fleet.learn(anyNode());
+    else if (m_fleet.world.chance(0.3))
+        m_fleet.forget(anyNode(), anyNode());
     else
         m_fleet.suspect(anyNode(), anyNode());
 }
--- a/tests/bench/ledger/main.cpp
+++ b/tests/bench/ledger/main.cpp
@@ -70,6 +70,10 @@
 /// Calls the backup's decisions directly, without a network.
 class DirectBackup : public Ledger::BackupPort, public Ledger::HomeRelayPort {
 public:
+    auto introduce(const Core::EntryVmId&, Core::Duration, IntroduceCallback callback) -> void override
+    {
+        callback(backup->incarnation());
+    }
     auto announce(Ledger::Intent intent, Core::Duration, IntentCallback callback) -> void override
     {
         callback(backup->acknowledge(intent));
@@ -124,11 +128,13 @@
     Runtime::AsioRuntime scheduler(1);
     TwoMembers members;
     IgnoredEvents events;
+    Fleet::FleetHolder fleet;
+    fleet.offer({ Core::Version(1), { members.members().front().vm, members.members().back().vm }, {} });
     ImmediateUpstreams upstreams;
     DirectBackup port;
     Ledger::BackupLedger backup({ clock, members, events }, backupIncarnation, largeLimits());
     port.backup = &backup;
-    Ledger::BookingSystem home({ clock, scheduler, members, events, upstreams, port, port },
+    Ledger::BookingSystem home({ clock, scheduler, members, events, upstreams, port, port, fleet },
         { homeVm, homeIncarnation, Core::FailureDomainId("atl-1"), Core::RegionId("atl") }, largeLimits());
     home.start();
     const auto prefix = Core::parseKeyPrefix(home.prefixes().currentPrefix(needsBackup));
--- a/tests/fakes/booking/bookingfleet.cpp
+++ b/tests/fakes/booking/bookingfleet.cpp
@@ -55,13 +55,13 @@
 
 BookingNode::BookingNode(VirtualWorld& world, const Fleet::EntryVm& vm, Core::Incarnation incarnation,
     const Ledger::LedgerLimits& limits, UpstreamBook& book, FleetEvents& events,
-    const Configuration::ConfigurationSource& configuration, FakeMembers& members)
+    const Configuration::ConfigurationSource& configuration, FakeMembers& members, const Fleet::FleetSource& fleet)
     : vm(vm)
     , incarnation(incarnation)
     , ports(world, vm.peerAddress)
     , upstreams(world, vm.peerAddress, book)
-    , peers(ports, members, world)
-    , system({ world, ports, members, *this, upstreams, peers, peers },
+    , peers(ports, members, fleet, world)
+    , system({ world, ports, members, *this, upstreams, peers, peers, fleet },
           { vm.id, incarnation, vm.failureDomain, vm.region }, limits)
     , m_world(world)
     , m_events(events)
@@ -76,8 +76,12 @@
     , m_nodes(size)
 {
     m_configuration.offer(configuration());
+    Fleet::FleetList list { Core::Version(1), {}, {} };
     for (std::size_t index = 0; index < size; ++index)
-        start(index);
+        list.entryVms.push_back(vm(index));
+    m_fleet.offer(std::move(list));
+    for (std::size_t index = 0; index < size; ++index)
+        makeProcess(index);
     learnAll();
     for (const auto& node : m_nodes)
         node->system.start();
@@ -96,16 +100,25 @@
         address(index), Fleet::MemberState::Live };
 }
 
-auto BookingFleet::start(std::size_t index) -> void
+auto BookingFleet::makeProcess(std::size_t index) -> void
 {
     const Core::Incarnation incarnation { 1, ++m_lastIncarnation };
-    m_incarnations[name(index)] = incarnation;
     m_nodes.at(index) = std::make_unique<BookingNode>(
-        world, vm(index), incarnation, m_limits, book, events, m_configuration, m_views.at(index));
-    if (!m_views.at(index).known.empty()) {
-        learn(index);
-        m_nodes.at(index)->system.start();
-    }
+        world, vm(index), incarnation, m_limits, book, events, m_configuration, m_views.at(index), m_fleet);
+}
+
+auto BookingFleet::start(std::size_t index) -> void
+{
+    makeProcess(index);
+    learn(index);
+    m_nodes.at(index)->system.start();
+}
+
+auto BookingFleet::startKnowingNobody(std::size_t index) -> void
+{
+    makeProcess(index);
+    m_views.at(index).known.clear();
+    m_nodes.at(index)->system.start();
 }
 
 auto BookingFleet::crash(std::size_t index) -> void
@@ -133,7 +146,8 @@
 
 auto BookingFleet::suspect(std::size_t observer, std::size_t suspected) -> void
 {
-    m_views.at(observer).known[name(suspected)].health = Membership::MemberHealth::Suspected;
+    if (const auto known = m_views.at(observer).known.find(name(suspected)); known != m_views.at(observer).known.end())
+        known->second.health = Membership::MemberHealth::Suspected;
 }
 
 auto BookingFleet::freshKey(std::size_t home, bool needsBackup) -> std::optional<Core::RequestKey>
--- a/tests/fakes/booking/bookingfleet.h
+++ b/tests/fakes/booking/bookingfleet.h
@@ -33,7 +33,7 @@
 struct BookingNode : public Ports::EventSink {
     BookingNode(VirtualWorld& world, const Fleet::EntryVm& vm, Core::Incarnation incarnation,
         const Ledger::LedgerLimits& limits, UpstreamBook& book, FleetEvents& events,
-        const Configuration::ConfigurationSource& configuration, FakeMembers& members);
+        const Configuration::ConfigurationSource& configuration, FakeMembers& members, const Fleet::FleetSource& fleet);
 
     auto record(Ports::Event event) -> void override { m_events.add(vm.id, m_world.now(), event); }
 
@@ -62,6 +62,8 @@
     /// Null while it is down.
     auto node(std::size_t index) -> BookingNode* { return m_nodes.at(index).get(); }
     auto start(std::size_t index) -> void;
+    /// Starts it with a view that is empty, and stays so until it learns.
+    auto startKnowingNobody(std::size_t index) -> void;
     auto crash(std::size_t index) -> void;
     auto pause(std::size_t index) -> void { world.pause(address(index)); }
     auto resume(std::size_t index) -> void { world.resume(address(index)); }
@@ -70,6 +72,8 @@
     auto learn(std::size_t observer) -> void;
     auto learnAll() -> void;
     auto suspect(std::size_t observer, std::size_t suspected) -> void;
+    /// The observer knows the other one from the fleet list only.
+    auto forget(std::size_t observer, std::size_t other) -> void { m_views.at(observer).known.erase(name(other)); }
 
     /// A fresh key with the given home; empty when the home gives none out.
     auto freshKey(std::size_t home, bool needsBackup = true) -> std::optional<Core::RequestKey>;
@@ -83,16 +87,17 @@
     FleetEvents events;
 
 private:
+    auto makeProcess(std::size_t index) -> void;
     static auto address(std::size_t index) -> Core::Address;
     static auto vm(std::size_t index) -> Fleet::EntryVm;
 
     Ledger::LedgerLimits m_limits;
     Configuration::ConfigurationHolder m_configuration;
+    Fleet::FleetHolder m_fleet;
     std::vector<FakeMembers> m_views;
     std::vector<std::unique_ptr<BookingNode>> m_nodes;
     /// Ended processes stay in memory, since messages under way may still refer to them.
     std::vector<std::unique_ptr<BookingNode>> m_ended;
-    std::map<Core::EntryVmId, Core::Incarnation> m_incarnations;
     std::uint64_t m_lastIncarnation = 0;
     std::uint64_t m_lastUnique = 0;
     std::uint64_t m_lastRequest = 0;
