--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -125,7 +125,7 @@
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return HttpResponse();
-            if (http::to_status_class(parser.get().result()) != http::status_class::informational)
+            if (http::to_status_class(parser.get().result_int()) != http::status_class::informational)
                 co_return parser.release();
         }
         error = http::make_error_code(http::error::bad_status);
--- /dev/null
+++ b/tests/auto/peerstream/tst_hopclock.cpp
@@ -0,0 +1,63 @@
+#include "peerstream/peerstreamclient.h"
+#include "peerstream/peerstreamserver.h"
+#include "runtime/asioruntime.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+/// Clock that stands still and remembers what it observed.
+class RecordingClock : public Ports::CausalClock {
+public:
+    explicit RecordingClock(std::int64_t microseconds)
+        : m_time { Core::WallTime(std::chrono::microseconds(microseconds)), 0 }
+    {
+    }
+
+    auto stamp() -> Core::HybridTime override { return m_time; }
+    auto observe(const Core::HybridTime& remote) -> void override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_observed.push_back(toString(remote));
+    }
+    auto observed() -> std::vector<std::string>
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_observed;
+    }
+
+private:
+    Core::HybridTime m_time;
+    std::mutex m_mutex;
+    std::vector<std::string> m_observed;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AMessagePassesBetweenTwoEntryVms)
+
+BOOST_AUTO_TEST_CASE(ThenEachObservesTheClockOfTheOther)
+{
+    RecordingClock callersClock(100);
+    RecordingClock handlersClock(200);
+    Runtime::AsioRuntime runtime(1);
+    PeerStream::HandlerTable handlers;
+    handlers.registerHandler(
+        "echo", [](std::string payload, const Ports::PeerRouter::Respond& respond) { respond(std::move(payload)); });
+    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers, &handlersClock);
+    PeerStream::PeerStreamClient client(runtime.context(), &callersClock);
+    std::thread thread([&runtime] { runtime.run(); });
+    std::promise<Core::Result<std::string>> reply;
+    client.call(Core::Address("127.0.0.1:" + std::to_string(server.port())), { "echo", "x" }, Core::Millis(10'000),
+        [&reply](Core::Result<std::string> result) { reply.set_value(std::move(result)); });
+    BOOST_TEST(reply.get_future().get().has_value());
+    runtime.stop();
+    thread.join();
+    BOOST_TEST(handlersClock.observed() == std::vector<std::string> { "100.0" });
+    BOOST_TEST(callersClock.observed() == std::vector<std::string> { "200.0" });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
