Plan look-ups by order of preference, and end drains on time

Cause: a plan of 33 failure domains with 200 entry VMs each and 680 sites took 24 to 48 ms, every 100 ms, of a busy machine, and a planned move under the cap left some requests at the drained failure domain for 32 s, because its steps shrank whenever the loads of others changed. Sites with the same order of preference now share their shares, a plan names 16 entry VMs of each failure domain by a rotation that differs between nodes, and the failure domains that are to take nothing step first.

EndInAsManyLifetimesAsTheCapNeedsAlsoWhenOtherLoadsChange failed first.

--- a/src/libs/steering/domaindrain.cpp
+++ b/src/libs/steering/domaindrain.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr double smallestCap = 0.001;
+    /// A step may come this much later than the lifetime allows.
+    constexpr Core::Millis stepDelay { 500 };
 
 } // namespace
 
@@ -32,7 +34,7 @@
 auto timeToLeaveAnswers(const Configuration::SteeringConfiguration& configuration) -> Core::Duration
 {
     const auto steps = std::ceil(1 / std::max(configuration.movementCap.value(), smallestCap));
-    return configuration.lookupLifetime * (static_cast<std::int64_t>(steps) + 1);
+    return (configuration.lookupLifetime + stepDelay) * (static_cast<std::int64_t>(steps) + 1);
 }
 
 } // namespace Steering
--- a/src/libs/steering/lookupplan.h
+++ b/src/libs/steering/lookupplan.h
@@ -19,12 +19,15 @@
 /// What look-up answers are drawn from; immutable.
 struct LookupPlan {
     struct ServicePlan {
-        /// By SiteIndex, and last for clients whose site is unknown.
-        std::vector<std::vector<DomainTargets>> sites;
+        /// By index of the order of preference.
+        std::vector<std::vector<DomainTargets>> orders;
+        bool needsKeyPrefix = false;
     };
 
     std::map<Core::ServiceId, ServicePlan> services;
-    /// Entry VMs by failure domain; none is empty.
+    /// Index of the order of preference by SiteIndex, and last for clients whose site is unknown.
+    std::vector<std::size_t> orderOfSite;
+    /// Some entry VMs of each failure domain; none is empty.
     std::vector<std::vector<Ports::LookupTarget>> targets;
     Core::Millis lifetime { 0 };
 };
--- a/src/libs/steering/lookupplanner.cpp
+++ b/src/libs/steering/lookupplanner.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    constexpr auto unknownSite = "";
+    /// Entry VMs of one failure domain in a plan; the rotation differs from node to node, so that all are used.
+    constexpr std::size_t maximumTargetsPerDomain = 16;
     constexpr double roundingMargin = 1e-9;
 
     auto weightOf(const Configuration::SteeringConfiguration& configuration, const Core::FailureDomainId& id) -> double
@@ -26,6 +27,36 @@
         sum.queued += load.queued;
     }
 
+    auto targetsOf(const std::vector<const Membership::Member*>& members, std::uint64_t rotation)
+        -> std::vector<Ports::LookupTarget>
+    {
+        std::vector<Ports::LookupTarget> targets;
+        for (std::size_t index = 0; index < std::min(members.size(), maximumTargetsPerDomain); ++index) {
+            const auto& member = *members[(rotation + index) % members.size()];
+            targets.push_back(
+                { member.vm.id, member.vm.address, member.vm.failureDomain, Core::Share(0), member.keyPrefix });
+        }
+        return targets;
+    }
+
+    /// The distinct orders of the table's sites, and which one each site has; the empty order is for unknown sites.
+    auto ordersOf(const LookupTable& table, std::vector<std::size_t>& orderOfSite)
+        -> std::vector<LookupPlanner::Preference>
+    {
+        std::map<LookupPlanner::Preference, std::size_t> indexes;
+        std::vector<LookupPlanner::Preference> orders;
+        const auto add = [&](const LookupPlanner::Preference& order) {
+            const auto [entry, isNew] = indexes.try_emplace(order, orders.size());
+            if (isNew)
+                orders.push_back(order);
+            orderOfSite.push_back(entry->second);
+        };
+        for (const auto& site : table.sites())
+            add(site.failureDomains);
+        add({});
+        return orders;
+    }
+
 } // namespace
 
 LookupPlanner::LookupPlanner(Core::FailureDomainId failureDomain, Core::RegionId region)
@@ -35,7 +66,8 @@
 }
 
 auto LookupPlanner::plan(Core::Instant now, const Configuration::SteeringConfiguration& configuration,
-    const std::vector<Membership::Member>& members, const LookupTable& table) -> std::shared_ptr<const LookupPlan>
+    const std::vector<Membership::Member>& members, const LookupTable& table, std::uint64_t rotation)
+    -> std::shared_ptr<const LookupPlan>
 {
     auto plan = std::make_shared<LookupPlan>();
     plan->lifetime = configuration.lookupLifetime;
@@ -43,26 +75,32 @@
     m_reachable.clear();
     for (const auto& [id, domain] : inputs.domains) {
         inputs.positions[id] = plan->targets.size();
-        plan->targets.push_back(domain.targets);
+        plan->targets.push_back(targetsOf(domain.members, rotation));
         m_reachable.insert(id);
     }
     advanceStep(now, configuration.lookupLifetime);
+    const auto orders = ordersOf(table, plan->orderOfSite);
     for (const auto& [service, policy] : configuration.services) {
-        auto& sites = plan->services[service].sites;
-        for (const auto& site : table.sites())
-            sites.push_back(planSite(inputs, service, site));
-        sites.push_back(planSite(inputs, service, { unknownSite, {} }));
+        auto& servicePlan = plan->services[service];
+        servicePlan.needsKeyPrefix = !policy.isIdempotent;
+        for (const auto& order : orders)
+            servicePlan.orders.push_back(planOrder(inputs, service, order));
     }
     return plan;
 }
 
-auto LookupPlanner::planSite(const Inputs& inputs, const Core::ServiceId& service, const Site& site)
+auto LookupPlanner::planOrder(const Inputs& inputs, const Core::ServiceId& service, const Preference& nearest)
     -> std::vector<DomainTargets>
 {
     std::vector<DomainState> states;
-    for (const auto& id : preference(inputs.domains, site.failureDomains))
+    std::set<Core::FailureDomainId> excluded;
+    for (const auto& id : completed(inputs.domains, nearest)) {
         states.push_back(stateOf(inputs, service, id));
-    const auto& shares = updateShares({ service, site.name }, targetShares(states), inputs.configuration.movementCap);
+        if (states.back().weight <= 0)
+            excluded.insert(id);
+    }
+    const auto& shares
+        = updateShares({ service, nearest }, targetShares(states), excluded, inputs.configuration.movementCap);
     std::vector<DomainTargets> targets;
     double sum = 0;
     for (const auto& [id, share] : shares) {
@@ -86,9 +124,9 @@
     return { id, weight, static_cast<double>(taken) / load->second.usableSlots.value(), true };
 }
 
-auto LookupPlanner::shares(const Core::ServiceId& service, const std::string& site) const -> TrafficShares
+auto LookupPlanner::shares(const Core::ServiceId& service, const Preference& nearest) const -> TrafficShares
 {
-    const auto found = m_shares.find({ service, site });
+    const auto found = m_shares.find({ service, nearest });
     return found == m_shares.end() ? TrafficShares() : found->second;
 }
 
@@ -100,8 +138,7 @@
             continue;
         auto& domain = domains[member.vm.failureDomain];
         domain.region = member.vm.region;
-        domain.targets.push_back(
-            { member.vm.id, member.vm.address, member.vm.failureDomain, Core::Share(0), member.keyPrefix });
+        domain.members.push_back(&member);
         domain.hasLoads = domain.hasLoads || !member.loads.empty();
         for (const auto& load : member.loads)
             add(domain.loads[load.service], load);
@@ -109,10 +146,9 @@
     return domains;
 }
 
-auto LookupPlanner::preference(const Domains& domains, const std::vector<Core::FailureDomainId>& nearest) const
-    -> std::vector<Core::FailureDomainId>
+auto LookupPlanner::completed(const Domains& domains, const Preference& nearest) const -> Preference
 {
-    std::vector<Core::FailureDomainId> order;
+    Preference order;
     const auto append = [&](const Core::FailureDomainId& id) {
         if (domains.contains(id) && std::find(order.begin(), order.end(), id) == order.end())
             order.push_back(id);
@@ -136,8 +172,8 @@
         m_nextStep = now + lifetime;
 }
 
-auto LookupPlanner::updateShares(const ShareKey& key, const TrafficShares& target, Core::Share cap)
-    -> const TrafficShares&
+auto LookupPlanner::updateShares(const ShareKey& key, const TrafficShares& target,
+    const std::set<Core::FailureDomainId>& excluded, Core::Share cap) -> const TrafficShares&
 {
     auto& shares = m_shares[key];
     if (shares.empty()) {
@@ -146,7 +182,7 @@
     }
     shares = withoutUnreachable(shares, m_reachable, target);
     if (m_isStep) {
-        auto next = stepTowards(shares, target, cap);
+        auto next = stepTowards(shares, target, excluded, cap);
         Core::invariant(
             movedBetween(shares, next) <= cap.value() + roundingMargin, "steering.lookup-movement-within-cap");
         shares = std::move(next);
--- a/src/libs/steering/lookupplanner.h
+++ b/src/libs/steering/lookupplanner.h
@@ -14,22 +14,27 @@
 /// steps, at most one in the lifetime of the answers that are still out. Not safe to call from several threads.
 class LookupPlanner {
 public:
+    /// Failure domains, nearest first.
+    using Preference = std::vector<Core::FailureDomainId>;
+
     LookupPlanner(Core::FailureDomainId failureDomain, Core::RegionId region);
 
+    /// The plan names a few entry VMs of each failure domain, chosen by the rotation.
     auto plan(Core::Instant now, const Configuration::SteeringConfiguration& configuration,
-        const std::vector<Membership::Member>& members, const LookupTable& table) -> std::shared_ptr<const LookupPlan>;
-    /// Shares in use for a site, for tests and time lines; empty before the first plan.
-    [[nodiscard]] auto shares(const Core::ServiceId& service, const std::string& site) const -> TrafficShares;
+        const std::vector<Membership::Member>& members, const LookupTable& table, std::uint64_t rotation)
+        -> std::shared_ptr<const LookupPlan>;
+    /// Shares in use for an order of preference; empty before the first plan.
+    [[nodiscard]] auto shares(const Core::ServiceId& service, const Preference& nearest) const -> TrafficShares;
 
 private:
     struct Domain {
         Core::RegionId region;
-        std::vector<Ports::LookupTarget> targets;
+        std::vector<const Membership::Member*> members;
         std::map<Core::ServiceId, Fleet::ServiceLoad> loads;
         bool hasLoads = false;
     };
     using Domains = std::map<Core::FailureDomainId, Domain>;
-    using ShareKey = std::pair<Core::ServiceId, std::string>;
+    using ShareKey = std::pair<Core::ServiceId, Preference>;
 
     struct Inputs {
         const Configuration::SteeringConfiguration& configuration;
@@ -38,13 +43,14 @@
         std::map<Core::FailureDomainId, std::size_t> positions;
     };
 
-    auto planSite(const Inputs& inputs, const Core::ServiceId& service, const Site& site) -> std::vector<DomainTargets>;
+    auto planOrder(const Inputs& inputs, const Core::ServiceId& service, const Preference& nearest)
+        -> std::vector<DomainTargets>;
     static auto stateOf(const Inputs& inputs, const Core::ServiceId& service, const Core::FailureDomainId& id)
         -> DomainState;
     static auto domainsOf(const std::vector<Membership::Member>& members) -> Domains;
-    [[nodiscard]] auto preference(const Domains& domains, const std::vector<Core::FailureDomainId>& nearest) const
-        -> std::vector<Core::FailureDomainId>;
-    auto updateShares(const ShareKey& key, const TrafficShares& target, Core::Share cap) -> const TrafficShares&;
+    [[nodiscard]] auto completed(const Domains& domains, const Preference& nearest) const -> Preference;
+    auto updateShares(const ShareKey& key, const TrafficShares& target, const std::set<Core::FailureDomainId>& excluded,
+        Core::Share cap) -> const TrafficShares&;
     auto advanceStep(Core::Instant now, Core::Millis lifetime) -> void;
 
     const Core::FailureDomainId m_failureDomain;
--- a/src/libs/steering/lookupservice.cpp
+++ b/src/libs/steering/lookupservice.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr Core::Millis refreshInterval { 100 };
+    constexpr Core::Millis refreshInterval { 250 };
     constexpr std::size_t targetsPerAnswer = 3;
     /// A random double in [0, 1) has this many random bits.
     constexpr unsigned randomBits = 53;
@@ -23,6 +23,19 @@
         return site ? site->value() : table.sites().size();
     }
 
+    auto addTarget(Ports::LookupAnswer& answer, const Ports::LookupTarget& chosen, bool needsKeyPrefix, double weight)
+        -> void
+    {
+        for (auto& target : answer.targets) {
+            if (target.vm == chosen.vm) {
+                target.weight = Core::Share(target.weight.value() + weight);
+                return;
+            }
+        }
+        answer.targets.push_back({ chosen.vm, chosen.address, chosen.failureDomain, Core::Share(weight),
+            needsKeyPrefix ? chosen.keyPrefix : std::string() });
+    }
+
 } // namespace
 
 LookupService::LookupService(Collaborators collaborators, Core::FailureDomainId failureDomain, Core::RegionId region)
@@ -39,12 +52,12 @@
         return Core::fail(Core::ErrorKind::NotFound, "no service named '" + query.service.value() + "' is in force",
             "use a service named in the steering document, or add one to your section");
     }
-    const auto& domains = service->second.sites[siteOf(*current.table, query)];
-    if (domains.empty()) {
+    const auto order = current.plan->orderOfSite[siteOf(*current.table, query)];
+    if (service->second.orders[order].empty()) {
         return Core::fail(Core::ErrorKind::Unavailable, "no entry VM is known yet",
             "try again in a second; operators check the list of VMs");
     }
-    return draw(*current.plan, domains);
+    return draw(*current.plan, service->second, order);
 }
 
 auto LookupService::snapshot() -> Snapshot
@@ -66,7 +79,7 @@
     const auto known = members();
     auto table = m_collaborators.table.current();
     const std::lock_guard planning(m_planningMutex);
-    auto plan = m_planner.plan(now, *configuration, known, *table);
+    auto plan = m_planner.plan(now, *configuration, known, *table, m_collaborators.random.next());
     const std::lock_guard lock(m_mutex);
     m_snapshot = { std::move(table), std::move(plan) };
     m_refreshAt = now + refreshInterval;
@@ -86,8 +99,10 @@
     return members;
 }
 
-auto LookupService::draw(const LookupPlan& plan, const std::vector<DomainTargets>& domains) -> Ports::LookupAnswer
+auto LookupService::draw(const LookupPlan& plan, const LookupPlan::ServicePlan& service, std::size_t order)
+    -> Ports::LookupAnswer
 {
+    const auto& domains = service.orders[order];
     Ports::LookupAnswer answer { {}, plan.lifetime };
     answer.targets.reserve(targetsPerAnswer);
     constexpr auto part = 1.0 / targetsPerAnswer;
@@ -99,11 +114,7 @@
         const auto domain = std::find_if(domains.begin(), domains.end() - 1,
             [point](const DomainTargets& candidate) { return point < candidate.cumulativeShare; });
         const auto& vms = plan.targets[domain->domain];
-        const auto& chosen = vms[(vmWord + index) % vms.size()];
-        const auto same = std::find_if(answer.targets.begin(), answer.targets.end(),
-            [&chosen](const Ports::LookupTarget& target) { return target.vm == chosen.vm; });
-        auto& target = same == answer.targets.end() ? answer.targets.emplace_back(chosen) : *same;
-        target.weight = Core::Share(target.weight.value() + part);
+        addTarget(answer, vms[(vmWord + index) % vms.size()], service.needsKeyPrefix, part);
     }
     return answer;
 }
--- a/src/libs/steering/lookupservice.h
+++ b/src/libs/steering/lookupservice.h
@@ -37,7 +37,7 @@
     auto snapshot() -> Snapshot;
     auto refresh(Core::Instant now) -> void;
     [[nodiscard]] auto members() const -> std::vector<Membership::Member>;
-    auto draw(const LookupPlan& plan, const std::vector<DomainTargets>& domains) -> Ports::LookupAnswer;
+    auto draw(const LookupPlan& plan, const LookupPlan::ServicePlan& service, std::size_t order) -> Ports::LookupAnswer;
 
     Collaborators m_collaborators;
     std::mutex m_planningMutex;
--- a/src/libs/steering/trafficshares.cpp
+++ b/src/libs/steering/trafficshares.cpp
@@ -90,13 +90,22 @@
     return shares;
 }
 
-auto stepTowards(const TrafficShares& current, const TrafficShares& target, Core::Share cap) -> TrafficShares
+auto stepTowards(const TrafficShares& current, const TrafficShares& target,
+    const std::set<Core::FailureDomainId>& excluded, Core::Share cap) -> TrafficShares
 {
-    const auto moved = movedBetween(current, target);
-    const auto part = moved > cap.value() ? cap.value() / moved : 1.0;
+    double leaving = 0;
+    for (const auto& id : excluded)
+        leaving += shareOf(current, id);
+    // These go first, so that a drain ends however the loads of the others vary.
+    const auto evacuated = std::min(leaving, cap.value());
     TrafficShares next = current;
+    for (auto& [id, share] : next)
+        share -= excluded.contains(id) && share > 0 ? share * evacuated / leaving : 0;
     for (const auto& [id, share] : target)
-        next.try_emplace(id, 0.0);
+        next[id] += evacuated * share;
+    const auto remaining = cap.value() - evacuated;
+    const auto moved = movedBetween(next, target);
+    const auto part = moved > remaining ? remaining / moved : 1.0;
     for (auto& [id, share] : next)
         share += part * (shareOf(target, id) - share);
     std::erase_if(next, [](const auto& entry) { return entry.second <= negligibleShare; });
--- a/src/libs/steering/trafficshares.h
+++ b/src/libs/steering/trafficshares.h
@@ -32,8 +32,10 @@
 auto withoutUnreachable(const TrafficShares& current, const std::set<Core::FailureDomainId>& reachable,
     const TrafficShares& target) -> TrafficShares;
 
-/// One step towards the target that moves at most the given part of the traffic.
-auto stepTowards(const TrafficShares& current, const TrafficShares& target, Core::Share cap) -> TrafficShares;
+/// One step towards the target that moves at most the given part of the traffic. What the excluded failure domains
+/// still have goes first; the target gives them nothing.
+auto stepTowards(const TrafficShares& current, const TrafficShares& target,
+    const std::set<Core::FailureDomainId>& excluded, Core::Share cap) -> TrafficShares;
 
 /// Part of the traffic that changes its failure domain between the two, 0 to 1.
 auto movedBetween(const TrafficShares& from, const TrafficShares& to) -> double;
--- a/tests/auto/steering/tst_exchange.cpp
+++ b/tests/auto/steering/tst_exchange.cpp
@@ -52,6 +52,20 @@
     BOOST_TEST(fleet.tally("atl-1").answered == fleet.tally("atl-1").sent);
 }
 
+BOOST_FIXTURE_TEST_CASE(SendNoMoreOverALinkThanItsBudget, ThreeDomains)
+{
+    // Half of 0.8 Mbit/s is for requests: 50,000 bytes a second, and one window more at its edges.
+    fleet.configuration().linkBudgets = { { Core::RegionId("atl"), Core::RegionId("sav"), Core::Mbit(0.8) } };
+    fleet.publish();
+    fleet.setArrivals("atl-1", 900);
+    fleet.setArrivals("atl-2", 900);
+    fleet.run(std::chrono::seconds(20));
+    check();
+    BOOST_TEST(!fleet.crossedBytes("atl", "sav").empty());
+    for (const auto& [second, bytes] : fleet.crossedBytes("atl", "sav"))
+        BOOST_TEST(bytes <= 55'000U);
+}
+
 BOOST_AUTO_TEST_SUITE(UnderRandomFaults)
 
 /// Draws one fault, or ends all of them.
--- a/tests/auto/steering/tst_lookup.cpp
+++ b/tests/auto/steering/tst_lookup.cpp
@@ -32,7 +32,9 @@
 const Core::FailureDomainId atl1 { "atl-1" };
 const Core::FailureDomainId atl2 { "atl-2" };
 const Core::FailureDomainId sav1 { "sav-1" };
-const std::vector<Site> sites { { "atlanta", { atl1, atl2, sav1 } }, { "savannah", { sav1, atl1, atl2 } } };
+const Steering::LookupPlanner::Preference atlanta { atl1, atl2, sav1 };
+const Steering::LookupPlanner::Preference savannah { sav1, atl1, atl2 };
+const std::vector<Site> sites { { "atlanta", atlanta }, { "savannah", savannah } };
 
 struct ThreeFailureDomains {
     ThreeFailureDomains()
@@ -49,15 +51,16 @@
             members.push_back(memberOf(domain + vm, domain, domain.substr(0, 3), loadOf(10, 5)));
     }
 
-    auto plan() -> void { (void)planner.plan(clock.time, configuration, members, table); }
+    auto plan() -> void { (void)planner.plan(clock.time, configuration, members, table, 0); }
     auto planAfterALifetime() -> void
     {
         clock.time += configuration.lookupLifetime;
         plan();
     }
-    auto share(const Core::FailureDomainId& domain, const std::string& site = "atlanta") -> double
+    auto share(const Core::FailureDomainId& domain, const Steering::LookupPlanner::Preference& nearest = atlanta)
+        -> double
     {
-        const auto shares = planner.shares(stock, site);
+        const auto shares = planner.shares(stock, nearest);
         const auto found = shares.find(domain);
         return found == shares.end() ? 0 : found->second;
     }
@@ -220,8 +223,8 @@
 {
     plan();
     BOOST_TEST(share(atl1) == 1.0);
-    BOOST_TEST(share(sav1, "savannah") == 1.0);
-    BOOST_TEST(share(atl1, "") == 1.0);
+    BOOST_TEST(share(sav1, savannah) == 1.0);
+    BOOST_TEST(share(atl1, {}) == 1.0);
 }
 
 BOOST_AUTO_TEST_CASE(GoToTheNextByCappedStepsWhenTheNearestIsLoaded)
@@ -252,6 +255,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OfADrainedFailureDomain)
+
+BOOST_AUTO_TEST_CASE(EndInAsManyLifetimesAsTheCapNeedsAlsoWhenOtherLoadsChange)
+{
+    plan();
+    configuration.drained = { atl1 };
+    for (int lifetime = 0; lifetime < 10; ++lifetime) {
+        const auto isOdd = lifetime % 2 == 1;
+        set("atl-2", [isOdd](Membership::Member& member) { member.loads = { loadOf(10, isOdd ? 10 : 0) }; });
+        planAfterALifetime();
+    }
+    BOOST_TEST(share(atl1) == 0.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheNearestIsLost)
 
 BOOST_AUTO_TEST_CASE(LeaveItAtOnceAndReturnByCappedSteps)
@@ -274,7 +293,7 @@
 {
     std::erase_if(members, [](const auto& member) { return member.vm.failureDomain != atl1; });
     plan();
-    BOOST_TEST(share(atl1, "savannah") == 1.0);
+    BOOST_TEST(share(atl1, savannah) == 1.0);
 }
 
 BOOST_AUTO_TEST_CASE(AvoidAFailureDomainWithoutUsableUpstreams)
@@ -290,6 +309,8 @@
 
 BOOST_AUTO_TEST_CASE(NamesSeveralEntryVmsOfTheClientsSiteWithTheirKeyPrefixes)
 {
+    auto next = configurationWith(2, stockPolicy(false));
+    holder.offer(next);
     const auto answer = service.lookup({ stock, addressOf(10, 1, 3) });
     BOOST_REQUIRE(answer);
     BOOST_REQUIRE(answer->targets.size() == 3U);
--- /dev/null
+++ b/tests/bench/steering/main.cpp
@@ -0,0 +1,192 @@
+#include "fakes/steering/steeringfleet.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using Fakes::SteeringFleet;
+using nlohmann::json;
+
+constexpr std::size_t vmsPerDomain = 2;
+constexpr std::uint32_t slotsPerVm = 8;
+/// Stock requests that the slots of a failure domain can run in a second, and with them the fifth that books.
+constexpr double capacity = 1000;
+const std::vector<std::string> domains { "atl-1", "atl-2", "sav-1", "sav-2", "mac-1", "mac-2" };
+
+struct Variant {
+    std::string name;
+    Core::Share cap;
+    Core::Millis slowStart { 0 };
+};
+
+const std::vector<Variant> variants { { "capped", Core::Share(0.1), Core::Millis(5000) },
+    { "uncapped", Core::Share(1), Core::Millis(0) } };
+
+auto regionOf(const std::string& domain) -> std::string { return domain.substr(0, 3); }
+
+auto makeFleet(const Variant& variant) -> std::unique_ptr<SteeringFleet>
+{
+    std::vector<SteeringFleet::Place> places;
+    for (const auto& domain : domains)
+        places.push_back({ domain, regionOf(domain), slotsPerVm });
+    auto fleet = std::make_unique<SteeringFleet>(1, places, vmsPerDomain);
+    fleet->world().setFaults({ 0, 0, Core::Millis(1), Core::Millis(20) });
+    fleet->configuration().movementCap = variant.cap;
+    fleet->configuration().slowStart = variant.slowStart;
+    fleet->publish();
+    fleet->followLookups();
+    return fleet;
+}
+
+auto sum(const SteeringFleet& fleet) -> SteeringFleet::Tally
+{
+    SteeringFleet::Tally total;
+    for (const auto& domain : domains) {
+        const auto tally = fleet.tally(domain);
+        total.sent += tally.sent;
+        total.answered += tally.answered;
+        total.notRun += tally.notRun;
+        total.unknown += tally.unknown;
+    }
+    return total;
+}
+
+auto receivedBy(const SteeringFleet& fleet, const std::string& domain) -> std::uint64_t
+{
+    const auto found = fleet.received().find(domain);
+    return found == fleet.received().end() ? 0 : found->second;
+}
+
+/// One row for each second: what callers got, and what a watched failure domain received.
+class Recorder {
+public:
+    Recorder(SteeringFleet& fleet, std::string watched)
+        : m_fleet(fleet)
+        , m_watched(std::move(watched))
+    {
+    }
+
+    auto run(int seconds) -> void
+    {
+        for (int second = 0; second < seconds; ++second) {
+            const auto before = sum(m_fleet);
+            const auto receivedBefore = receivedBy(m_fleet, m_watched);
+            m_fleet.run(std::chrono::seconds(1));
+            const auto after = sum(m_fleet);
+            m_rows.push_back({ { "sent", after.sent - before.sent }, { "answered", after.answered - before.answered },
+                { "notRun", after.notRun - before.notRun }, { "unknown", after.unknown - before.unknown },
+                { "watchedReceived", receivedBy(m_fleet, m_watched) - receivedBefore } });
+        }
+    }
+
+    [[nodiscard]] auto rows() const -> const json& { return m_rows; }
+    [[nodiscard]] auto part(std::size_t first, std::size_t last, const char* field) const -> std::uint64_t
+    {
+        std::uint64_t total = 0;
+        for (auto index = first; index < last; ++index)
+            total += m_rows.at(index).at(field).get<std::uint64_t>();
+        return total;
+    }
+
+private:
+    SteeringFleet& m_fleet;
+    std::string m_watched;
+    json m_rows = json::array();
+};
+
+auto result(const char* scenario, const Variant& variant, const SteeringFleet& fleet, const json& figures,
+    const json& rows) -> json
+{
+    const auto violation = fleet.violations();
+    std::printf("%-12s %-9s %s%s\n", scenario, variant.name.c_str(), figures.dump().c_str(), violation.c_str());
+    return { { "case", scenario }, { "variant", variant.name }, { "figures", figures }, { "violation", violation },
+        { "seconds", rows } };
+}
+
+/// Region sav is lost at 80 % load after 10 s and returns after 30 s.
+auto regionLost(const Variant& variant) -> json
+{
+    auto fleet = makeFleet(variant);
+    for (const auto& domain : domains)
+        fleet->setArrivals(domain, 0.8 * capacity);
+    Recorder recorder(*fleet, "sav-1");
+    recorder.run(10);
+    fleet->crash("sav-1");
+    fleet->crash("sav-2");
+    recorder.run(20);
+    fleet->restart("sav-1");
+    fleet->restart("sav-2");
+    recorder.run(30);
+    const json figures { { "answeredBefore", recorder.part(5, 10, "answered") / 5 },
+        { "answeredDuring", recorder.part(15, 30, "answered") / 15 },
+        { "refusedDuring", recorder.part(15, 30, "notRun") / 15 }, { "unknownInAll", recorder.part(0, 60, "unknown") },
+        { "unknownAfterTwoSeconds", recorder.part(12, 60, "unknown") },
+        { "returnedFirstSecond", recorder.part(30, 31, "watchedReceived") },
+        { "returnedTenthSecond", recorder.part(40, 41, "watchedReceived") },
+        { "answeredAtEnd", recorder.part(55, 60, "answered") / 5 } };
+    return result("region-lost", variant, *fleet, figures, recorder.rows());
+}
+
+/// The weight of atl-1 goes to 0 after 10 s at 50 % load.
+auto plannedMove(const Variant& variant) -> json
+{
+    auto fleet = makeFleet(variant);
+    for (const auto& domain : domains)
+        fleet->setArrivals(domain, 0.5 * capacity);
+    Recorder recorder(*fleet, "atl-1");
+    recorder.run(10);
+    fleet->configuration().weights[Core::FailureDomainId("atl-1")] = 0;
+    fleet->publish();
+    recorder.run(40);
+    std::uint64_t largestStep = 0;
+    int secondsUntilEmpty = -1;
+    for (std::size_t second = 10; second < 50; ++second) {
+        const auto lifetime = recorder.part(second - 2, second, "watchedReceived");
+        const auto next = second + 2 <= 50 ? recorder.part(second, second + 2, "watchedReceived") : lifetime;
+        largestStep = std::max(largestStep, lifetime > next ? lifetime - next : 0);
+        if (secondsUntilEmpty < 0 && recorder.part(second, second + 1, "watchedReceived") == 0)
+            secondsUntilEmpty = static_cast<int>(second) - 10;
+    }
+    const json figures { { "receivedPerLifetimeBefore", recorder.part(8, 10, "watchedReceived") },
+        { "largestStepPerLifetime", largestStep }, { "secondsUntilEmpty", secondsUntilEmpty },
+        { "refused", recorder.part(0, 50, "notRun") }, { "unknown", recorder.part(0, 50, "unknown") } };
+    return result("planned-move", variant, *fleet, figures, recorder.rows());
+}
+
+/// atl is offered twice its capacity, and its link to sav carries 2 Mbit/s.
+auto linkFull(const Variant& variant) -> json
+{
+    auto fleet = makeFleet(variant);
+    fleet->configuration().linkBudgets = { { Core::RegionId("atl"), Core::RegionId("sav"), Core::Mbit(2) } };
+    fleet->publish();
+    fleet->setArrivals("atl-1", 2 * capacity);
+    fleet->setArrivals("atl-2", 2 * capacity);
+    Recorder recorder(*fleet, "sav-1");
+    recorder.run(30);
+    std::uint64_t highest = 0;
+    for (const auto& [second, bytes] : fleet->crossedBytes("atl", "sav"))
+        highest = std::max(highest, bytes);
+    const json figures { { "answered", recorder.part(10, 30, "answered") / 20 },
+        { "refused", recorder.part(10, 30, "notRun") / 20 },
+        { "highestRelayedMbitPerSecond", static_cast<double>(highest) * 8 / 1e6 }, { "budgetMbitPerSecond", 1.0 } };
+    return result("link-full", variant, *fleet, figures, recorder.rows());
+}
+
+} // namespace
+
+/// Usage: bench_steering [FILE]; writes a line for each run to the standard output and JSON to the file.
+auto main(int argc, char** argv) -> int
+{
+    auto results = json::array();
+    for (const auto& variant : variants) {
+        results.push_back(regionLost(variant));
+        results.push_back(plannedMove(variant));
+        results.push_back(linkFull(variant));
+    }
+    if (argc > 1)
+        std::ofstream(argv[1]) << results.dump(1) << '\n';
+    return 0;
+}
--- a/tests/fakes/steering/steeringfleet.cpp
+++ b/tests/fakes/steering/steeringfleet.cpp
@@ -61,13 +61,34 @@
         std::vector<Membership::Member> list;
     };
 
+    /// Counts the bytes that leave for other regions.
+    class CountingRelays : public Steering::RelayPort {
+    public:
+        using Count = std::function<void(const Fleet::EntryVm& target, std::size_t bytes)>;
+
+        CountingRelays(Steering::RelayPort& next, Count count)
+            : m_next(next)
+            , m_count(std::move(count))
+        {
+        }
+        auto relay(const Fleet::EntryVm& target, Steering::RelayCall call, Steering::RelayCallback callback)
+            -> void override
+        {
+            m_count(target, call.request.body.size());
+            m_next.relay(target, std::move(call), std::move(callback));
+        }
+
+    private:
+        Steering::RelayPort& m_next;
+        Count m_count;
+    };
+
     /// Counts what passes between the wire and the decisions of the destination.
     class CountingHandlers : public Steering::RelayHandler, public Steering::CreditHandler {
     public:
-        CountingHandlers(Steering::SteeringSystem& system, SteeringFleet::Exchange& exchange, RunCounts& runs)
+        CountingHandlers(Steering::SteeringSystem& system, SteeringFleet::Exchange& exchange)
             : m_system(system)
             , m_exchange(exchange)
-            , m_runs(runs)
         {
         }
         auto accept(Steering::RelayCall call, Core::ReplyCallback callback) -> void override
@@ -91,7 +112,6 @@
     private:
         Steering::SteeringSystem& m_system;
         SteeringFleet::Exchange& m_exchange;
-        RunCounts& m_runs;
     };
 
 } // namespace
@@ -105,10 +125,13 @@
             , random(fleet.m_world)
             , upstreams(fleet.m_world, vm.peerAddress, fleet.m_runs)
             , peer(node)
+            , relays(peer,
+                  [&fleet, vm](
+                      const Fleet::EntryVm& target, std::size_t bytes) { fleet.countRelay(vm, target, bytes); })
             , system({ fleet.m_world, random, node, store, events, fleet.m_configuration, fleet.m_fleet, members,
-                         upstreams, upstreams, peer, peer, blocks },
+                         upstreams, upstreams, relays, peer, blocks },
                   { vm.id, vm.failureDomain, vm.region })
-            , handlers(system, fleet.m_exchanges[vm.failureDomain.value()], fleet.m_runs)
+            , handlers(system, fleet.m_exchanges[vm.failureDomain.value()])
         {
             upstreams.setSlots(stock, slots);
             upstreams.setSlots(booking, slots);
@@ -123,6 +146,7 @@
         HeardMembers members;
         SlotDispatcher upstreams;
         RelayPeer::RelayPeer peer;
+        CountingRelays relays;
         Steering::SteeringSystem system;
         CountingHandlers handlers;
     };
@@ -366,6 +390,20 @@
     return found == m_exchanges.end() ? Exchange() : found->second;
 }
 
+auto SteeringFleet::countRelay(const Fleet::EntryVm& from, const Fleet::EntryVm& to, std::size_t bytes) -> void
+{
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(m_world.now().time_since_epoch()).count();
+    if (from.region != to.region)
+        m_crossed[{ from.region.value(), to.region.value() }][second] += bytes;
+}
+
+auto SteeringFleet::crossedBytes(const std::string& from, const std::string& to) const
+    -> std::map<std::int64_t, std::uint64_t>
+{
+    const auto found = m_crossed.find({ from, to });
+    return found == m_crossed.end() ? std::map<std::int64_t, std::uint64_t>() : found->second;
+}
+
 auto SteeringFleet::violations() const -> std::string
 {
     for (const auto& [id, sent] : m_sent) {
--- a/tests/fakes/steering/steeringfleet.h
+++ b/tests/fakes/steering/steeringfleet.h
@@ -60,8 +60,9 @@
     [[nodiscard]] auto exchange(const std::string& failureDomain) const -> Exchange;
     /// Requests per failure domain where callers sent them.
     [[nodiscard]] auto received() const -> const std::map<std::string, std::uint64_t>& { return m_received; }
-    /// Requests that crossed from one region to another, and their bytes.
-    [[nodiscard]] auto crossed(const std::string& from, const std::string& to) const -> std::uint64_t;
+    /// Bytes of requests that entry VMs of one region sent to another in each second of the run.
+    [[nodiscard]] auto crossedBytes(const std::string& from, const std::string& to) const
+        -> std::map<std::int64_t, std::uint64_t>;
     /// Checks what must hold of every request so far; the text says what does not, empty when all does.
     [[nodiscard]] auto violations() const -> std::string;
 
@@ -79,6 +80,7 @@
     };
 
     auto tick() -> void;
+    auto countRelay(const Fleet::EntryVm& from, const Fleet::EntryVm& to, std::size_t bytes) -> void;
     auto sendFrom(const std::string& failureDomain) -> void;
     auto pickVm(const std::string& failureDomain, const Core::ServiceId& service) -> EntryVm*;
     auto aliveVms(const std::string& failureDomain) -> std::vector<EntryVm*>;
@@ -97,7 +99,7 @@
     std::map<std::string, Tally> m_tallies;
     std::map<std::string, Exchange> m_exchanges;
     std::map<std::string, std::uint64_t> m_received;
-    std::map<std::pair<std::string, std::string>, std::uint64_t> m_crossed;
+    std::map<std::pair<std::string, std::string>, std::map<std::int64_t, std::uint64_t>> m_crossed;
     std::set<std::pair<std::string, std::string>> m_cuts;
     std::vector<std::unique_ptr<EntryVm>> m_vms;
     bool m_followsLookups = false;
