Run the entry VM on gossip and on copies of the store's objects

Each process watched the store for two objects and knew no other member. It now gossips, fetches newer versions from peers, divides its failure domain's upstreams by rendezvous hashing, and says in GET /v1/status what is in force in each failure domain and whether the store confirmed it.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -1,7 +1,5 @@
 #include "app/entryvmprocess.h"
 
-#include "jsoncodec/jsoncodec.h"
-
 #include <algorithm>
 #include <csignal>
 
@@ -9,16 +7,10 @@
 
 namespace {
 
-    constexpr auto steeringDocumentName = "steering/document";
-    constexpr auto fleetListName = "fleet/list";
     constexpr Core::Millis housekeepingInterval { 10'000 };
     const Ports::EventKind processStarted { "process.started" };
     const Ports::EventKind processLeaving { "process.leaving" };
     const Ports::EventKind processStopped { "process.stopped" };
-    const Ports::EventKind configurationTaken { "configuration.taken" };
-    const Ports::EventKind configurationRefused { "configuration.refused" };
-    const Ports::EventKind fleetTaken { "fleet.taken" };
-    const Ports::EventKind fleetRefused { "fleet.refused" };
 
     auto callerLimits(const ServeSettings& settings) -> HttpServer::Limits
     {
@@ -30,7 +22,8 @@
 } // namespace
 
 EntryVmProcess::EntryVmProcess(const ServeSettings& settings)
-    : m_runtime(settings.threads)
+    : m_settings(settings)
+    , m_runtime(settings.threads)
     , m_observation(settings, { m_clock, m_configuration })
     , m_events(m_observation.events())
     , m_client(m_runtime.context())
@@ -38,27 +31,27 @@
     , m_upstreams(m_client, m_clock)
     , m_meteredUpstreams(m_upstreams, m_observation.metrics())
     , m_peers(m_runtime.context(), &m_observation.causalClock())
-    , m_documentFollower(std::make_shared<Configuration::ObjectFollower>(m_store, m_runtime, steeringDocumentName,
-          [this](const Ports::StoredObject& object) { takeSteeringDocument(object); }))
-    , m_fleetFollower(std::make_shared<Configuration::ObjectFollower>(
-          m_store, m_runtime, fleetListName, [this](const Ports::StoredObject& object) { takeFleetList(object); }))
-    , m_ownership(settings.failureDomain)
-    , m_dispatcher(
-          { m_clock, m_runtime, m_meteredUpstreams, m_fleet, m_configuration, m_ownership }, settings.failureDomain)
+    , m_knowledge(
+          { m_clock, m_runtime, m_random, m_events, m_store, m_peers, m_peerHandlers, m_configuration, m_fleet },
+          settings, m_incarnation)
+    , m_dispatcher({ m_clock, m_runtime, m_meteredUpstreams, m_fleet, m_configuration, m_knowledge.ownership() },
+          settings.failureDomain)
     , m_suspicionPeer(m_peers)
-    , m_suspicions({ m_clock, m_random, m_members, m_suspicionPeer, m_dispatcher.quarantine() }, settings.id)
+    , m_suspicions(
+          { m_clock, m_random, m_knowledge.members(), m_suspicionPeer, m_dispatcher.quarantine() }, settings.id)
     , m_relayPeer(m_peers)
-    , m_steering({ m_clock, m_random, m_runtime, m_store, m_events, m_configuration, m_fleet, m_members, m_dispatcher,
-                     m_dispatcher, m_relayPeer, m_relayPeer, m_clientBlocks },
+    , m_steering({ m_clock, m_random, m_runtime, m_store, m_events, m_configuration, m_fleet, m_knowledge.members(),
+                     m_dispatcher, m_dispatcher, m_relayPeer, m_relayPeer, m_clientBlocks },
           { settings.id, settings.failureDomain, settings.region })
-    , m_ledgerPeers(m_peers, m_members, m_fleet, m_clock)
-    , m_bookings(
-          { m_clock, m_runtime, m_members, m_events, m_steering.dispatcher(), m_ledgerPeers, m_ledgerPeers, m_fleet },
-          { settings.id, { m_random.next(), m_random.next() }, settings.failureDomain, settings.region }, {})
+    , m_ledgerPeers(m_peers, m_knowledge.members(), m_fleet, m_clock)
+    , m_bookings({ m_clock, m_runtime, m_knowledge.members(), m_events, m_steering.dispatcher(), m_ledgerPeers,
+                     m_ledgerPeers, m_fleet },
+          { settings.id, m_incarnation, settings.failureDomain, settings.region }, {})
     , m_requests({ m_clock, m_configuration, m_steering.lookups(), m_steering.dispatcher(), m_bookings.coordinator(),
           m_bookings.prefixes(), m_events })
     , m_meteredRequests({ m_requests, m_clock, m_configuration, m_observation.metrics() })
     , m_front(m_meteredRequests, m_clock, m_random)
+    , m_statusFront(m_knowledge.status(), m_front)
     , m_paths(m_front)
     , m_server(m_runtime.context(), settings.listen, m_paths, callerLimits(settings))
     , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers, &m_observation.causalClock())
@@ -66,6 +59,8 @@
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
     m_observation.addPaths(m_paths);
+    for (const auto path : { HttpStatus::statusPath, HttpStatus::documentPath })
+        m_paths.add(std::string(path), m_statusFront);
     if (!settings.adminListen.value().empty())
         m_adminServer
             = std::make_unique<HttpServer::Server>(m_runtime.context(), settings.adminListen, m_observation.admin());
@@ -84,8 +79,8 @@
     m_events.record({ processStarted, {},
         { { "port", std::to_string(m_server.port()) }, { "peerPort", std::to_string(m_peerServer.port()) } } });
     scheduleHousekeeping();
-    m_documentFollower->start();
-    m_fleetFollower->start();
+    m_knowledge.start(boundAddress(m_settings.listen, m_server.port()),
+        boundAddress(m_settings.peerListen, m_peerServer.port()), { m_bookings.prefixes(), m_dispatcher });
     m_dispatcher.start();
     m_steering.start();
     m_signals.async_wait([this](boost::system::error_code error, int) {
@@ -96,31 +91,6 @@
     m_events.record({ processStopped, {}, {} });
 }
 
-auto EntryVmProcess::takeSteeringDocument(const Ports::StoredObject& object) -> void
-{
-    auto configuration = JsonCodec::parseSteeringDocument(object.text, object.version);
-    const auto version = std::to_string(object.version.value());
-    if (!configuration) {
-        m_events.record(
-            { configurationRefused, {}, { { "version", version }, { "error", describe(configuration.error()) } } });
-        return;
-    }
-    if (m_configuration.offer(std::move(*configuration)))
-        m_events.record({ configurationTaken, {}, { { "version", version } } });
-}
-
-auto EntryVmProcess::takeFleetList(const Ports::StoredObject& object) -> void
-{
-    auto list = JsonCodec::parseFleetList(object.text, object.version);
-    const auto version = std::to_string(object.version.value());
-    if (!list) {
-        m_events.record({ fleetRefused, {}, { { "version", version }, { "error", describe(list.error()) } } });
-        return;
-    }
-    if (m_fleet.offer(std::move(*list)))
-        m_events.record({ fleetTaken, {}, { { "version", version } } });
-}
-
 auto EntryVmProcess::scheduleHousekeeping() -> void
 {
     m_housekeeping = m_runtime.after(housekeepingInterval, [this] {
@@ -134,18 +104,22 @@
     // Callers that hold a look-up answer go on using this entry VM until it expires.
     const auto wait = std::min<Core::Duration>(m_configuration.current()->lookupLifetime, m_leaveLimit);
     m_events.record({ processLeaving, {}, { { "waitMs", std::to_string(Core::asMillis(wait)) } } });
+    m_knowledge.announceLeaving();
     m_steering.leave();
     m_leaveTimer = m_runtime.after(wait, [this] { shutDown(); });
 }
 
 auto EntryVmProcess::shutDown() -> void
 {
-    m_documentFollower->stop();
-    m_fleetFollower->stop();
     m_requests.refuseNew();
     m_steering.refuseNew();
     m_bookings.close();
-    auto handOver = [this] { m_bookings.handOver([this] { m_runtime.stop(); }); };
+    auto handOver = [this] {
+        m_bookings.handOver([this] {
+            m_knowledge.stop();
+            m_runtime.stop();
+        });
+    };
     auto stopPeers = [this, handOver] { m_peerServer.shutDown(handOver); };
     m_server.shutDown([this, stopPeers] { m_dispatcher.drain(stopPeers); });
 }
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -1,17 +1,16 @@
 #pragma once
 
+#include "app/fleetknowledge.h"
 #include "app/observation.h"
 #include "app/servesettings.h"
-#include "app/standalone.h"
 #include "clientblocks/jsonclientblocks.h"
 #include "configuration/configurationholder.h"
-#include "configuration/objectfollower.h"
 #include "dispatch/rankeddispatcher.h"
 #include "fleet/fleetholder.h"
-#include "fleet/wholedomainownership.h"
 #include "httpclient/httpclient.h"
 #include "httpfront/httpfront.h"
 #include "httpserver/httpserver.h"
+#include "httpstatus/statushandler.h"
 #include "httpstore/httpobjectstore.h"
 #include "httpupstream/httpupstreamclient.h"
 #include "ledger/bookingsystem.h"
@@ -40,14 +39,13 @@
     auto run() -> void;
 
 private:
-    auto takeSteeringDocument(const Ports::StoredObject& object) -> void;
-    auto takeFleetList(const Ports::StoredObject& object) -> void;
     auto scheduleHousekeeping() -> void;
     /// First part of the planned stop: leaves the look-up answers, and serves until those that are out expire.
     auto leave() -> void;
     /// Second part: refuses new requests, ends those in flight, and hands the ledger over.
     auto shutDown() -> void;
 
+    const ServeSettings m_settings;
     Runtime::SystemClock m_clock;
     Runtime::SystemRandom m_random;
     Runtime::AsioRuntime m_runtime;
@@ -61,11 +59,9 @@
     PeerStream::PeerStreamClient m_peers;
     PeerStream::HandlerTable m_peerHandlers;
     Fleet::FleetHolder m_fleet;
-    std::shared_ptr<Configuration::ObjectFollower> m_documentFollower;
-    std::shared_ptr<Configuration::ObjectFollower> m_fleetFollower;
-    Fleet::WholeDomainOwnership m_ownership;
+    const Core::Incarnation m_incarnation { m_random.next(), m_random.next() };
+    FleetKnowledge m_knowledge;
     Dispatch::RankedDispatcher m_dispatcher;
-    NoMembers m_members;
     SuspicionPeer::SuspicionPeer m_suspicionPeer;
     Suspicion::SuspicionSpread m_suspicions;
     RelayPeer::RelayPeer m_relayPeer;
@@ -76,6 +72,7 @@
     Serving::RequestService m_requests;
     Serving::MeteredRequestHandler m_meteredRequests;
     HttpFront::HttpFront m_front;
+    HttpStatus::StatusHandler m_statusFront;
     HttpServer::PathRouter m_paths;
     HttpServer::Server m_server;
     std::unique_ptr<HttpServer::Server> m_adminServer;
--- /dev/null
+++ b/src/app/fleetknowledge.cpp
@@ -0,0 +1,69 @@
+#include "app/fleetknowledge.h"
+
+namespace App {
+
+namespace {
+
+    auto ownVm(const ServeSettings& settings) -> Fleet::EntryVm
+    {
+        return { settings.id, settings.failureDomain, settings.region, settings.listen, settings.peerListen };
+    }
+
+} // namespace
+
+FleetKnowledge::FleetKnowledge(
+    Collaborators collaborators, const ServeSettings& settings, const Core::Incarnation& incarnation)
+    : m_router(collaborators.router)
+    , m_gossipPeer(collaborators.transport)
+    , m_replicaPeer(collaborators.transport)
+    , m_documentSink(collaborators.configuration, collaborators.events)
+    , m_fleetSink(collaborators.fleet, collaborators.events)
+    , m_spreader({ collaborators.clock, collaborators.scheduler, collaborators.store, collaborators.events,
+                     m_replicaPeer, m_documentSink, m_fleetSink, collaborators.fleet },
+          { settings.id, settings.failureDomain, settings.peers })
+    , m_gossip(std::make_shared<Membership::GossipMember>(
+          Membership::GossipMember::Collaborators { collaborators.clock, collaborators.scheduler, collaborators.random,
+              collaborators.events, m_gossipPeer, collaborators.fleet, *this, m_spreader },
+          Membership::GossipMember::Identity { ownVm(settings), incarnation, settings.peers }))
+    , m_ownership(*m_gossip, collaborators.clock, settings.id, settings.failureDomain)
+{
+    m_spreader.attach(m_gossip);
+}
+
+FleetKnowledge::~FleetKnowledge() = default;
+
+auto FleetKnowledge::start(const Core::Address& address, const Core::Address& peerAddress, OwnState ownState) -> void
+{
+    m_ownState.emplace(ownState);
+    m_gossip->setAddresses(address, peerAddress);
+    MembershipPeer::registerGossipHandlers(m_router, *m_gossip);
+    SpreadPeer::registerReplicaHandlers(m_router, m_spreader);
+    m_gossip->start();
+    m_spreader.start();
+}
+
+auto FleetKnowledge::announceLeaving() -> void { m_gossip->announceLeaving(); }
+
+auto FleetKnowledge::stop() -> void
+{
+    m_spreader.stop();
+    m_gossip->stop();
+}
+
+auto FleetKnowledge::keyPrefix() const -> std::string
+{
+    return m_ownState ? m_ownState->prefixes.currentPrefix() : std::string();
+}
+
+auto FleetKnowledge::loads() const -> std::vector<Fleet::ServiceLoad>
+{
+    return m_ownState ? m_ownState->loads.serviceLoads() : std::vector<Fleet::ServiceLoad>();
+}
+
+auto boundAddress(const Core::Address& setting, std::uint16_t port) -> Core::Address
+{
+    const auto& text = setting.value();
+    return Core::Address(text.substr(0, text.rfind(':') + 1) + std::to_string(port));
+}
+
+} // namespace App
--- /dev/null
+++ b/src/app/fleetknowledge.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "app/configurationsink.h"
+#include "app/servesettings.h"
+#include "ledger/bookinggate.h"
+#include "membership/rendezvousownership.h"
+#include "membershippeer/gossippeer.h"
+#include "spread/versionspreader.h"
+#include "spreadpeer/replicapeer.h"
+
+namespace App {
+
+/// What the process knows of the fleet and of the configuration: gossip, and copies of the store's objects.
+class FleetKnowledge : private Membership::OwnStateSource {
+public:
+    struct Collaborators {
+        const Ports::Clock& clock;
+        Ports::Scheduler& scheduler;
+        Ports::RandomSource& random;
+        Ports::EventSink& events;
+        Ports::ObjectStore& store;
+        Ports::PeerTransport& transport;
+        Ports::PeerRouter& router;
+        Configuration::ConfigurationHolder& configuration;
+        Fleet::FleetHolder& fleet;
+    };
+    /// What this member tells the others of itself.
+    struct OwnState {
+        const Ledger::KeyPrefixSource& prefixes;
+        const Fleet::LoadSource& loads;
+    };
+
+    FleetKnowledge(Collaborators collaborators, const ServeSettings& settings, const Core::Incarnation& incarnation);
+    ~FleetKnowledge() override;
+
+    [[nodiscard]] auto members() const -> const Membership::MembershipView& { return *m_gossip; }
+    [[nodiscard]] auto ownership() const -> const Fleet::UpstreamOwnership& { return m_ownership; }
+    [[nodiscard]] auto status() const -> const Spread::StatusSource& { return m_spreader; }
+
+    /// The addresses that this process has bound.
+    auto start(const Core::Address& address, const Core::Address& peerAddress, OwnState ownState) -> void;
+    /// Tells the others that this process stops soon.
+    auto announceLeaving() -> void;
+    auto stop() -> void;
+
+private:
+    [[nodiscard]] auto keyPrefix() const -> std::string override;
+    [[nodiscard]] auto loads() const -> std::vector<Fleet::ServiceLoad> override;
+
+    Ports::PeerRouter& m_router;
+    std::optional<OwnState> m_ownState;
+    MembershipPeer::GossipPeer m_gossipPeer;
+    SpreadPeer::ReplicaPeer m_replicaPeer;
+    DocumentSink m_documentSink;
+    FleetSink m_fleetSink;
+    Spread::VersionSpreader m_spreader;
+    std::shared_ptr<Membership::GossipMember> m_gossip;
+    Membership::RendezvousOwnership m_ownership;
+};
+
+/// IP of the setting with the port that was bound, which differs when the setting gave port 0.
+auto boundAddress(const Core::Address& setting, std::uint16_t port) -> Core::Address;
+
+} // namespace App
--- a/src/libs/membership/gossipmember.cpp
+++ b/src/libs/membership/gossipmember.cpp
@@ -28,6 +28,14 @@
     m_table.merge(m_own, m_collaborators.clock.now());
 }
 
+auto GossipMember::setAddresses(const Core::Address& address, const Core::Address& peerAddress) -> void
+{
+    m_identity.vm.address = address;
+    m_identity.vm.peerAddress = peerAddress;
+    const std::lock_guard lock(m_ownMutex);
+    m_own.vm = m_identity.vm;
+}
+
 auto GossipMember::start() -> void
 {
     refreshOwn(true);
--- a/src/libs/membership/gossipmember.h
+++ b/src/libs/membership/gossipmember.h
@@ -47,6 +47,9 @@
 
     GossipMember(Collaborators collaborators, Identity identity, GossipTiming timing = {});
 
+    /// Replaces the addresses of the identity, for a process that learns its ports when it binds them. Only before
+    /// start().
+    auto setAddresses(const Core::Address& address, const Core::Address& peerAddress) -> void;
     auto start() -> void;
     auto stop() -> void;
     /// Tells the others that this member stops soon. Look-up answers leave it out from then on.
@@ -108,7 +111,7 @@
     auto pick(std::size_t count) -> std::size_t;
 
     Collaborators m_collaborators;
-    const Identity m_identity;
+    Identity m_identity;
     const GossipTiming m_timing;
     MemberTable m_table;
     /// Guards the own record and the rival, and is never held while a port is called.
--- a/src/libs/spread/configurationstatus.h
+++ b/src/libs/spread/configurationstatus.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "ports/objectstore.h"
 
 #include <optional>
 #include <string>
@@ -36,8 +37,6 @@
     Core::Version refusedVersion;
     std::string refusalReason;
     std::vector<DomainStatus> domains;
-    /// Text of the document in force, for reading back.
-    std::string documentText;
 };
 
 /// Where front ends read the status; safe to call from several threads.
@@ -45,6 +44,8 @@
 public:
     virtual ~StatusSource() = default;
     [[nodiscard]] virtual auto configurationStatus() const -> ConfigurationStatus = 0;
+    /// Text and version of the steering document in force; version 0 when there is none.
+    [[nodiscard]] virtual auto documentInForce() const -> Ports::StoredObject = 0;
 };
 
 } // namespace Spread
--- a/src/libs/spread/versionspreader.cpp
+++ b/src/libs/spread/versionspreader.cpp
@@ -140,11 +140,14 @@
 auto VersionSpreader::startupPeers() const -> std::set<Core::Address>
 {
     std::set<Core::Address> peers(m_identity.seeds.begin(), m_identity.seeds.end());
+    auto add = [&](const Fleet::EntryVm& vm) {
+        if (vm.id != m_identity.vm)
+            peers.insert(vm.peerAddress);
+    };
     for (const auto& vm : m_collaborators.fleet.current()->entryVms)
-        peers.insert(vm.peerAddress);
+        add(vm);
     for (const auto& member : m_gossip->members())
-        peers.insert(member.vm.peerAddress);
-    peers.erase(m_identity.peerAddress);
+        add(member.vm);
     return peers;
 }
 
@@ -162,12 +165,15 @@
     status.fleetVersion = m_fleetList->status().version;
     status.refusedVersion = document.refused.version;
     status.refusalReason = document.refused.reason;
-    if (const auto held = m_document->answerFetch(Core::Version(0)))
-        status.documentText = held->text;
     const auto reports = domainReports();
     for (const auto& report : reports)
         status.domains.push_back(assess(report, reports, document.refused));
     return status;
 }
 
+auto VersionSpreader::documentInForce() const -> Ports::StoredObject
+{
+    return m_document->answerFetch(Core::Version(0)).value_or(Ports::StoredObject());
+}
+
 } // namespace Spread
--- a/src/libs/spread/versionspreader.h
+++ b/src/libs/spread/versionspreader.h
@@ -29,7 +29,6 @@
     struct Identity {
         Core::EntryVmId vm;
         Core::FailureDomainId failureDomain;
-        Core::Address peerAddress;
         std::vector<Core::Address> seeds;
     };
 
@@ -48,6 +47,7 @@
     [[nodiscard]] auto startupPeers() const -> std::set<Core::Address> override;
     auto adopted(ReplicatedObject object) -> void override;
     [[nodiscard]] auto configurationStatus() const -> ConfigurationStatus override;
+    [[nodiscard]] auto documentInForce() const -> Ports::StoredObject override;
 
 private:
     struct HeardReport {
--- /dev/null
+++ b/src/plugins/httpstatus/statushandler.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "httpserver/httpserver.h"
+#include "spread/configurationstatus.h"
+
+namespace HttpStatus {
+
+inline constexpr std::string_view statusPath = "/v1/status";
+inline constexpr std::string_view documentPath = "/v1/document";
+
+/// Answers GET /v1/status and GET /v1/document, and leaves all else to the next handler.
+class StatusHandler : public HttpServer::HttpHandler {
+public:
+    StatusHandler(const Spread::StatusSource& source, HttpServer::HttpHandler& next);
+
+    auto handle(HttpServer::HttpRequest request, Respond respond) -> void override;
+    auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpServer::HttpResponse override;
+
+private:
+    const Spread::StatusSource& m_source;
+    HttpServer::HttpHandler& m_next;
+};
+
+} // namespace HttpStatus
--- a/tests/auto/spread/spreadcluster.h
+++ b/tests/auto/spread/spreadcluster.h
@@ -113,7 +113,7 @@
             , ports(cluster.world, addressOf(place.vm))
             , store(cluster.store, addressOf(place.vm))
             , spreader({ world, ports, store, *this, replicaPeer, documentSink, fleetSink, fleet },
-                  { Core::EntryVmId(place.vm), Core::FailureDomainId(place.failureDomain), addressOf(place.vm), seeds })
+                  { Core::EntryVmId(place.vm), Core::FailureDomainId(place.failureDomain), seeds })
             , gossip(std::make_shared<Membership::GossipMember>(Membership::GossipMember::Collaborators { world, ports,
                                                                     *this, *this, gossipPeer, fleet, *this, spreader },
                   Membership::GossipMember::Identity {
