Predict waits from recent load, not from gaps between starts

The mean gap between starts was only sampled while others waited. The wait now follows from the slots that higher ranks' recent starts and owed floors leave, and at least the service's own floor. Reading only the gap of urgent work from the slots was tried first: it mends urgent work alone.

--- a/src/libs/dispatch/dispatchpool.cpp
+++ b/src/libs/dispatch/dispatchpool.cpp
@@ -108,7 +108,7 @@
         return RefusalReason::NoUpstream;
     if (m_upstreams.freeSlots(now) > m_queue.size())
         return std::nullopt;
-    const auto wait = m_queue.predictedWait(pending, m_upstreams.usableSlots(now));
+    const auto wait = m_queue.predictedWait(pending, m_upstreams.usableSlots(now), now);
     const auto end = now + wait + m_queue.longestServiceTime(pending.policy.service);
     if (end > pending.request.deadline)
         return RefusalReason::DeadlineUnreachable;
--- a/src/libs/dispatch/rankqueue.cpp
+++ b/src/libs/dispatch/rankqueue.cpp
@@ -13,6 +13,8 @@
     constexpr double deviationsToLongest = 2;
     /// Requests whose slot time a floor may save up.
     constexpr double owedRequests = 4;
+    /// Share of the slots that a service is assumed to get at least.
+    constexpr double smallestShare = 0.02;
     /// Slot time that a service is charged before its first answer.
     constexpr double assumedCostMicros = 10'000;
 
@@ -79,12 +81,11 @@
     return expired;
 }
 
-auto RankQueue::predictedWait(const PendingRequest& pending, std::uint32_t slots) -> Core::Duration
+auto RankQueue::predictedWait(const PendingRequest& pending, std::uint32_t slots, Core::Instant now) -> Core::Duration
 {
     const auto& lane = laneFor(pending.policy);
     const auto ahead = static_cast<double>(lane.waiting.aheadOf(pending.request.caller));
-    const auto gap = lane.startGapMicros > 0 ? lane.startGapMicros : costOf(lane) / std::max(1U, slots);
-    return duration(ahead * gap);
+    return duration(ahead * costOf(lane) / slotsFor(lane, slots, now));
 }
 
 auto RankQueue::recordServiceTime(const Core::ServiceId& service, Core::Duration time) -> void
@@ -193,10 +194,7 @@
         if (other.waiting.isEmpty() && other.policy.rank == lane.policy.rank)
             other.used = std::max(other.used, leastUsed);
     }
-    if (lane.lastStart != Core::Instant())
-        lane.startGapMicros = blend(lane.startGapMicros, micros(now - lane.lastStart));
-    // Without others waiting, the time to the next start says nothing about how fast the queue moves.
-    lane.lastStart = lane.waiting.size() > 1 ? now : Core::Instant();
+    lane.started.add(duration(cost), now);
 }
 
 auto RankQueue::costOf(const Lane& lane) const -> double
@@ -204,4 +202,22 @@
     return lane.meanMicros > 0 ? lane.meanMicros : assumedCostMicros;
 }
 
+auto RankQueue::slotsFor(const Lane& lane, std::uint32_t slots, Core::Instant now) const -> double
+{
+    double left = slots;
+    double worthOfRank = lane.policy.worth;
+    for (const auto& [service, other] : m_lanes) {
+        if (&other == &lane)
+            continue;
+        if (other.policy.rank < lane.policy.rank)
+            left -= other.started.slots(now);
+        else if (!other.waiting.isEmpty())
+            left -= other.policy.floor.value() * slots;
+        if (other.policy.rank == lane.policy.rank && !other.waiting.isEmpty())
+            worthOfRank += other.policy.worth;
+    }
+    const auto guaranteed = std::max(smallestShare, lane.policy.floor.value()) * std::max(1U, slots);
+    return std::max(guaranteed, left * lane.policy.worth / worthOfRank);
+}
+
 } // namespace Dispatch
--- a/src/libs/dispatch/rankqueue.h
+++ b/src/libs/dispatch/rankqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/decayingsum.h"
 #include "dispatch/fairqueue.h"
 
 #include <functional>
@@ -28,7 +29,8 @@
     /// Time that nearly every request of the service stays within; zero until the first answer.
     [[nodiscard]] auto longestServiceTime(const Core::ServiceId& service) const -> Core::Duration;
     /// Bound for the time that a new request would wait for its start.
-    [[nodiscard]] auto predictedWait(const PendingRequest& pending, std::uint32_t slots) -> Core::Duration;
+    [[nodiscard]] auto predictedWait(const PendingRequest& pending, std::uint32_t slots, Core::Instant now)
+        -> Core::Duration;
     auto recordServiceTime(const Core::ServiceId& service, Core::Duration time) -> void;
     /// Zero until the first answer.
     [[nodiscard]] auto meanServiceTime(const Core::ServiceId& service) const -> Core::Duration;
@@ -49,9 +51,7 @@
         double owedMicros = 0;
         /// Slot time used, divided by worth.
         double used = 0;
-        /// Mean time between two starts while others wait, in microseconds.
-        double startGapMicros = 0;
-        Core::Instant lastStart;
+        DecayingSum started;
     };
     using Lanes = std::map<Core::ServiceId, Lane>;
 
@@ -60,6 +60,8 @@
     auto nextLane(Core::Rank lowest) -> Lane*;
     auto charge(Lane& lane, Core::Instant now) -> void;
     [[nodiscard]] auto costOf(const Lane& lane) const -> double;
+    /// Slots that the service can count on: what higher ranks and owed floors leave, and at least its own floor.
+    [[nodiscard]] auto slotsFor(const Lane& lane, std::uint32_t slots, Core::Instant now) const -> double;
 
     std::size_t m_limit;
     std::size_t m_size = 0;
--- a/src/libs/dispatch/slotreserve.h
+++ b/src/libs/dispatch/slotreserve.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/units.h"
+#include "dispatch/decayingsum.h"
 
 namespace Dispatch {
 
@@ -16,11 +16,7 @@
     [[nodiscard]] auto slots(Core::Instant now) const -> std::uint32_t;
 
 private:
-    [[nodiscard]] auto decayed(Core::Instant now) const -> double;
-
-    /// Slot time of recent arrivals in microseconds, which decays exponentially.
-    double m_recentMicros = 0;
-    Core::Instant m_updatedAt;
+    DecayingSum m_recentArrivals;
     std::uint32_t m_inFlight = 0;
 };
 
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -96,6 +96,24 @@
     BOOST_TEST(!upstreams.runs().contains(Core::RequestId("waiting")));
 }
 
+BOOST_AUTO_TEST_CASE(ASlowHourIsForgottenOnceTheUpstreamIsFastAgain)
+{
+    upstreams.setServiceTime(urgent.service, 400ms);
+    for (int index = 0; index < 10; ++index)
+        send("slow-" + std::to_string(index), urgent, 10s);
+    time.runFor(10s);
+    upstreams.setServiceTime(urgent.service, 20ms);
+    for (int index = 0; index < 60; ++index) {
+        send("fast-" + std::to_string(index), urgent);
+        time.runFor(50ms);
+    }
+    for (int index = 0; index < 5; ++index)
+        send("burst-" + std::to_string(index), urgent, 300ms);
+    time.runFor(300ms);
+    for (int index = 0; index < 5; ++index)
+        BOOST_TEST(isAnswered("burst-" + std::to_string(index)));
+}
+
 BOOST_AUTO_TEST_CASE(AFullQueueGivesUpDeferrableWorkForUrgentWork)
 {
     for (int index = 0; index < 2049; ++index)
