--- a/src/plugins/requestcodec/requestcodec.cpp
+++ b/src/plugins/requestcodec/requestcodec.cpp
@@ -52,7 +52,7 @@
     {
         checkSize(value, refusalFields);
         return { enumerator(value.at(0), Core::RunOutcome::Unknown),
-            enumerator(value.at(1), Core::RefusalReason::NotConfigured), value.at(2).get<std::string>(),
+            enumerator(value.at(1), Core::RefusalReason::InternalError), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<std::string>() };
     }
 
--- a/tests/auto/relaypeer/tst_relaypeer.cpp
+++ b/tests/auto/relaypeer/tst_relaypeer.cpp
@@ -92,6 +92,17 @@
     BOOST_TEST(std::get<Core::Answer>(std::get<Core::Reply>(*result)).body == bookingCall().request.body);
 }
 
+BOOST_AUTO_TEST_CASE(CanBeRefusedForEveryReason)
+{
+    for (int reason = 0; reason <= static_cast<int>(Core::RefusalReason::InternalError); ++reason) {
+        const Core::Reply refusal = Core::Refusal { Core::RunOutcome::Unknown, static_cast<Core::RefusalReason>(reason),
+            "message", "remedy", "prefix" };
+        const auto decoded = RelayPeer::decodeReply(RelayPeer::encode(refusal));
+        BOOST_REQUIRE(decoded);
+        BOOST_TEST((std::get<Core::Refusal>(*decoded).reason == static_cast<Core::RefusalReason>(reason)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(IsNotSentOnlyWhenNoByteLeft)
 {
     transport.failure = Core::Error { Core::ErrorKind::Unreachable, "", "" };
