Test that a crossed answer reaches no caller

The simulated upstreams can give another request's answer; the randomised run draws it too. Without the check in the dispatcher the invariant dispatch.answer-matches-request stops the test.

--- a/tests/auto/dispatch/tst_randomrun.cpp
+++ b/tests/auto/dispatch/tst_randomrun.cpp
@@ -45,6 +45,7 @@
         behaviour.isDraining = draw(20) == 0;
         behaviour.shedsAll = draw(5) == 0;
         behaviour.hasSilentConnections = draw(8) == 0;
+        behaviour.crossesAnswers = draw(20) == 0;
         behaviour.answersQueries = draw(3) != 0;
         behaviour.lossShare = draw(4) == 0 ? 0.3 : 0;
         behaviour.lie.reset();
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -209,6 +209,15 @@
     BOOST_TEST(upstreams.runs().at(Core::RequestId("booking")) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(GivesAnotherRequestsAnswerItReachesNoCaller)
+{
+    upstreams.behaviour(Core::UpstreamId("u1")).crossesAnswers = true;
+    send("booking", booking());
+    time.runFor(2s);
+    BOOST_TEST(isRefused("booking", Core::RunOutcome::Unknown, RefusalReason::UpstreamAnswerInvalid));
+    BOOST_TEST(upstreams.runs().at(Core::RequestId("booking")) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(LosesAnIdempotentRequestAnotherOneAnswers)
 {
     upstreams.behaviour(Core::UpstreamId("u1")).lossShare = 1;
--- a/tests/auto/support/simulatedupstreams.cpp
+++ b/tests/auto/support/simulatedupstreams.cpp
@@ -157,6 +157,8 @@
     result.reusedConnection = endpoint.behaviour.hasSilentConnections;
     if (outcome == UpstreamOutcome::Answered)
         result.answer = { exchange->call.request.id, exchange->call.upstream, 200, {}, exchange->call.request.body };
+    if (endpoint.behaviour.crossesAnswers)
+        result.answer.id = Core::RequestId("another request");
     exchange->callback(std::move(result));
 }
 
--- a/tests/auto/support/simulatedupstreams.h
+++ b/tests/auto/support/simulatedupstreams.h
@@ -19,6 +19,8 @@
     bool shedsAll = false;
     /// Runs requests and never answers on open connections; new connections work.
     bool hasSilentConnections = false;
+    /// Gives the answer of another request.
+    bool crossesAnswers = false;
     /// Chance that the connection is lost after the run, 0 to 1.
     double lossShare = 0;
     bool answersQueries = true;
