Test bookings over processes, and read the upstreams' books whole

SmallFleet::book iterated over a part of a JSON document that was already destroyed, so it returned nothing, and every check against it passed without comparing anything: the booking tests saw 0 runs of an answered key.

--- a/tests/standins/smallfleet.cpp
+++ b/tests/standins/smallfleet.cpp
@@ -155,7 +155,8 @@
         const auto reply = exchange({ upstream.address, "GET", "/admin/book", {}, "" });
         if (!reply)
             throw std::runtime_error("the book of " + id.value() + " cannot be read");
-        for (const auto& [key, count] : json::parse(reply->body).at("runs").items())
+        const auto book = json::parse(reply->body);
+        for (const auto& [key, count] : book.at("runs").items())
             runs[key] += count.get<std::uint64_t>();
     }
     return runs;
