--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -24,13 +24,13 @@
 EntryVmProcess::EntryVmProcess(const ServeSettings& settings)
     : m_settings(settings)
     , m_runtime(settings.threads)
-    , m_observation(settings, { m_clock, m_configuration })
+    , m_observation(settings, { m_clock, m_configuration, m_peerTraffic })
     , m_events(m_observation.events())
     , m_client(m_runtime.context())
     , m_store(m_client, settings.store)
     , m_upstreams(m_client, m_clock)
     , m_meteredUpstreams(m_upstreams, m_observation.metrics())
-    , m_peers(m_runtime.context(), &m_observation.causalClock())
+    , m_peers(m_runtime.context(), m_peerTraffic, &m_observation.causalClock())
     , m_knowledge(
           { m_clock, m_runtime, m_random, m_events, m_store, m_peers, m_peerHandlers, m_configuration, m_fleet },
           settings, m_incarnation)
@@ -54,7 +54,8 @@
     , m_statusFront(m_knowledge.status(), m_front)
     , m_paths(m_front)
     , m_server(m_runtime.context(), settings.listen, m_paths, callerLimits(settings))
-    , m_peerServer(m_runtime.context(), settings.peerListen, m_peerHandlers, &m_observation.causalClock())
+    , m_peerServer(
+          m_runtime.context(), settings.peerListen, m_peerHandlers, m_peerTraffic, &m_observation.causalClock())
     , m_leaveLimit(settings.leaveLimit)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT)
 {
--- a/src/app/entryvmprocess.h
+++ b/src/app/entryvmprocess.h
@@ -50,6 +50,7 @@
     Runtime::SystemRandom m_random;
     Runtime::AsioRuntime m_runtime;
     Configuration::ConfigurationHolder m_configuration;
+    PeerStream::Traffic m_peerTraffic;
     Observation m_observation;
     Ports::EventSink& m_events;
     HttpClient::Client m_client;
--- a/src/app/observation.h
+++ b/src/app/observation.h
@@ -6,6 +6,7 @@
 #include "eventlog/eventlog.h"
 #include "httpserver/pathrouter.h"
 #include "metrics/metrics.h"
+#include "peerstream/traffic.h"
 #include "timeline/eventring.h"
 #include "timeline/recorder.h"
 #include "timeline/timelineclock.h"
@@ -18,6 +19,7 @@
     struct Collaborators {
         const Ports::Clock& clock;
         const Configuration::ConfigurationSource& configuration;
+        const PeerStream::Traffic& peerTraffic;
     };
 
     Observation(const ServeSettings& settings, Collaborators collaborators);
@@ -30,6 +32,8 @@
     auto addPaths(HttpServer::PathRouter& paths) -> void;
 
 private:
+    auto readings(Collaborators collaborators) -> std::vector<Metrics::Reading>;
+
     Timeline::TimelineClock m_causalClock;
     Timeline::EventRing m_ring;
     EventLog::EventLog m_log;
--- a/src/plugins/peerstream/clientconnection.cpp
+++ b/src/plugins/peerstream/clientconnection.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(asio::io_context& context, Core::Address peer, HopClock clock)
-    : H2Session(Socket(asio::make_strand(context)), Role::Client)
+ClientConnection::ClientConnection(asio::io_context& context, Core::Address peer, Traffic& traffic, HopClock clock)
+    : H2Session(Socket(asio::make_strand(context)), Role::Client, traffic)
     , m_peer(std::move(peer))
     , m_clock(clock)
     , m_connectTimer(executor())
@@ -131,6 +131,7 @@
         pending.callback(notSent("no stream can be opened"));
         return;
     }
+    ++traffic().calls;
     m_calls[stream] = { std::move(pending.callback), pending.deadline };
     watchDeadline(pending.deadline);
 }
--- a/src/plugins/peerstream/clientconnection.h
+++ b/src/plugins/peerstream/clientconnection.h
@@ -12,7 +12,7 @@
 /// Client end of one connection to another entry VM; carries many calls at the same time.
 class ClientConnection : public H2Session {
 public:
-    ClientConnection(boost::asio::io_context& context, Core::Address peer, HopClock clock);
+    ClientConnection(boost::asio::io_context& context, Core::Address peer, Traffic& traffic, HopClock clock);
 
     /// Connects on the first call. Calls back exactly once, on the connection's strand.
     auto call(Ports::PeerMessage message, Core::Duration timeout, Ports::PeerTransport::ReplyCallback callback) -> void;
--- a/src/plugins/peerstream/h2session.cpp
+++ b/src/plugins/peerstream/h2session.cpp
@@ -113,9 +113,10 @@
     }
 };
 
-H2Session::H2Session(Socket socket, Role role)
+H2Session::H2Session(Socket socket, Role role, Traffic& traffic)
     : m_strand(socket.get_executor())
     , m_socket(std::move(socket))
+    , m_traffic(traffic)
     , m_pingTimer(m_strand)
 {
     auto* callbacks = Callbacks::make();
@@ -182,6 +183,7 @@
     if (m_output.empty())
         return;
     m_isWriting = true;
+    m_traffic.sentBytes += m_output.size();
     asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](ErrorCode error, std::size_t) {
         self->m_isWriting = false;
         if (error)
@@ -217,6 +219,7 @@
 {
     if (m_isClosed)
         return;
+    m_traffic.receivedBytes += size;
     const auto* data = reinterpret_cast<const std::uint8_t*>(m_input.data());
     const auto used = nghttp2_session_mem_recv(m_session, data, size);
     if (used < 0) {
--- a/src/plugins/peerstream/peerstreamclient.cpp
+++ b/src/plugins/peerstream/peerstreamclient.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-PeerStreamClient::PeerStreamClient(boost::asio::io_context& context, Ports::CausalClock* clock)
+PeerStreamClient::PeerStreamClient(boost::asio::io_context& context, Traffic& traffic, Ports::CausalClock* clock)
     : m_context(context)
+    , m_traffic(traffic)
     , m_clock(clock)
 {
 }
@@ -44,7 +45,7 @@
     return m_connections.with(peer, [&](Connections& connections) {
         auto& connection = connections[peer];
         if (!connection || connection->isFinished())
-            connection = std::make_shared<ClientConnection>(m_context, peer, HopClock(m_clock));
+            connection = std::make_shared<ClientConnection>(m_context, peer, m_traffic, HopClock(m_clock));
         return connection;
     });
 }
--- a/src/plugins/peerstream/peerstreamclient.h
+++ b/src/plugins/peerstream/peerstreamclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/sharded.h"
+#include "peerstream/traffic.h"
 #include "ports/causalclock.h"
 #include "ports/peertransport.h"
 #include "ports/scheduler.h"
@@ -17,7 +18,7 @@
 class PeerStreamClient : public Ports::PeerTransport {
 public:
     /// The clock, if any, is carried with each message.
-    explicit PeerStreamClient(boost::asio::io_context& context, Ports::CausalClock* clock = nullptr);
+    PeerStreamClient(boost::asio::io_context& context, Traffic& traffic, Ports::CausalClock* clock = nullptr);
     ~PeerStreamClient() override;
 
     auto call(const Core::Address& peer, Ports::PeerMessage message, Core::Duration timeout, ReplyCallback callback)
@@ -31,6 +32,7 @@
     auto connectionTo(const Core::Address& peer) -> std::shared_ptr<ClientConnection>;
 
     boost::asio::io_context& m_context;
+    Traffic& m_traffic;
     Ports::CausalClock* m_clock;
     Core::Sharded<Connections> m_connections;
 };
--- a/src/plugins/peerstream/peerstreamserver.cpp
+++ b/src/plugins/peerstream/peerstreamserver.cpp
@@ -22,12 +22,13 @@
 
 class PeerStreamServer::Implementation : public std::enable_shared_from_this<PeerStreamServer::Implementation> {
 public:
-    Implementation(
-        asio::io_context& context, const Core::Address& address, const HandlerTable& handlers, HopClock clock)
+    Implementation(asio::io_context& context, const Core::Address& address, const HandlerTable& handlers,
+        Traffic& traffic, HopClock clock)
         : m_context(context)
         , m_acceptor(asio::make_strand(context), Runtime::requireEndpoint(address))
         , m_retryTimer(m_acceptor.get_executor())
         , m_handlers(handlers)
+        , m_traffic(traffic)
         , m_clock(clock)
     {
     }
@@ -81,8 +82,8 @@
     {
         auto onClosed = [self = shared_from_this()](
                             const std::shared_ptr<ServerConnection>& connection) { self->remove(connection); };
-        auto connection
-            = std::make_shared<ServerConnection>(std::move(socket), m_handlers, m_clock, std::move(onClosed));
+        auto connection = std::make_shared<ServerConnection>(
+            std::move(socket), m_handlers, m_traffic, m_clock, std::move(onClosed));
         {
             const std::lock_guard lock(m_mutex);
             if (m_isShuttingDown)
@@ -118,6 +119,7 @@
     Acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
     const HandlerTable& m_handlers;
+    Traffic& m_traffic;
     HopClock m_clock;
     std::mutex m_mutex;
     std::set<std::shared_ptr<ServerConnection>> m_connections;
@@ -125,9 +127,9 @@
     std::function<void()> m_done;
 };
 
-PeerStreamServer::PeerStreamServer(
-    asio::io_context& context, const Core::Address& address, const HandlerTable& handlers, Ports::CausalClock* clock)
-    : m_implementation(std::make_shared<Implementation>(context, address, handlers, HopClock(clock)))
+PeerStreamServer::PeerStreamServer(asio::io_context& context, const Core::Address& address,
+    const HandlerTable& handlers, Traffic& traffic, Ports::CausalClock* clock)
+    : m_implementation(std::make_shared<Implementation>(context, address, handlers, traffic, HopClock(clock)))
 {
     m_implementation->acceptNext();
 }
--- a/src/plugins/peerstream/peerstreamserver.h
+++ b/src/plugins/peerstream/peerstreamserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peerstream/handlertable.h"
+#include "peerstream/traffic.h"
 #include "ports/causalclock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,7 +16,7 @@
     /// Listens at once. Throws boost::system::system_error when the address cannot be bound.
     /// The clock, if any, is carried with each message.
     PeerStreamServer(boost::asio::io_context& context, const Core::Address& address, const HandlerTable& handlers,
-        Ports::CausalClock* clock = nullptr);
+        Traffic& traffic, Ports::CausalClock* clock = nullptr);
     ~PeerStreamServer();
 
     [[nodiscard]] auto port() const -> std::uint16_t;
--- a/src/plugins/peerstream/serverconnection.cpp
+++ b/src/plugins/peerstream/serverconnection.cpp
@@ -32,8 +32,9 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(Socket socket, const HandlerTable& handlers, HopClock clock, ClosedCallback onClosed)
-    : H2Session(std::move(socket), Role::Server)
+ServerConnection::ServerConnection(
+    Socket socket, const HandlerTable& handlers, Traffic& traffic, HopClock clock, ClosedCallback onClosed)
+    : H2Session(std::move(socket), Role::Server, traffic)
     , m_handlers(handlers)
     , m_clock(clock)
     , m_onClosed(std::move(onClosed))
--- a/src/plugins/peerstream/serverconnection.h
+++ b/src/plugins/peerstream/serverconnection.h
@@ -13,7 +13,8 @@
 public:
     using ClosedCallback = std::function<void(const std::shared_ptr<ServerConnection>&)>;
 
-    ServerConnection(Socket socket, const HandlerTable& handlers, HopClock clock, ClosedCallback onClosed);
+    ServerConnection(
+        Socket socket, const HandlerTable& handlers, Traffic& traffic, HopClock clock, ClosedCallback onClosed);
 
     auto start() -> void;
     /// Takes no further message, answers those that are open, and then closes.
--- a/tests/auto/peerstream/tst_peerstream.cpp
+++ b/tests/auto/peerstream/tst_peerstream.cpp
@@ -65,8 +65,9 @@
 
     Runtime::AsioRuntime runtime { 2 };
     PeerStream::HandlerTable handlers;
-    PeerStream::PeerStreamServer server { runtime.context(), Core::Address("127.0.0.1:0"), handlers };
-    PeerStream::PeerStreamClient client { runtime.context() };
+    PeerStream::Traffic traffic;
+    PeerStream::PeerStreamServer server { runtime.context(), Core::Address("127.0.0.1:0"), handlers, traffic };
+    PeerStream::PeerStreamClient client { runtime.context(), traffic };
     std::mutex mutex;
     std::condition_variable arrived;
     std::vector<std::pair<std::string, Ports::PeerRouter::Respond>> held;
--- a/tests/bench/ledger/main.cpp
+++ b/tests/bench/ledger/main.cpp
@@ -173,8 +173,9 @@
             respond(LedgerPeer::decodeIntent(payload).map(
                 [&](const Ledger::Intent& intent) { return LedgerPeer::encode(backup.acknowledge(intent)); }));
         });
-    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers);
-    PeerStream::PeerStreamClient client(runtime.context());
+    PeerStream::Traffic traffic;
+    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers, traffic);
+    PeerStream::PeerStreamClient client(runtime.context(), traffic);
     const Core::Address peer("127.0.0.1:" + std::to_string(server.port()));
     std::jthread loop([&] { runtime.run(); });
     const Core::KeyPrefix prefix { homeVm, homeIncarnation, Core::Epoch(1), backupVm, backupIncarnation };
