--- a/tests/auto/peerstream/tst_hopclock.cpp
+++ b/tests/auto/peerstream/tst_hopclock.cpp
@@ -45,10 +45,11 @@
     RecordingClock handlersClock(200);
     Runtime::AsioRuntime runtime(1);
     PeerStream::HandlerTable handlers;
+    PeerStream::Traffic traffic;
     handlers.registerHandler(
         "echo", [](std::string payload, const Ports::PeerRouter::Respond& respond) { respond(std::move(payload)); });
-    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers, &handlersClock);
-    PeerStream::PeerStreamClient client(runtime.context(), &callersClock);
+    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers, traffic, &handlersClock);
+    PeerStream::PeerStreamClient client(runtime.context(), traffic, &callersClock);
     std::thread thread([&runtime] { runtime.run(); });
     std::promise<Core::Result<std::string>> reply;
     client.call(Core::Address("127.0.0.1:" + std::to_string(server.port())), { "echo", "x" }, Core::Millis(10'000),
