--- a/tests/auto/peerstream/tst_hopclock.cpp
+++ b/tests/auto/peerstream/tst_hopclock.cpp
@@ -48,7 +48,8 @@
     PeerStream::Traffic traffic;
     handlers.registerHandler(
         "echo", [](std::string payload, const Ports::PeerRouter::Respond& respond) { respond(std::move(payload)); });
-    PeerStream::PeerStreamServer server(runtime.context(), Core::Address("127.0.0.1:0"), handlers, traffic, &handlersClock);
+    PeerStream::PeerStreamServer server(
+        runtime.context(), Core::Address("127.0.0.1:0"), handlers, traffic, &handlersClock);
     PeerStream::PeerStreamClient client(runtime.context(), traffic, &callersClock);
     std::thread thread([&runtime] { runtime.run(); });
     std::promise<Core::Result<std::string>> reply;
