Back bookings up in another region when the own region has no other failure domain

Cause: candidates for the backup were only those of other failure domains of the own region, so a region whose other failure domain was lost refused each booking, and look-ups went on to name entry VMs that take none. The preferred order is: own region, other regions, the one that failed last. Look-ups leave out targets without a key prefix as long as another has one. Ruled out: home-only epochs for such a region, since a killed home would then lose its answers.

--- a/src/libs/ledger/bookinggate.h
+++ b/src/libs/ledger/bookinggate.h
@@ -27,5 +27,7 @@
 
 /// Form of a prefix, given as text, for a service without a backup; empty when the text is no prefix.
 auto prefixWithoutBackup(const std::string& prefix) -> std::string;
+/// Whether the text is a key prefix that names a backup.
+auto namesBackup(const std::string& prefix) -> bool;
 
 } // namespace Ledger
--- a/src/libs/ledger/epochmanager.cpp
+++ b/src/libs/ledger/epochmanager.cpp
@@ -1,6 +1,7 @@
 #include "ledger/epochmanager.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Ledger {
@@ -24,6 +25,12 @@
     return parsed ? toString(withoutBackup(*parsed)) : std::string();
 }
 
+auto namesBackup(const std::string& prefix) -> bool
+{
+    const auto parsed = Core::parseKeyPrefix(prefix);
+    return parsed && hasBackup(*parsed);
+}
+
 EpochManager::EpochManager(Collaborators collaborators, HomeIdentity identity, const LedgerLimits& limits)
     : m_collaborators(collaborators)
     , m_identity(std::move(identity))
@@ -72,13 +79,17 @@
     std::vector<Backup> found;
     const auto fleet = m_collaborators.fleet.current();
     for (const auto& vm : fleet->entryVms) {
-        if (vm.state != Fleet::MemberState::Live || vm.id == m_identity.vm || vm.region != m_identity.region
+        if (vm.state != Fleet::MemberState::Live || vm.id == m_identity.vm
             || vm.failureDomain == m_identity.failureDomain)
             continue;
         if (const auto incarnation = incarnationOf(vm.id))
-            found.push_back({ vm.id, *incarnation, vm.id == failed ? 0 : rendezvousWeight(m_identity.vm, vm.id) });
+            found.push_back({ vm.id, *incarnation, vm.region == m_identity.region, vm.id == failed,
+                rendezvousWeight(m_identity.vm, vm.id) });
     }
-    std::sort(found.begin(), found.end(), [](const auto& one, const auto& other) { return one.weight > other.weight; });
+    std::sort(found.begin(), found.end(), [](const Backup& one, const Backup& other) {
+        return std::tuple(one.hasFailed, !one.isInOwnRegion, other.weight)
+            < std::tuple(other.hasFailed, !other.isInOwnRegion, one.weight);
+    });
     return found;
 }
 
--- a/src/libs/ledger/epochmanager.h
+++ b/src/libs/ledger/epochmanager.h
@@ -63,6 +63,8 @@
         Core::EntryVmId vm;
         /// Zero while it is not known.
         Core::Incarnation incarnation;
+        bool isInOwnRegion = false;
+        bool hasFailed = false;
         std::uint64_t weight = 0;
     };
     struct Closing {
@@ -71,7 +73,8 @@
     };
 
     auto schedule() -> void;
-    /// Candidates in other failure domains of the own region, the preferred one first.
+    /// Candidates in other failure domains, the preferred one first: those of the own region go first.
+    /// One that failed lately goes last.
     auto candidates() const -> std::vector<Backup>;
     auto incarnationOf(const Core::EntryVmId& vm) const -> std::optional<Core::Incarnation>;
     /// The preferred candidate whose incarnation is known; asks for the incarnation of one that is preferred to it.
--- a/src/libs/serving/requestservice.cpp
+++ b/src/libs/serving/requestservice.cpp
@@ -1,5 +1,7 @@
 #include "serving/requestservice.h"
 
+#include <algorithm>
+
 namespace Serving {
 
 namespace {
@@ -23,6 +25,20 @@
         events.record({ requestAnswered, id, { { "upstream", std::get<Core::Answer>(reply).upstream.value() } } });
     }
 
+    /// Leaves out targets that take no bookings now, unless none does.
+    auto preferTargetsWithKeys(std::vector<Ports::LookupTarget>& targets) -> void
+    {
+        const auto isWithout = [](const Ports::LookupTarget& target) { return target.keyPrefix.empty(); };
+        if (std::all_of(targets.begin(), targets.end(), isWithout))
+            return;
+        std::erase_if(targets, isWithout);
+        double total = 0;
+        for (const auto& target : targets)
+            total += target.weight.value();
+        for (auto& target : targets)
+            target.weight = Core::Share(target.weight.value() / total);
+    }
+
 } // namespace
 
 RequestService::RequestService(Collaborators collaborators)
@@ -36,8 +52,11 @@
     if (!answer)
         return answer;
     const auto configuration = m_collaborators.configuration.current();
+    const auto* policy = configuration->find(query.service);
     for (auto& target : answer->targets)
-        setKeyPrefix(target, configuration->find(query.service));
+        setKeyPrefix(target, policy);
+    if (policy != nullptr && !policy->isIdempotent)
+        preferTargetsWithKeys(answer->targets);
     return answer;
 }
 
@@ -98,6 +117,8 @@
     }
     if (!policy->needsBackup)
         target.keyPrefix = Ledger::prefixWithoutBackup(target.keyPrefix);
+    else if (!Ledger::namesBackup(target.keyPrefix))
+        target.keyPrefix.clear();
     // What membership says of this entry VM may be older than its newest epoch.
     const auto own = m_collaborators.keyPrefixes.currentPrefix(policy->needsBackup);
     if (const auto parsed = Core::parseKeyPrefix(own); parsed && parsed->home == target.vm)
