Know a service's load before its first request, and blame endpoints for bad answers

Two causes, found by process tests with six entry VMs. A failed reused connection now also drops the other idle ones to that address, so that the next call shows whether the endpoint is at fault.

--- a/src/libs/dispatch/dispatchpool.cpp
+++ b/src/libs/dispatch/dispatchpool.cpp
@@ -94,12 +94,21 @@
     const Core::SlotCount busy(m_upstreams.busySlots());
     std::vector<Fleet::ServiceLoad> loads;
     m_queue.forEachService([&](const Core::ServiceId& service, std::size_t waiting) {
+        // Without upstreams and work there is no load to tell others of.
+        if (usable.value() == 0 && busy.value() == 0 && waiting == 0)
+            return;
         loads.push_back(
             { service, usable, busy, static_cast<std::uint32_t>(waiting), m_queue.meanServiceTime(service) });
     });
     return loads;
 }
 
+auto DispatchPool::addServices(const std::vector<Configuration::ServicePolicy>& policies) -> void
+{
+    for (const auto& policy : policies)
+        m_queue.addService(policy);
+}
+
 auto DispatchPool::rejectionFor(const PendingRequest& pending, Core::Instant now) -> std::optional<RefusalReason>
 {
     if (pending.request.deadline <= now)
--- a/src/libs/dispatch/dispatchpool.h
+++ b/src/libs/dispatch/dispatchpool.h
@@ -44,6 +44,8 @@
 
     auto refresh(const std::vector<OwnedUpstream>& upstreams, const UpstreamPool::Settings& settings,
         Core::Share retryBudget, Core::Instant now) -> DispatchEffects;
+    /// Makes the services that the pool serves known before their first requests, so that their load is.
+    auto addServices(const std::vector<Configuration::ServicePolicy>& policies) -> void;
     /// Takes a new request.
     auto admit(PendingPointer pending, Core::Instant now) -> DispatchEffects;
     /// Queues a request again whose attempt failed, or rejects it for the reason of that attempt.
--- a/src/libs/dispatch/rankeddispatcher.cpp
+++ b/src/libs/dispatch/rankeddispatcher.cpp
@@ -14,9 +14,21 @@
     constexpr std::size_t heldRequestsLimit = 8192;
     constexpr Core::Millis tickInterval { 500 };
 
-    auto poolOf(const Configuration::ServicePolicy& policy, const Core::ServiceRequest& request) -> Core::ServiceId
+    auto poolOf(const Configuration::ServicePolicy& policy, const Core::ServiceId& service) -> Core::ServiceId
     {
-        return policy.pool.value().empty() ? request.service : policy.pool;
+        return policy.pool.value().empty() ? service : policy.pool;
+    }
+
+    /// Policies of the services that the pool serves.
+    auto policiesOf(const Core::ServiceId& pool, const Configuration::SteeringConfiguration& configuration)
+        -> std::vector<Configuration::ServicePolicy>
+    {
+        std::vector<Configuration::ServicePolicy> policies;
+        for (const auto& [service, policy] : configuration.services) {
+            if (poolOf(policy, service) == pool)
+                policies.push_back(policy);
+        }
+        return policies;
     }
 
     auto reasonFor(UpstreamOutcome outcome) -> RefusalReason
@@ -75,7 +87,7 @@
         reject(pending, RefusalReason::RequestQuarantined);
         return;
     }
-    const auto pool = poolOf(policy, pending->request);
+    const auto pool = poolOf(policy, pending->request.service);
     decide(pool, [&](DispatchPool& state) { return state.admit(pending, now); });
 }
 
@@ -118,7 +130,9 @@
     }
     const UpstreamPool::Settings settings { configuration->ejectionLimit, configuration->slowStart };
     for (const auto& [id, listed] : upstreams) {
+        const auto policies = policiesOf(id, *configuration);
         decide(id, [&, &listed = listed](DispatchPool& pool) {
+            pool.addServices(policies);
             return pool.refresh(listed, settings, configuration->retryBudget, now);
         });
     }
@@ -264,7 +278,9 @@
 auto RankedDispatcher::finishPossiblyRun(
     const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result) -> void
 {
-    judgeFailure(pool, assignment.upstream, result.reusedConnection);
+    // An invalid answer came over a working connection, so it is the endpoint's own fault.
+    const bool mayBeConnection = result.reusedConnection && result.outcome != UpstreamOutcome::Invalid;
+    judgeFailure(pool, assignment.upstream, mayBeConnection);
     release(pool, assignment);
     const auto reason = reasonFor(result.outcome);
     if (assignment.pending->policy.isIdempotent)
@@ -304,7 +320,7 @@
         });
 }
 
-auto RankedDispatcher::judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool reusedConnection) -> void
+auto RankedDispatcher::judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool mayBeConnection) -> void
 {
     const auto countAgainst = [this, pool, id = upstream.id] {
         decide(pool, [&](DispatchPool& state) {
@@ -313,7 +329,7 @@
             return state.advance(now);
         });
     };
-    if (!reusedConnection) {
+    if (!mayBeConnection) {
         countAgainst();
         return;
     }
--- a/src/libs/dispatch/rankeddispatcher.h
+++ b/src/libs/dispatch/rankeddispatcher.h
@@ -71,7 +71,8 @@
         -> void;
     auto finishLost(const PoolId& pool, const Assignment& assignment, const Ports::UpstreamResult& result) -> void;
     auto finishTimedOut(const PoolId& pool, const Assignment& assignment, bool reusedConnection) -> void;
-    auto judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool reusedConnection) -> void;
+    /// mayBeConnection: only the connection, not the endpoint, may have failed.
+    auto judgeFailure(const PoolId& pool, const Fleet::Upstream& upstream, bool mayBeConnection) -> void;
     auto retryOrReject(const PoolId& pool, const PendingPointer& pending, Core::RefusalReason reason) -> void;
     auto release(const PoolId& pool, const Assignment& assignment) -> void;
 
--- a/src/libs/dispatch/rankqueue.cpp
+++ b/src/libs/dispatch/rankqueue.cpp
@@ -40,6 +40,8 @@
 {
 }
 
+auto RankQueue::addService(const Configuration::ServicePolicy& policy) -> void { laneFor(policy); }
+
 auto RankQueue::offer(PendingPointer pending) -> Offer
 {
     Offer offer;
--- a/src/libs/dispatch/rankqueue.h
+++ b/src/libs/dispatch/rankqueue.h
@@ -20,6 +20,8 @@
         PendingPointer evicted;
     };
 
+    /// Makes a service known before its first request.
+    auto addService(const Configuration::ServicePolicy& policy) -> void;
     [[nodiscard]] auto offer(PendingPointer pending) -> Offer;
     /// Takes a request back whose attempt did not run; it is exempt from the bound.
     auto putBack(PendingPointer pending) -> void;
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -105,10 +105,10 @@
         Error error;
         co_await http::async_write(connection->stream, call->request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            co_return tl::unexpected(Failure { stageAfterWrite(error), connection->isReused, error.message() });
+            co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
         auto response = co_await self->readFinalResponse(*connection, error);
         if (error)
-            co_return tl::unexpected(Failure { stageAfterWrite(error), connection->isReused, error.message() });
+            co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
         Exchange result { std::move(response), connection->isReused };
         if (result.response.keep_alive() && connection->buffer.size() == 0)
             self->keep(call->address, connection);
@@ -147,6 +147,14 @@
         co_return std::string();
     }
 
+    auto failureAfterWrite(const Call& call, const Connection& connection, const Error& error) -> Failure
+    {
+        // What made one old connection fail has often made the others fail as well: the next calls take new ones.
+        if (connection.isReused)
+            m_idle.with(call.address, [&](Pool& pool) { pool.erase(call.address); });
+        return { stageAfterWrite(error), connection.isReused, error.message() };
+    }
+
     auto takeIdle(const Core::Address& address) -> ConnectionPointer
     {
         return m_idle.with(address, [&](Pool& pool) -> ConnectionPointer {
--- a/tests/auto/dispatch/tst_rankeddispatcher.cpp
+++ b/tests/auto/dispatch/tst_rankeddispatcher.cpp
@@ -377,3 +377,24 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AnEntryVmHasJustStarted, DispatchTest::RankedStory)
+
+BOOST_AUTO_TEST_CASE(ThenItsLoadIsKnownBeforeTheFirstRequestOfAService)
+{
+    auto configured = *configuration.current();
+    configured.version = Core::Version(2);
+    for (const auto rank : Core::allRanks) {
+        const auto policy = policyFor(rank);
+        configured.services[policy.service] = policy;
+    }
+    configuration.offer(configured);
+    listUpstreams({ "u1" }, 2);
+    dispatcher.start();
+    const auto loads = dispatcher.serviceLoads();
+    BOOST_TEST(loads.size() == Core::rankCount);
+    for (const auto& load : loads)
+        BOOST_TEST(load.usableSlots.value() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
