--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 
 bench: build
 	@$(BUILD)/tests/bench/policy/bench_policy --json docs/measurements/policy.json
+	@$(BUILD)/tests/bench/lookup/bench_lookup docs/measurements/lookup.json
+	@$(BUILD)/tests/bench/steering/bench_steering docs/measurements/steering.json
+	@$(BUILD)/tests/bench/fleet/bench_fleet --json docs/measurements/fleet.json
 
 demo: packages build
 	@$(BUILD)/tests/demo/dragonflywinch-demo
--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -37,8 +37,8 @@
     , m_dispatcher({ m_clock, m_runtime, m_meteredUpstreams, m_fleet, m_configuration, m_knowledge.ownership() },
           settings.failureDomain)
     , m_suspicionPeer(m_peers)
-    , m_suspicions(
-          { m_clock, m_random, m_knowledge.members(), m_suspicionPeer, m_dispatcher.quarantine() }, settings.id)
+    , m_suspicions({ m_clock, m_random, m_knowledge.members(), m_fleet, m_suspicionPeer, m_dispatcher.quarantine() },
+          settings.id)
     , m_relayPeer(m_peers)
     , m_steering({ m_clock, m_random, m_runtime, m_store, m_events, m_configuration, m_fleet, m_knowledge.members(),
                      m_dispatcher, m_dispatcher, m_relayPeer, m_relayPeer, m_clientBlocks },
--- a/src/libs/suspicion/suspicionspread.cpp
+++ b/src/libs/suspicion/suspicionspread.cpp
@@ -45,9 +45,12 @@
 auto SuspicionSpread::chooseTargets() -> std::vector<Fleet::EntryVm>
 {
     std::vector<Fleet::EntryVm> targets;
-    for (const auto& member : m_collaborators.members.members()) {
-        if (member.vm.id != m_self && member.health != Membership::MemberHealth::Suspected)
-            targets.push_back(member.vm);
+    const auto fleet = m_collaborators.fleet.current();
+    for (const auto& vm : fleet->entryVms) {
+        const auto member = m_collaborators.members.find(vm.id);
+        const bool isSuspected = member && member->health == Membership::MemberHealth::Suspected;
+        if (vm.id != m_self && !isSuspected)
+            targets.push_back(vm);
     }
     // Moves a random choice to the front, as far as it is needed.
     for (std::size_t index = 0; targets.size() > fanOut && index < fanOut; ++index) {
--- a/src/libs/suspicion/suspicionspread.h
+++ b/src/libs/suspicion/suspicionspread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/suspicionannouncer.h"
+#include "fleet/fleetholder.h"
 #include "membership/membershipview.h"
 #include "ports/clock.h"
 #include "ports/randomsource.h"
@@ -16,6 +17,8 @@
         const Ports::Clock& clock;
         Ports::RandomSource& random;
         const Membership::MembershipView& members;
+        /// Names every entry VM, where membership knows only some of other failure domains.
+        const Fleet::FleetSource& fleet;
         SuspicionPort& port;
         Dispatch::CrashSuspicionExchange& quarantine;
     };
--- a/tests/auto/suspicion/tst_suspicionspread.cpp
+++ b/tests/auto/suspicion/tst_suspicionspread.cpp
@@ -45,18 +45,18 @@
     std::size_t messages = 0;
 };
 
-class Members : public Membership::MembershipView {
+/// Knows nobody, as an entry VM that has just started.
+class NoMembers : public Membership::MembershipView {
 public:
-    [[nodiscard]] auto members() const -> std::vector<Membership::Member> override { return all; }
+    [[nodiscard]] auto members() const -> std::vector<Membership::Member> override { return {}; }
     [[nodiscard]] auto find(const Core::EntryVmId&) const -> std::optional<Membership::Member> override { return {}; }
-
-    std::vector<Membership::Member> all;
 };
 
 struct Node {
-    Node(FixedClock& clock, CountingRandom& random, Members& members, Wire& wire, const std::string& id)
+    Node(FixedClock& clock, CountingRandom& random, NoMembers& members, const Fleet::FleetSource& fleet, Wire& wire,
+        const std::string& id)
         : port(wire)
-        , spread({ clock, random, members, port, quarantine }, Core::EntryVmId(id))
+        , spread({ clock, random, members, fleet, port, quarantine }, Core::EntryVmId(id))
     {
         SuspicionPeer::registerSuspicionHandler(wire.routers[Core::Address(id)], spread);
     }
@@ -69,14 +69,16 @@
 struct AFleet {
     auto start(std::size_t size) -> void
     {
+        Fleet::FleetList list { Core::Version(1), {}, {} };
         for (std::size_t index = 0; index < size; ++index) {
             const auto id = "vm-" + std::to_string(index);
-            Membership::Member member;
-            member.vm.id = Core::EntryVmId(id);
-            member.vm.peerAddress = Core::Address(id);
-            members.all.push_back(member);
-            nodes.push_back(std::make_unique<Node>(clock, random, members, wire, id));
+            Fleet::EntryVm vm;
+            vm.id = Core::EntryVmId(id);
+            vm.peerAddress = Core::Address(id);
+            list.entryVms.push_back(vm);
+            nodes.push_back(std::make_unique<Node>(clock, random, members, fleet, wire, id));
         }
+        fleet.offer(std::move(list));
     }
 
     auto informed() const -> std::size_t
@@ -89,7 +91,8 @@
 
     FixedClock clock;
     CountingRandom random;
-    Members members;
+    NoMembers members;
+    Fleet::FleetHolder fleet;
     Wire wire;
     std::vector<std::unique_ptr<Node>> nodes;
     const Dispatch::CrashSuspicion suspicion { { 1, ~0ULL }, { Core::UpstreamId("u1"), Core::UpstreamId("u2") } };
