Share the packing of CBOR payloads, and let go of peer connections at the end

The peer server kept its connections, which refer to it, so that a process which ended with open connections leaked them (seen by the address sanitizer).

--- a/src/libs/membership/gossipmember.h
+++ b/src/libs/membership/gossipmember.h
@@ -82,6 +82,7 @@
     auto schedulePush() -> void;
     auto probeRound(const std::vector<MemberRecord>& peers) -> void;
     auto probe(const MemberRecord& target) -> void;
+    auto probe(const MemberRecord& target, std::function<void()> onFailure) -> void;
     auto probeIndirectly(const MemberRecord& target) -> void;
     auto suspect(const MemberRecord& target) -> void;
     /// Second attempt at a member of another failure domain, which has no relays.
--- a/src/libs/membership/gossiprounds.cpp
+++ b/src/libs/membership/gossiprounds.cpp
@@ -111,16 +111,21 @@
 }
 
 auto GossipMember::probe(const MemberRecord& target) -> void
+{
+    probe(target, [this, target] { probeIndirectly(target); });
+}
+
+auto GossipMember::probe(const MemberRecord& target, std::function<void()> onFailure) -> void
 {
     m_collaborators.port.probe(target.vm.peerAddress, heartbeat(), m_timing.probeTimeout,
-        [weak = weak_from_this(), target](const Core::Result<Gossip>& reply) {
+        [weak = weak_from_this(), onFailure = std::move(onFailure)](const Core::Result<Gossip>& reply) {
             const auto self = weak.lock();
             if (!self)
                 return;
             if (reply)
                 self->take(*reply);
             else
-                self->probeIndirectly(target);
+                onFailure();
         });
 }
 
@@ -296,16 +301,7 @@
 
 auto GossipMember::confirmUnreachable(const MemberRecord& target) -> void
 {
-    m_collaborators.port.probe(target.vm.peerAddress, heartbeat(), m_timing.probeTimeout,
-        [weak = weak_from_this(), target](const Core::Result<Gossip>& reply) {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            if (reply)
-                self->take(*reply);
-            else
-                self->suspect(target);
-        });
+    probe(target, [this, target] { suspect(target); });
 }
 
 } // namespace Membership
--- /dev/null
+++ b/src/plugins/cbor/cbor.cpp
@@ -0,0 +1,18 @@
+#include "cbor/cbor.h"
+
+namespace Cbor {
+
+auto pack(const nlohmann::json& value) -> std::string
+{
+    std::string payload;
+    nlohmann::json::to_cbor(value, payload);
+    return payload;
+}
+
+auto invalidMessage(std::string_view what, std::string_view detail) -> Core::Error
+{
+    return { Core::ErrorKind::InvalidMessage, std::string(what) + " of a peer cannot be read: " + std::string(detail),
+        "run compatible releases on all entry VMs" };
+}
+
+} // namespace Cbor
--- a/src/plugins/ledgerpeer/ledgercodec.cpp
+++ b/src/plugins/ledgerpeer/ledgercodec.cpp
@@ -1,9 +1,8 @@
 #include "ledgerpeer/ledgercodec.h"
 
+#include "cbor/cbor.h"
 #include "requestcodec/requestcodec.h"
 
-#include <nlohmann/json.hpp>
-
 namespace LedgerPeer {
 
 namespace {
@@ -12,27 +11,11 @@
 
     constexpr std::int64_t maximumDeadlineMicroseconds = 24LL * 3600 * 1'000'000;
 
-    auto pack(const json& value) -> std::string
-    {
-        std::string payload;
-        json::to_cbor(value, payload);
-        return payload;
-    }
+    constexpr auto messageName = "a ledger message";
 
     /// Thrown inside the decoders only, where the library throws its own errors too.
     class InvalidField : public std::exception { };
 
-    /// Calls read(json) and turns whatever it throws into an InvalidMessage error.
-    template <typename T, typename Reader> auto unpack(const std::string& payload, Reader read) -> Core::Result<T>
-    {
-        try {
-            return read(json::from_cbor(payload));
-        } catch (const std::exception&) {
-            return Core::fail(Core::ErrorKind::InvalidMessage, "a ledger message from a peer cannot be read",
-                "run the same release on all entry VMs");
-        }
-    }
-
     /// Enumerator at the given index, up to and with the last one.
     template <typename Enumeration> auto enumerator(const json& value, Enumeration last) -> Enumeration
     {
@@ -73,11 +56,11 @@
 
 } // namespace
 
-auto encode(const Core::Incarnation& incarnation) -> std::string { return pack(toString(incarnation)); }
+auto encode(const Core::Incarnation& incarnation) -> std::string { return Cbor::pack(toString(incarnation)); }
 
 auto decodeIncarnation(const std::string& payload) -> Core::Result<Core::Incarnation>
 {
-    return unpack<Core::Incarnation>(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         const auto incarnation = Core::parseIncarnation(value.get<std::string>());
         if (!incarnation)
             throw InvalidField();
@@ -87,33 +70,33 @@
 
 auto encode(const Ledger::Intent& intent) -> std::string
 {
-    return pack({ toString(intent.key), intent.request.value(), intent.fingerprint.value() });
+    return Cbor::pack({ toString(intent.key), intent.request.value(), intent.fingerprint.value() });
 }
 
 auto decodeIntent(const std::string& payload) -> Core::Result<Ledger::Intent>
 {
-    return unpack<Ledger::Intent>(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Ledger::Intent { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
             Ledger::Fingerprint(value.at(2).get<std::uint64_t>()) };
     });
 }
 
-auto encode(Ledger::IntentOutcome outcome) -> std::string { return pack(static_cast<std::uint64_t>(outcome)); }
+auto encode(Ledger::IntentOutcome outcome) -> std::string { return Cbor::pack(static_cast<std::uint64_t>(outcome)); }
 
 auto decodeIntentOutcome(const std::string& payload) -> Core::Result<Ledger::IntentOutcome>
 {
-    return unpack<Ledger::IntentOutcome>(
-        payload, [](const json& value) { return enumerator(value, Ledger::IntentOutcome::Unreachable); });
+    return Cbor::unpack(
+        payload, messageName, [](const json& value) { return enumerator(value, Ledger::IntentOutcome::Unreachable); });
 }
 
 auto encode(const Ledger::Outcome& outcome) -> std::string
 {
-    return pack({ toString(outcome.key), outcome.request.value(), optionalAnswerJson(outcome.answer) });
+    return Cbor::pack({ toString(outcome.key), outcome.request.value(), optionalAnswerJson(outcome.answer) });
 }
 
 auto decodeOutcome(const std::string& payload) -> Core::Result<Ledger::Outcome>
 {
-    return unpack<Ledger::Outcome>(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Ledger::Outcome { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
             readOptionalAnswer(value.at(2)) };
     });
@@ -121,12 +104,12 @@
 
 auto encode(const Ledger::Query& query) -> std::string
 {
-    return pack({ toString(query.key), query.request.value(), query.fingerprint.value() });
+    return Cbor::pack({ toString(query.key), query.request.value(), query.fingerprint.value() });
 }
 
 auto decodeQuery(const std::string& payload) -> Core::Result<Ledger::Query>
 {
-    return unpack<Ledger::Query>(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Ledger::Query { readKey(value.at(0)), Core::RequestId(value.at(1).get<std::string>()),
             Ledger::Fingerprint(value.at(2).get<std::uint64_t>()) };
     });
@@ -134,12 +117,12 @@
 
 auto encode(const Ledger::Resolution& resolution) -> std::string
 {
-    return pack({ static_cast<std::uint64_t>(resolution.kind), optionalAnswerJson(resolution.answer) });
+    return Cbor::pack({ static_cast<std::uint64_t>(resolution.kind), optionalAnswerJson(resolution.answer) });
 }
 
 auto decodeResolution(const std::string& payload) -> Core::Result<Ledger::Resolution>
 {
-    return unpack<Ledger::Resolution>(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         Ledger::Resolution resolution { enumerator(value.at(0), Ledger::ResolutionKind::OtherRequest),
             readOptionalAnswer(value.at(1)) };
         if ((resolution.kind == Ledger::ResolutionKind::Answered) != resolution.answer.has_value())
@@ -148,21 +131,21 @@
     });
 }
 
-auto encode(const Core::Reply& reply) -> std::string { return pack(RequestCodec::toJson(reply)); }
+auto encode(const Core::Reply& reply) -> std::string { return Cbor::pack(RequestCodec::toJson(reply)); }
 
 auto decodeReply(const std::string& payload) -> Core::Result<Core::Reply>
 {
-    return unpack<Core::Reply>(payload, RequestCodec::replyFrom);
+    return Cbor::unpack(payload, messageName, RequestCodec::replyFrom);
 }
 
 auto encode(const Core::ServiceRequest& request, Core::Instant now) -> std::string
 {
-    return pack({ RequestCodec::toJson(request), (request.deadline - now).count() });
+    return Cbor::pack({ RequestCodec::toJson(request), (request.deadline - now).count() });
 }
 
 auto decodeRequest(const std::string& payload, Core::Instant now) -> Core::Result<Core::ServiceRequest>
 {
-    return unpack<Core::ServiceRequest>(payload, [now](const json& value) {
+    return Cbor::unpack(payload, messageName, [now](const json& value) {
         const auto left = value.at(1).get<std::int64_t>();
         if (left > maximumDeadlineMicroseconds || left < -maximumDeadlineMicroseconds)
             throw InvalidField();
--- a/src/plugins/membershippeer/gossipcodec.cpp
+++ b/src/plugins/membershippeer/gossipcodec.cpp
@@ -1,6 +1,6 @@
 #include "membershippeer/gossipcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "cbor/cbor.h"
 
 namespace MembershipPeer {
 
@@ -148,46 +148,27 @@
             unpackAll(value.at(6), unpackReport) };
     }
 
-    auto toPayload(const json& value) -> std::string
-    {
-        std::string payload;
-        json::to_cbor(value, payload);
-        return payload;
-    }
-
-    auto invalidMessage(const std::exception& error) -> tl::unexpected<Core::Error>
-    {
-        return Core::fail(Core::ErrorKind::InvalidMessage,
-            std::string("the gossip of a peer cannot be read: ") + error.what(),
-            "check that all entry VMs run compatible versions");
-    }
+    constexpr auto messageName = "a gossip message";
 
 } // namespace
 
-auto encodeGossip(const Gossip& gossip) -> std::string { return toPayload(pack(gossip)); }
+auto encodeGossip(const Gossip& gossip) -> std::string { return Cbor::pack(pack(gossip)); }
 
 auto decodeGossip(const std::string& payload) -> Core::Result<Gossip>
 {
-    try {
-        return unpackGossip(json::from_cbor(payload));
-    } catch (const std::exception& error) {
-        return invalidMessage(error);
-    }
+    return Cbor::unpack(payload, messageName, unpackGossip);
 }
 
 auto encodeRelayedProbe(const RelayedProbe& probe) -> std::string
 {
-    return toPayload(json::array({ probe.target.value(), pack(probe.gossip) }));
+    return Cbor::pack(json::array({ probe.target.value(), pack(probe.gossip) }));
 }
 
 auto decodeRelayedProbe(const std::string& payload) -> Core::Result<RelayedProbe>
 {
-    try {
-        const auto value = json::from_cbor(payload);
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return RelayedProbe { idAt<Core::Address>(value, 0), unpackGossip(value.at(1)) };
-    } catch (const std::exception& error) {
-        return invalidMessage(error);
-    }
+    });
 }
 
 } // namespace MembershipPeer
--- a/src/plugins/peerstream/peerstreamserver.cpp
+++ b/src/plugins/peerstream/peerstreamserver.cpp
@@ -68,6 +68,14 @@
         finishIfEmpty();
     }
 
+    /// Lets go of the connections, which refer to this object.
+    auto forgetConnections() -> void
+    {
+        std::set<std::shared_ptr<ServerConnection>> connections;
+        const std::lock_guard lock(m_mutex);
+        connections.swap(m_connections);
+    }
+
 private:
     auto acceptLater() -> void
     {
@@ -134,7 +142,7 @@
     m_implementation->acceptNext();
 }
 
-PeerStreamServer::~PeerStreamServer() = default;
+PeerStreamServer::~PeerStreamServer() { m_implementation->forgetConnections(); }
 
 auto PeerStreamServer::port() const -> std::uint16_t { return m_implementation->port(); }
 
--- a/src/plugins/relaypeer/relaycodec.cpp
+++ b/src/plugins/relaypeer/relaycodec.cpp
@@ -1,9 +1,8 @@
 #include "relaypeer/relaycodec.h"
 
+#include "cbor/cbor.h"
 #include "requestcodec/requestcodec.h"
 
-#include <nlohmann/json.hpp>
-
 namespace RelayPeer {
 
 namespace {
@@ -12,25 +11,7 @@
 
     constexpr Core::Duration maximumTimeLeft = std::chrono::hours(24);
 
-    auto pack(const json& value) -> std::string
-    {
-        std::string payload;
-        json::to_cbor(value, payload);
-        return payload;
-    }
-
-    /// Calls read(json) and turns whatever it throws into an InvalidMessage error.
-    template <typename Reader>
-    auto unpack(const std::string& payload, Reader read) -> Core::Result<decltype(read(json()))>
-    {
-        try {
-            return read(json::from_cbor(payload));
-        } catch (const std::exception& error) {
-            return Core::fail(Core::ErrorKind::InvalidMessage,
-                std::string("a relay message of a peer cannot be read: ") + error.what(),
-                "run compatible releases on all entry VMs");
-        }
-    }
+    constexpr auto messageName = "a relay message";
 
     auto unsignedFrom(const json& value, std::uint64_t maximum) -> std::uint64_t
     {
@@ -77,34 +58,34 @@
 
 auto encode(const Steering::RelayCall& call) -> std::string
 {
-    return pack(json::array({ RequestCodec::toJson(call.request), durationJson(call.timeLeft), call.source.value(),
-        call.attempt.value(), creditJson(call.credit) }));
+    return Cbor::pack(json::array({ RequestCodec::toJson(call.request), durationJson(call.timeLeft),
+        call.source.value(), call.attempt.value(), creditJson(call.credit) }));
 }
 
 auto decodeRelayCall(const std::string& payload) -> Core::Result<Steering::RelayCall>
 {
-    return unpack(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Steering::RelayCall { RequestCodec::requestFrom(value.at(0)), durationFrom(value.at(1)),
             Core::FailureDomainId(value.at(2).get<std::string>()), Steering::AttemptId(wordFrom(value.at(3))),
             creditFrom(value.at(4)) };
     });
 }
 
-auto encode(const Core::Reply& reply) -> std::string { return pack(RequestCodec::toJson(reply)); }
+auto encode(const Core::Reply& reply) -> std::string { return Cbor::pack(RequestCodec::toJson(reply)); }
 
 auto decodeReply(const std::string& payload) -> Core::Result<Core::Reply>
 {
-    return unpack(payload, [](const json& value) { return RequestCodec::replyFrom(value); });
+    return Cbor::unpack(payload, messageName, [](const json& value) { return RequestCodec::replyFrom(value); });
 }
 
 auto encode(const Steering::CreditRequest& request) -> std::string
 {
-    return pack(json::array({ request.source.value(), request.service.value(), request.wanted }));
+    return Cbor::pack(json::array({ request.source.value(), request.service.value(), request.wanted }));
 }
 
 auto decodeCreditRequest(const std::string& payload) -> Core::Result<Steering::CreditRequest>
 {
-    return unpack(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Steering::CreditRequest { Core::FailureDomainId(value.at(0).get<std::string>()),
             Core::ServiceId(value.at(1).get<std::string>()), countFrom(value.at(2)) };
     });
@@ -112,12 +93,12 @@
 
 auto encode(const Steering::CreditGrant& grant) -> std::string
 {
-    return pack(json::array({ grant.id.value(), grant.count, durationJson(grant.lifetime) }));
+    return Cbor::pack(json::array({ grant.id.value(), grant.count, durationJson(grant.lifetime) }));
 }
 
 auto decodeCreditGrant(const std::string& payload) -> Core::Result<Steering::CreditGrant>
 {
-    return unpack(payload, [](const json& value) {
+    return Cbor::unpack(payload, messageName, [](const json& value) {
         return Steering::CreditGrant { Steering::GrantId(wordFrom(value.at(0))), countFrom(value.at(1)),
             durationFrom(value.at(2)) };
     });
--- a/src/plugins/suspicionpeer/suspicionpeer.cpp
+++ b/src/plugins/suspicionpeer/suspicionpeer.cpp
@@ -1,6 +1,6 @@
 #include "suspicionpeer/suspicionpeer.h"
 
-#include <nlohmann/json.hpp>
+#include "cbor/cbor.h"
 
 namespace SuspicionPeer {
 
@@ -16,25 +16,18 @@
         json upstreams = json::array();
         for (const auto& upstream : suspicion.upstreams)
             upstreams.push_back(upstream.value());
-        std::string payload;
-        json::to_cbor(json { suspicion.fingerprint.high, suspicion.fingerprint.low, upstreams }, payload);
-        return payload;
+        return Cbor::pack(json { suspicion.fingerprint.high, suspicion.fingerprint.low, upstreams });
     }
 
     auto decode(const std::string& payload) -> Core::Result<Dispatch::CrashSuspicion>
     {
-        try {
-            const auto fields = json::from_cbor(payload);
+        return Cbor::unpack(payload, "a crash suspicion", [](const json& fields) {
             Dispatch::CrashSuspicion suspicion;
             suspicion.fingerprint = { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>() };
             for (const auto& upstream : fields.at(2))
                 suspicion.upstreams.insert(Core::UpstreamId(upstream.get<std::string>()));
             return suspicion;
-        } catch (const std::exception& error) {
-            return Core::fail(Core::ErrorKind::InvalidMessage,
-                std::string("a peer's crash suspicion cannot be read: ") + error.what(),
-                "run compatible releases on all entry VMs");
-        }
+        });
     }
 
 } // namespace
