--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,9 @@
 	@$(BUILD)/tests/bench/policy/bench_policy --json docs/measurements/policy.json
 	@$(BUILD)/tests/bench/lookup/bench_lookup docs/measurements/lookup.json
 	@$(BUILD)/tests/bench/steering/bench_steering docs/measurements/steering.json
+	@$(BUILD)/tests/bench/membership/bench_membership docs/measurements/membership.json
 	@$(BUILD)/tests/bench/fleet/bench_fleet --json docs/measurements/fleet.json
+	@$(BUILD)/tests/bench/latency/bench_latency docs/measurements/latency.json
 
 demo: packages build
 	@$(BUILD)/tests/demo/dragonflywinch-demo
--- a/tests/fakes/virtualworld.cpp
+++ b/tests/fakes/virtualworld.cpp
@@ -110,11 +110,15 @@
 auto VirtualWorld::call(const NodeId& from, const NodeId& to, Ports::PeerMessage message, Core::Duration timeout,
     Ports::PeerTransport::ReplyCallback callback) -> void
 {
+    ++m_volume.messages;
+    m_volume.bytes += message.payload.size();
     const auto pending = std::make_shared<PendingCall>(PendingCall { std::move(callback) });
     post(from, timeout,
         [pending] { pending->finish(Core::fail(Core::ErrorKind::Timeout, "no reply in time", "try again")); });
     const auto generation = m_generations[from];
     const auto respond = [this, from, to, generation, pending](Core::Result<std::string> result) {
+        ++m_volume.messages;
+        m_volume.bytes += result ? result->size() : 0;
         if (generation == m_generations[from] && !isLost(to, from))
             post(from, delay(), [pending, result = std::move(result)] { pending->finish(result); });
     };
--- a/tests/fakes/virtualworld.h
+++ b/tests/fakes/virtualworld.h
@@ -21,6 +21,12 @@
     Core::Duration maximumDelay = Core::Millis(1);
 };
 
+/// Messages and payload bytes of all nodes, requests and replies.
+struct NetworkVolume {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
 /// Virtual time, and nodes that can be crashed and paused and exchange messages over a lossy network. One thread.
 class VirtualWorld : public Ports::Clock {
 public:
@@ -52,6 +58,8 @@
         Ports::PeerTransport::ReplyCallback callback) -> void;
     auto registerHandler(const NodeId& node, std::string kind, Ports::PeerRouter::Handler handler) -> void;
 
+    [[nodiscard]] auto volume() const -> NetworkVolume { return m_volume; }
+
     auto chance(double probability) -> bool { return std::bernoulli_distribution(probability)(m_random); }
     /// Uniform in [0, bound).
     auto below(std::size_t bound) -> std::size_t { return m_random() % bound; }
@@ -79,6 +87,7 @@
 
     std::mt19937_64 m_random;
     NetworkFaults m_faults;
+    NetworkVolume m_volume;
     Core::Instant m_now { Core::Millis(1) };
     std::uint64_t m_sequence = 0;
     std::priority_queue<Task, std::vector<Task>, Later> m_tasks;
