Keep the fleet list alive while loops read it

Cause: four range-based loops in membership and spread (and four in tests and benchmarks) ran over a member of a temporary shared pointer or value, which is gone before the first turn: the list could be freed by another thread that took a newer one. The linter's script now refuses the pattern; it named six places before and none after.

--- a/src/libs/membership/gossipmember.cpp
+++ b/src/libs/membership/gossipmember.cpp
@@ -64,7 +64,7 @@
 {
     std::vector<Member> members;
     std::set<Core::EntryVmId> leaving;
-    for (const auto& vm : m_collaborators.fleet.current()->entryVms) {
+    for (const auto fleet = m_collaborators.fleet.current(); const auto& vm : fleet->entryVms) {
         if (vm.state == Fleet::MemberState::Leaving)
             leaving.insert(vm.id);
     }
@@ -260,7 +260,7 @@
 auto GossipMember::candidateAddresses(const Core::FailureDomainId& domain) const -> std::vector<Core::Address>
 {
     std::set<Core::Address> addresses;
-    for (const auto& vm : m_collaborators.fleet.current()->entryVms) {
+    for (const auto fleet = m_collaborators.fleet.current(); const auto& vm : fleet->entryVms) {
         if (vm.failureDomain == domain && vm.id != m_identity.vm.id)
             addresses.insert(vm.peerAddress);
     }
--- a/src/libs/membership/gossiprounds.cpp
+++ b/src/libs/membership/gossiprounds.cpp
@@ -243,7 +243,7 @@
     if (position >= delegates)
         return;
     std::set<Core::FailureDomainId> domains;
-    for (const auto& vm : m_collaborators.fleet.current()->entryVms)
+    for (const auto fleet = m_collaborators.fleet.current(); const auto& vm : fleet->entryVms)
         domains.insert(vm.failureDomain);
     for (const auto& record : m_table.records())
         domains.insert(record.vm.failureDomain);
--- a/src/libs/spread/versionspreader.cpp
+++ b/src/libs/spread/versionspreader.cpp
@@ -144,7 +144,7 @@
         if (vm.id != m_identity.vm)
             peers.insert(vm.peerAddress);
     };
-    for (const auto& vm : m_collaborators.fleet.current()->entryVms)
+    for (const auto fleet = m_collaborators.fleet.current(); const auto& vm : fleet->entryVms)
         add(vm);
     for (const auto& member : m_gossip->members())
         add(member.vm);
--- a/tests/auto/spread/spreadcluster.h
+++ b/tests/auto/spread/spreadcluster.h
@@ -69,7 +69,8 @@
     }
     auto statusOf(const std::string& observer, const std::string& domain) const -> Spread::DomainStatus
     {
-        for (const auto& status : nodes.at(observer)->spreader.configurationStatus().domains) {
+        for (const auto assessed = nodes.at(observer)->spreader.configurationStatus();
+             const auto& status : assessed.domains) {
             if (status.failureDomain.value() == domain)
                 return status;
         }
--- a/tests/bench/lookup/main.cpp
+++ b/tests/bench/lookup/main.cpp
@@ -101,7 +101,7 @@
         member.vm = { Core::EntryVmId(name), Core::FailureDomainId(domainName(index % failureDomainCount)),
             Core::RegionId("region-" + std::to_string(index % failureDomainCount / 2)), Core::Address("10.0.0.1:8080"),
             Core::Address("10.0.0.1:8081") };
-        for (const auto& [service, policy] : configuration().services)
+        for (const auto configured = configuration(); const auto& [service, policy] : configured.services)
             member.loads.push_back({ service, Core::SlotCount(4), Core::SlotCount(2), 0, Core::Millis(10) });
         member.keyPrefix = name + ":0123456789abcdef0123456789abcdef:1::00000000000000000000000000000000";
         all.push_back(std::move(member));
--- a/tests/bench/policy/scenario.cpp
+++ b/tests/bench/policy/scenario.cpp
@@ -93,7 +93,7 @@
         auto injectFaults() -> void
         {
             std::size_t index = 0;
-            for (const auto& upstream : m_fleet.current()->upstreams) {
+            for (const auto fleet = m_fleet.current(); const auto& upstream : fleet->upstreams) {
                 auto& behaviour = m_upstreams.behaviour(upstream.id);
                 behaviour.answersQueries = !m_scenario.stopsReports;
                 if (m_scenario.liesInReports)
@@ -131,7 +131,7 @@
             const auto offeredTime = static_cast<double>((Workload::windowEnd - Workload::windowStart).count());
             result.usefulShare = static_cast<double>(m_book.usefulTime().count()) / (offeredTime * m_preset.slots());
             auto records = m_upstreams.records();
-            for (const auto& upstream : m_fleet.current()->upstreams) {
+            for (const auto fleet = m_fleet.current(); const auto& upstream : fleet->upstreams) {
                 const auto& record = records[upstream.id];
                 result.highestOverSlots = std::max<std::int64_t>(result.highestOverSlots,
                     static_cast<std::int64_t>(record.highestInFlight) - upstream.slots.value());
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,6 +10,11 @@
 settings=$(sha256sum <.clang-tidy | cut -c1-16)
 dependencies=$(mktemp)
 trap 'rm -f "$dependencies"' EXIT
+# A range-based for over a member of a returned shared pointer reads what that temporary has already freed.
+if git grep -nE 'for \([^;]*: [^;]*\(\)->[A-Za-z]+\)' -- 'src/*' 'tests/*'; then
+    echo "keep the pointer in the loop's init statement: for (const auto list = source.current(); ... : list->items)"
+    exit 1
+fi
 # One line "SOURCE HEADER" for each project header that a source file includes.
 ninja -C "$build" -t deps | awk -v root="$PWD/" '
     /#deps/ { source = ""; next }
