Count an answer's bytes in one place for both ledgers

The home's and the backup's ledger each summed the same four strings; one function beside the other types of a booking serves both. Behaviour and figures are unchanged.

--- a/src/libs/ledger/backupledger.cpp
+++ b/src/libs/ledger/backupledger.cpp
@@ -10,12 +10,6 @@
     /// Fixed cost of a held key beside its strings: its node and bucket in the table.
     constexpr std::size_t heldOverhead = 64;
 
-    auto sizeOf(const Core::Answer& answer) -> std::size_t
-    {
-        return answer.id.value().size() + answer.upstream.value().size() + answer.contentType.size()
-            + answer.body.size();
-    }
-
 } // namespace
 
 BackupLedger::BackupLedger(Collaborators collaborators, Core::Incarnation self, const LedgerLimits& limits)
--- a/src/libs/ledger/booking.h
+++ b/src/libs/ledger/booking.h
@@ -18,6 +18,12 @@
 /// Form of the prefix for services that run without a backup: the same home and epoch, and no backup named.
 auto withoutBackup(Core::KeyPrefix prefix) -> Core::KeyPrefix;
 
+/// Bytes of an answer's strings, as the ledgers' budgets count them.
+inline auto sizeOf(const Core::Answer& answer) -> std::size_t
+{
+    return answer.id.value().size() + answer.upstream.value().size() + answer.contentType.size() + answer.body.size();
+}
+
 inline auto hasBackup(const Core::KeyPrefix& prefix) -> bool { return !prefix.backup.value().empty(); }
 
 /// Announcement of a home to its backup that it wants to start a request.
--- a/src/libs/ledger/homerecords.cpp
+++ b/src/libs/ledger/homerecords.cpp
@@ -18,8 +18,7 @@
     auto sizeOf(const Core::Reply& reply) -> std::size_t
     {
         if (const auto* answer = std::get_if<Core::Answer>(&reply))
-            return answer->id.value().size() + answer->upstream.value().size() + answer->contentType.size()
-                + answer->body.size();
+            return Ledger::sizeOf(*answer);
         const auto& refusal = std::get<Core::Refusal>(reply);
         return refusal.message.size() + refusal.remedy.size() + refusal.keyPrefix.size();
     }
