--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -2,7 +2,7 @@
 add_library(project_flags INTERFACE)
 target_compile_options(project_flags INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
 target_compile_definitions(project_flags INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ERROR_CODE_HEADER_ONLY)
-target_include_directories(project_flags INTERFACE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/libs ${PROJECT_SOURCE_DIR}/src/plugins)
+target_include_directories(project_flags INTERFACE ${PROJECT_SOURCE_DIR} ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/libs ${PROJECT_SOURCE_DIR}/src/plugins)
 target_link_libraries(project_flags INTERFACE Threads::Threads Boost::headers)
 
 # Sanitizers instrument every target, the library's source that is compiled here included. GCC reports uninitialized
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include "app/settingscommand.h"
 #include "app/statuscommand.h"
 #include "app/timelinecommand.h"
+#include "platform/platformcommand.h"
 
 #include <iostream>
 
@@ -13,6 +14,7 @@
 {
     std::vector<std::unique_ptr<App::Command>> commands;
     commands.push_back(std::make_unique<App::ServeCommand>());
+    commands.push_back(std::make_unique<Platform::PlatformCommand>());
     commands.push_back(std::make_unique<App::SettingsCommand>());
     commands.push_back(std::make_unique<App::SectionCommand>());
     commands.push_back(std::make_unique<App::StatusCommand>());
--- a/src/libs/core/ids.h
+++ b/src/libs/core/ids.h
@@ -27,6 +27,8 @@
 using Version = StrongType<struct VersionTag, std::uint64_t>;
 /// Number of a ledger epoch within one incarnation of an entry VM.
 using Epoch = StrongType<struct EpochTag, std::uint64_t>;
+/// Mark of one start of a process, by which it tells it from others under the same id.
+using StartMark = StrongType<struct StartMarkTag, std::int64_t>;
 /// Host and port in the form "IP:PORT".
 using Address = StrongType<struct AddressTag, std::string>;
 
--- /dev/null
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -0,0 +1,164 @@
+#include "entryfleet/entryfleet.h"
+
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace EntryFleet {
+
+EntryFleet::EntryFleet(EntryVmEntry self, Environment environment)
+    : m_self(std::move(self))
+    , m_environment(environment)
+{
+}
+
+auto EntryFleet::isNeighbour(const EntryVmEntry& entry) const -> bool
+{
+    return entry.id != m_self.id && entry.region == m_self.region;
+}
+
+auto EntryFleet::put(const EntryVmEntry& entry) -> void
+{
+    if (entry.id == m_self.id)
+        return;
+    auto& member = m_members[entry.id];
+    // The store's entry outlives its process: only a heartbeat shows that this start lives.
+    if (member.entry.start != entry.start) {
+        member.lastHeard = m_environment.clock.now() - silenceLimit;
+        member.isLeaving = false;
+    }
+    member.entry = entry;
+}
+
+auto EntryFleet::replaceAll(const std::vector<EntryVmEntry>& entries) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<Core::EntryVmId> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.id);
+        put(entry);
+    }
+    std::erase_if(m_members, [&](const auto& item) { return !listed.contains(item.first); });
+}
+
+auto EntryFleet::upsert(const EntryVmEntry& entry) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    put(entry);
+}
+
+auto EntryFleet::remove(const Core::EntryVmId& id) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_members.erase(id);
+}
+
+auto EntryFleet::receive(const Heartbeat& heartbeat) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_members.find(heartbeat.sender);
+    if (found == m_members.end() || found->second.entry.start != heartbeat.start)
+        return;
+    found->second.lastHeard = m_environment.clock.now();
+    found->second.isLeaving = heartbeat.isLeaving;
+}
+
+auto EntryFleet::start() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ownsFrom = m_environment.clock.now() + 2 * heartbeatInterval;
+    }
+    beat();
+}
+
+auto EntryFleet::beat() -> void
+{
+    sendToNeighbours();
+    const std::lock_guard lock(m_mutex);
+    recordChanges(m_environment.clock.now());
+    m_timer = m_environment.scheduler.after(heartbeatInterval, [this] { beat(); });
+}
+
+auto EntryFleet::sendToNeighbours() -> void
+{
+    std::vector<Core::Address> addresses;
+    Heartbeat heartbeat { m_self.id, m_self.start, false };
+    {
+        const std::lock_guard lock(m_mutex);
+        heartbeat.isLeaving = m_isLeaving;
+        for (const auto& [id, member] : m_members) {
+            if (isNeighbour(member.entry))
+                addresses.push_back(member.entry.heartbeats);
+        }
+    }
+    for (const auto& address : addresses)
+        m_environment.heartbeats.send(address, heartbeat);
+}
+
+auto EntryFleet::leave() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isLeaving = true;
+    }
+    sendToNeighbours();
+}
+
+auto EntryFleet::isAlive(const Member& member, Core::Instant now) const -> bool
+{
+    return now - member.lastHeard < silenceLimit;
+}
+
+auto EntryFleet::recordChanges(Core::Instant now) -> void
+{
+    for (auto& [id, member] : m_members) {
+        if (!isNeighbour(member.entry) || member.wasAlive == isAlive(member, now))
+            continue;
+        member.wasAlive = !member.wasAlive;
+        m_environment.events.record({ Ports::EventKind(member.wasAlive ? "member.alive" : "member.suspected"), {},
+            { { "vm", id.value() }, { "failureDomain", member.entry.failureDomain.value() },
+                { "silentMs",
+                    std::to_string(std::chrono::duration_cast<Core::Millis>(now - member.lastHeard).count()) } } });
+    }
+}
+
+auto EntryFleet::callerAddresses() const -> std::vector<Core::Address>
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
+    std::vector<Core::Address> addresses;
+    if (!m_isLeaving)
+        addresses.push_back(m_self.front);
+    for (const auto& [id, member] : m_members) {
+        if (isNeighbour(member.entry) && !member.isLeaving && isAlive(member, now))
+            addresses.push_back(member.entry.front);
+    }
+    return addresses;
+}
+
+auto EntryFleet::listedCount() const -> std::size_t
+{
+    const std::lock_guard lock(m_mutex);
+    return m_members.size() + 1;
+}
+
+auto EntryFleet::isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool
+{
+    if (upstream.region != m_self.region)
+        return false;
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
+    if (now < m_ownsFrom || m_isLeaving)
+        return false;
+    const auto& key = upstream.target.id.value();
+    const auto own = Fleet::rendezvousScore(key, m_self.id.value());
+    return std::none_of(m_members.begin(), m_members.end(), [&](const auto& item) {
+        const auto& member = item.second;
+        return isNeighbour(member.entry) && !member.isLeaving && isAlive(member, now)
+            && Fleet::rendezvousScore(key, item.first.value()) > own;
+    });
+}
+
+} // namespace EntryFleet
--- /dev/null
+++ b/src/libs/entryfleet/entryfleet.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "entryfleet/entryvmentry.h"
+#include "forwarding/servicepool.h"
+#include "ports/clock.h"
+#include "ports/eventsink.h"
+#include "ports/scheduler.h"
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace EntryFleet {
+
+/// What this entry VM knows of the others. The store lists them; heartbeats inside the region tell which of them live.
+/// Only entry VMs of the own region exchange heartbeats, so that the cost of one does not grow with the fleet.
+class EntryFleet : public Forwarding::ColdOwnership {
+public:
+    /// Interval of heartbeats.
+    static constexpr Core::Millis heartbeatInterval { 700 };
+    /// An entry VM that was silent for longer is left out of look-up answers.
+    static constexpr Core::Millis silenceLimit { 2300 };
+
+    struct Environment {
+        const Ports::Clock& clock;
+        Ports::Scheduler& scheduler;
+        Ports::EventSink& events;
+        HeartbeatPort& heartbeats;
+    };
+
+    EntryFleet(EntryVmEntry self, Environment environment);
+
+    auto replaceAll(const std::vector<EntryVmEntry>& entries) -> void;
+    auto upsert(const EntryVmEntry& entry) -> void;
+    auto remove(const Core::EntryVmId& id) -> void;
+    auto receive(const Heartbeat& heartbeat) -> void;
+    /// Starts to send heartbeats.
+    auto start() -> void;
+    /// Tells the others at once that this entry VM takes no new callers.
+    auto leave() -> void;
+
+    /// Entry VMs of the region that take callers, this one included while it does.
+    [[nodiscard]] auto callerAddresses() const -> std::vector<Core::Address>;
+    /// Entry VMs that the store lists, this one included.
+    [[nodiscard]] auto listedCount() const -> std::size_t;
+    [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
+
+private:
+    struct Member {
+        EntryVmEntry entry;
+        Core::Instant lastHeard;
+        bool isLeaving = false;
+        bool wasAlive = false;
+    };
+
+    [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
+    [[nodiscard]] auto isNeighbour(const EntryVmEntry& entry) const -> bool;
+    auto put(const EntryVmEntry& entry) -> void;
+    auto beat() -> void;
+    auto sendToNeighbours() -> void;
+    auto recordChanges(Core::Instant now) -> void;
+
+    const EntryVmEntry m_self;
+    const Environment m_environment;
+    mutable std::mutex m_mutex;
+    std::map<Core::EntryVmId, Member> m_members;
+    bool m_isLeaving = false;
+    /// Before, the others may not have been heard yet.
+    Core::Instant m_ownsFrom = Core::Instant::max();
+    std::unique_ptr<Ports::Timer> m_timer;
+};
+
+} // namespace EntryFleet
--- /dev/null
+++ b/src/libs/following/collectionfollower.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "ports/clock.h"
+#include "ports/collectionstore.h"
+#include "ports/eventsink.h"
+#include "ports/randomsource.h"
+#include "ports/scheduler.h"
+
+#include <mutex>
+
+namespace Following {
+
+/// Takes what a follower learns. Called by one thread at a time.
+class CollectionListener {
+public:
+    virtual ~CollectionListener() = default;
+    /// The collection as it is now; what is not in it is gone.
+    virtual auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void = 0;
+    virtual auto upsert(const Ports::CollectionItem& item) -> void = 0;
+    virtual auto remove(const std::string& name) -> void = 0;
+    /// All changes of one answer have been told.
+    virtual auto commit() -> void = 0;
+};
+
+/// Keeps a listener up to date with one collection: lists it, then watches from there, and lists again whenever the
+/// store can't tell what changed.
+class CollectionFollower : public std::enable_shared_from_this<CollectionFollower> {
+public:
+    struct Environment {
+        Ports::CollectionStore& store;
+        Ports::Scheduler& scheduler;
+        Ports::RandomSource& random;
+        Ports::EventSink& events;
+    };
+
+    CollectionFollower(Ports::CollectionName name, CollectionListener& listener, Environment environment);
+
+    auto start() -> void;
+    /// Gives a waiting watch up and watches anew from the same revision, for when the store was away.
+    auto renewWatch() -> void;
+    auto stop() -> void;
+    /// The collection has been read at least once.
+    [[nodiscard]] auto isLoaded() const -> bool;
+
+private:
+    auto list() -> void;
+    auto watch() -> void;
+    auto onList(const Core::Result<Ports::CollectionList>& result) -> void;
+    auto onChanges(const Core::Result<Ports::CollectionChanges>& result) -> void;
+    auto retryLater(const Core::Error& error) -> void;
+    auto recordRecovery() -> void;
+    auto schedule(Core::Duration delay, void (CollectionFollower::*step)()) -> void;
+
+    const Ports::CollectionName m_name;
+    CollectionListener& m_listener;
+    const Environment m_environment;
+    mutable std::mutex m_mutex;
+    Ports::StoreRevision m_revision;
+    bool m_isLoaded = false;
+    bool m_isStopped = false;
+    /// Number of the watch in flight; the answer of an earlier one is ignored.
+    std::uint64_t m_watchNumber = 0;
+    std::uint32_t m_failures = 0;
+    std::shared_ptr<Ports::StoreCall> m_call;
+    std::unique_ptr<Ports::Timer> m_timer;
+};
+
+} // namespace Following
--- /dev/null
+++ b/src/libs/forwarding/forwarder.cpp
@@ -0,0 +1,109 @@
+#include "forwarding/forwarder.h"
+
+#include "forwarding/passage.h"
+
+namespace Forwarding {
+
+namespace {
+
+    auto entriesByService(const UpstreamEntries& entries) -> std::map<Core::ServiceId, std::vector<UpstreamEntry>>
+    {
+        std::map<Core::ServiceId, std::vector<UpstreamEntry>> services;
+        for (const auto& [id, entry] : entries)
+            services[entry.service].push_back(entry);
+        return services;
+    }
+
+} // namespace
+
+Forwarder::Forwarder(Environment environment)
+    : m_environment(std::move(environment))
+    , m_desks(std::make_shared<const detail::ServiceDesks>())
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+auto Forwarder::setConfiguration(std::shared_ptr<const RoutingConfiguration> configuration) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_configuration.store(std::move(configuration));
+    applyLists(lock);
+}
+
+auto Forwarder::setUpstreams(const UpstreamEntries& entries, const EvacuatedDomains& evacuated) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries = entries;
+    m_evacuated = evacuated;
+    applyLists(lock);
+}
+
+auto Forwarder::applyLists(const std::lock_guard<std::mutex>&) -> void
+{
+    const auto configuration = m_configuration.load();
+    auto services = entriesByService(m_entries);
+    auto desks = std::make_shared<detail::ServiceDesks>(*m_desks.load());
+    if (configuration) {
+        for (const auto& [id, settings] : configuration->services)
+            services.try_emplace(id);
+    }
+    for (const auto& [id, desk] : *desks)
+        services.try_emplace(id);
+    const auto now = m_environment.clock.now();
+    for (const auto& [id, entries] : services) {
+        auto& desk = (*desks)[id];
+        if (!desk)
+            desk = std::make_shared<detail::ServiceDesk>(id, m_environment.pool);
+        desk->pool.update(entries, m_evacuated, now);
+        if (configuration && configuration->services.contains(id))
+            desk->pool.setSettings(configuration->services.at(id));
+    }
+    m_desks.store(std::move(desks));
+}
+
+auto Forwarder::setRetryAllowance(const RetryAllowance& allowance) -> void
+{
+    m_retryRatio = allowance.ratio;
+    m_retrySlack = allowance.slack;
+}
+
+auto Forwarder::setEnd(Core::Instant end) -> void { m_end.store(end); }
+
+auto Forwarder::handle(ForwardRequest request, ForwardCallback callback) -> std::shared_ptr<OpenRequest>
+{
+    auto passage = std::make_shared<Passage>(*this, std::move(request), std::move(callback));
+    passage->start();
+    return passage;
+}
+
+auto Forwarder::runProbes() -> void
+{
+    const auto desks = m_desks.load();
+    for (const auto& [id, desk] : *desks) {
+        for (const auto& target : desk->pool.takeDueProbes(m_environment.clock.now())) {
+            m_environment.exchanges.askHealth(target, desk->pool.healthPath(),
+                [this, desk = desk, target](const Core::Result<Ports::HealthReport>& report) {
+                    desk->pool.recordProbe(target, report, m_environment.clock.now());
+                    m_environment.events.record({ Ports::EventKind("upstream.probed"), {},
+                        { { "upstream", target.id.value() }, { "service", desk->pool.service().value() },
+                            { "healthy", report && report->isHealthy ? "yes" : "no" },
+                            { "coldMs", report ? std::to_string(report->coldLeft.count() / 1000) : "unknown" },
+                            { "detail", report ? "" : describe(report.error()) } } });
+                });
+        }
+    }
+}
+
+auto Forwarder::configuration() const -> std::shared_ptr<const RoutingConfiguration> { return m_configuration.load(); }
+
+auto Forwarder::deskOf(const Core::ServiceId& service) const -> std::shared_ptr<detail::ServiceDesk>
+{
+    const auto desks = m_desks.load();
+    const auto found = desks->find(service);
+    if (found != desks->end())
+        return found->second;
+    return std::make_shared<detail::ServiceDesk>(service, m_environment.pool);
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/passage.cpp
@@ -0,0 +1,376 @@
+#include "forwarding/passage.h"
+
+#include <algorithm>
+
+namespace Forwarding {
+
+namespace {
+
+    using Core::RefusalReason;
+    using Core::RunOutcome;
+    using Ports::ExchangeOutcome;
+
+    /// An idempotent request is sent to another upstream after so many times the usual work on an unknown object.
+    constexpr int slowWorkTimes = 2;
+    constexpr Core::Millis leastRetryAfter { 100 };
+    /// Part of the caller's time that may pass before it comes back.
+    constexpr int retryAfterDivisor = 3;
+    /// Connections that could not be opened before a request is given up.
+    constexpr std::size_t maximumAttempts = 4;
+    constexpr Core::Millis patienceWithoutDeadline { 30'000 };
+
+    auto rankOf(int priority) -> Core::Rank
+    {
+        if (priority <= 0)
+            return Core::Rank::Urgent;
+        return priority == 1 ? Core::Rank::Normal : Core::Rank::Deferrable;
+    }
+
+    auto metricOutcome(ExchangeOutcome outcome) -> Ports::UpstreamOutcome
+    {
+        switch (outcome) {
+        case ExchangeOutcome::Answered:
+            return Ports::UpstreamOutcome::Answered;
+        case ExchangeOutcome::NotRun:
+            return Ports::UpstreamOutcome::Shed;
+        case ExchangeOutcome::Misdirected:
+        case ExchangeOutcome::NotSent:
+            return Ports::UpstreamOutcome::NotSent;
+        case ExchangeOutcome::Lost:
+        case ExchangeOutcome::Cancelled:
+            return Ports::UpstreamOutcome::Lost;
+        case ExchangeOutcome::TimedOut:
+            return Ports::UpstreamOutcome::TimedOut;
+        case ExchangeOutcome::Invalid:
+            break;
+        }
+        return Ports::UpstreamOutcome::Invalid;
+    }
+
+    /// The upstream may have run the request.
+    auto leavesOutcomeOpen(ExchangeOutcome outcome) -> bool
+    {
+        return outcome == ExchangeOutcome::Lost || outcome == ExchangeOutcome::TimedOut
+            || outcome == ExchangeOutcome::Invalid || outcome == ExchangeOutcome::Cancelled;
+    }
+
+    auto millis(Core::Duration duration) -> std::string
+    {
+        return std::to_string(std::chrono::duration_cast<Core::Millis>(duration).count());
+    }
+
+} // namespace
+
+Passage::Passage(Forwarder& forwarder, ForwardRequest request, ForwardCallback callback)
+    : m_forwarder(forwarder)
+    , m_environment(forwarder.m_environment)
+    , m_request(std::move(request))
+    , m_callback(std::move(callback))
+    , m_arrivedAt(m_environment.clock.now())
+{
+}
+
+auto Passage::start() -> void
+{
+    if (!findRoute())
+        return;
+    m_environment.metrics.requestStarted(m_service);
+    setDeadline(m_arrivedAt);
+    if (m_deadline <= m_arrivedAt) {
+        refuse(RefusalReason::DeadlinePassed, "no time is left", {});
+        return;
+    }
+    m_desk->retries.recordRequest(m_arrivedAt);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_deadlineTimer = m_environment.scheduler.after(m_deadline - m_arrivedAt, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->onDeadline();
+        });
+    }
+    send();
+}
+
+auto Passage::findRoute() -> bool
+{
+    m_configuration = m_forwarder.configuration();
+    if (!m_configuration) {
+        refuse(RefusalReason::NotConfigured, "no configuration is known yet", leastRetryAfter);
+        return false;
+    }
+    m_route = m_configuration->routes.find(m_request.host, m_request.path);
+    if (!m_route) {
+        refuse(RefusalReason::UnknownService, "no route matches", {});
+        return false;
+    }
+    m_service = m_forwarder.m_turns.next(*m_route);
+    m_desk = m_forwarder.deskOf(m_service);
+    return true;
+}
+
+auto Passage::setDeadline(Core::Instant now) -> void
+{
+    const auto patience = m_request.patience.value_or(patienceWithoutDeadline);
+    m_deadline = now + std::min<Core::Duration>(patience, m_route->timeout);
+    m_deadline = std::min(m_deadline, m_forwarder.m_end.load());
+}
+
+auto Passage::send() -> void
+{
+    const auto now = m_environment.clock.now();
+    ChoiceQuery query;
+    query.request = m_request.id;
+    if (m_route->keepsObjects)
+        query.object = m_request.object;
+    query.homes = &m_route->homes;
+    query.tried = &m_tried;
+    query.timeLeft = m_deadline - now;
+    const auto choice = m_desk->pool.choose(query, now);
+    if (choice)
+        startExchange(*choice, now);
+    else
+        refuseChoice(choice.error());
+}
+
+auto Passage::startExchange(const Choice& choice, Core::Instant now) -> void
+{
+    std::size_t index = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        index = m_attempts.size();
+        m_attempts.push_back({ choice, now, nullptr, false });
+        m_tried.push_back(choice.target.id);
+        ++m_sends;
+    }
+    const auto self = shared_from_this();
+    auto exchange = m_environment.exchanges.start({ choice.target, m_request.id, m_request.message, m_deadline - now },
+        [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
+    bool isDone = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_attempts[index].exchange = exchange;
+        isDone = m_isDone;
+        const auto slowAfter = m_desk->pool.coldWorkTime() * slowWorkTimes;
+        if (!isDone && m_route->isIdempotent && m_sends < m_route->attempts) {
+            m_slowTimer = m_environment.scheduler.after(slowAfter, [weak = weak_from_this(), index] {
+                if (const auto passage = weak.lock())
+                    passage->onSlow(index);
+            });
+        }
+    }
+    if (isDone)
+        exchange->cancel();
+}
+
+auto Passage::onResult(std::size_t index, const Ports::ExchangeResult& result) -> void
+{
+    const auto now = m_environment.clock.now();
+    bool isDone = false;
+    bool isLast = true;
+    Attempt attempt;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_attempts[index].hasEnded = true;
+        attempt = m_attempts[index];
+        isDone = m_isDone;
+        if (result.outcome == ExchangeOutcome::NotSent)
+            --m_sends;
+        if (leavesOutcomeOpen(result.outcome))
+            m_mayHaveRun = true;
+        isLast = std::all_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& one) { return one.hasEnded; });
+    }
+    reportEnd(attempt, result, now);
+    if (isDone)
+        return;
+    if (result.outcome == ExchangeOutcome::Answered)
+        finish(result.answer);
+    else if (isLast)
+        repeatOrGiveUp(result);
+}
+
+auto Passage::reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void
+{
+    ExchangeReport report;
+    report.target = attempt.choice.target;
+    if (m_route->keepsObjects)
+        report.object = m_request.object;
+    report.outcome = result.outcome;
+    report.isUpstreamError = result.isUpstreamError;
+    report.reusedConnection = result.reusedConnection;
+    report.load = result.load;
+    report.duration = now - attempt.startedAt;
+    report.wasWarm = attempt.choice.isWarm;
+    m_desk->pool.end(report, now);
+    m_environment.metrics.upstreamEnded(m_service, metricOutcome(result.outcome));
+    if (result.outcome == ExchangeOutcome::Answered)
+        return;
+    m_environment.events.record({ Ports::EventKind("exchange.failed"), m_request.id,
+        { { "upstream", attempt.choice.target.id.value() }, { "service", m_service.value() },
+            { "outcome", toString(result.outcome) }, { "detail", result.detail },
+            { "reused", result.reusedConnection ? "yes" : "no" }, { "tookMs", millis(report.duration) },
+            { "predictedMs", millis(attempt.choice.predicted) } } });
+}
+
+auto Passage::onSlow(std::size_t index) -> void
+{
+    const auto now = m_environment.clock.now();
+    std::shared_ptr<Ports::Exchange> exchange;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone || m_attempts[index].hasEnded)
+            return;
+        exchange = m_attempts[index].exchange;
+    }
+    // Another upstream is of use only if there is time for its work.
+    if (exchange && m_deadline - now > m_desk->pool.coldWorkTime() / slowWorkTimes)
+        exchange->cancel();
+}
+
+auto Passage::mayRepeat(Core::Instant now) -> bool
+{
+    if (now >= m_deadline || m_sends >= m_route->attempts || m_attempts.size() >= maximumAttempts)
+        return false;
+    return m_desk->retries.tryTake(m_forwarder.retryAllowance(), now);
+}
+
+auto Passage::repeatOrGiveUp(const Ports::ExchangeResult& result) -> void
+{
+    const bool isSafe = m_route->isIdempotent || !m_mayHaveRun;
+    if (isSafe && mayRepeat(m_environment.clock.now())) {
+        send();
+        return;
+    }
+    if (m_mayHaveRun)
+        refuse(RefusalReason::UpstreamFailed, "the upstream's answer was lost: " + result.detail, {});
+    else
+        refuse(RefusalReason::Overloaded, "the upstreams took no request: " + result.detail, leastRetryAfter);
+}
+
+auto Passage::refuseChoice(const NoChoice& noChoice) -> void
+{
+    switch (noChoice.reason) {
+    case NoChoiceReason::NoUpstream:
+        refuse(RefusalReason::NoUpstream, "the service has no usable upstream", leastRetryAfter);
+        return;
+    case NoChoiceReason::Busy:
+        refuse(RefusalReason::Overloaded, "all upstreams are full", noChoice.wait);
+        return;
+    case NoChoiceReason::DeadlineUnreachable:
+        refuse(RefusalReason::DeadlineUnreachable, "no upstream can answer in time", noChoice.wait);
+        return;
+    }
+}
+
+auto Passage::retryAfter(Core::Duration wait) const -> Core::Duration
+{
+    // Callers come back spread over as much time again, and never too late to be served.
+    const auto least = std::max<Core::Duration>(wait, leastRetryAfter);
+    const auto spread = static_cast<Core::Duration::rep>(m_environment.random.next() % 1024) * least / 1024;
+    const auto most = m_request.patience.value_or(patienceWithoutDeadline) / retryAfterDivisor;
+    return std::min(least + spread, most);
+}
+
+auto Passage::refuse(RefusalReason reason, std::string message, Core::Duration wait) -> void
+{
+    ForwardRefusal refusal;
+    refusal.outcome = m_mayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun;
+    refusal.reason = m_mayHaveRun && reason != RefusalReason::UpstreamTimeout ? RefusalReason::UpstreamFailed : reason;
+    refusal.message = std::move(message);
+    if (wait.count() > 0)
+        refusal.retryAfter = retryAfter(wait);
+    finish(std::move(refusal));
+}
+
+auto Passage::onDeadline() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone)
+            return;
+        // What an upstream still works on may run to its end.
+        m_mayHaveRun |= std::any_of(
+            m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return !attempt.hasEnded; });
+    }
+    refuse(m_mayHaveRun ? RefusalReason::UpstreamTimeout : RefusalReason::DeadlinePassed, "the time has passed", {});
+    cancelExchanges();
+}
+
+auto Passage::abandon() -> void
+{
+    ForwardRefusal gone;
+    gone.outcome = RunOutcome::Unknown;
+    gone.reason = RefusalReason::DeadlinePassed;
+    gone.message = "the caller has gone";
+    finish(std::move(gone));
+    cancelExchanges();
+}
+
+auto Passage::finish(ForwardReply reply) -> void
+{
+    ForwardCallback callback;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone)
+            return;
+        m_isDone = true;
+        callback = std::move(m_callback);
+        m_deadlineTimer.reset();
+        m_slowTimer.reset();
+    }
+    recordEnd(reply);
+    callback(std::move(reply));
+}
+
+auto Passage::recordEnd(const ForwardReply& reply) -> void
+{
+    const auto* refusal = std::get_if<ForwardRefusal>(&reply);
+    const auto latency = m_environment.clock.now() - m_arrivedAt;
+    Ports::Event event;
+    event.kind = Ports::EventKind(refusal == nullptr ? "request.forwarded" : "request.refused");
+    event.request = m_request.id;
+    if (m_route) {
+        event.fields = { { "route", m_route->id.value() }, { "service", m_service.value() },
+            { "configuration", std::to_string(m_configuration->version.value()) } };
+    } else {
+        event.fields = { { "host", m_request.host }, { "path", m_request.path } };
+    }
+    event.fields.push_back({ "tookMs", millis(latency) });
+    if (!m_attempts.empty()) {
+        const auto& choice = m_attempts.back().choice;
+        event.fields.insert(event.fields.end(),
+            { { "upstream", choice.target.id.value() }, { "failureDomain", choice.failureDomain.value() },
+                { "attempts", std::to_string(m_attempts.size()) }, { "warm", choice.isWarm ? "yes" : "no" },
+                { "occupancy", std::to_string(choice.occupancy).substr(0, 4) },
+                { "predictedMs", millis(choice.predicted) } });
+    }
+    if (refusal != nullptr) {
+        event.fields.insert(event.fields.end(),
+            { { "reason", toString(refusal->reason) }, { "outcome", toString(refusal->outcome) },
+                { "detail", refusal->message }, { "retryAfterMs", millis(refusal->retryAfter) } });
+    }
+    m_environment.events.record(std::move(event));
+    if (!m_desk)
+        return;
+    Ports::RequestMetric metric { m_service, rankOf(m_route->priority), latency, std::nullopt, RunOutcome::NotRun };
+    if (refusal != nullptr) {
+        metric.refusal = refusal->reason;
+        metric.outcome = refusal->outcome;
+    }
+    m_environment.metrics.requestEnded(metric);
+}
+
+auto Passage::cancelExchanges() -> void
+{
+    std::vector<std::shared_ptr<Ports::Exchange>> exchanges;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& attempt : m_attempts) {
+            if (!attempt.hasEnded && attempt.exchange)
+                exchanges.push_back(attempt.exchange);
+        }
+    }
+    for (const auto& exchange : exchanges)
+        exchange->cancel();
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/placementsettings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/units.h"
+
+namespace Forwarding {
+
+/// Weights of the choice of an upstream. Durations are added to the predicted time of an answer.
+struct PlacementSettings {
+    /// Upstreams that an object is brought to before it is spread further.
+    std::uint32_t replicas = 3;
+    /// For each place that an upstream stands further back in the object's order.
+    Core::Millis rankCost { 40 };
+    /// For an upstream in another failure domain of the region, beyond the network's latency.
+    Core::Millis domainBorderCost { 10 };
+    /// For an upstream in another region, beyond the network's latency.
+    Core::Millis regionBorderCost { 10 };
+    /// Round trip to another region.
+    Core::Millis regionRoundTrip { 40 };
+    /// For an upstream that failed all of its last requests; less by the share that succeeded.
+    Core::Millis failureCost { 1500 };
+    /// Requests that may wait at an upstream for each of its slots.
+    double waitingPerSlot = 1.0;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/servicepool.cpp
@@ -0,0 +1,239 @@
+#include "forwarding/servicepool.h"
+
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+
+namespace Forwarding {
+
+namespace {
+
+    using Ports::ExchangeOutcome;
+
+    /// An upstream that has answered nothing for so many times its usual work is taken to be silent.
+    constexpr int silentWorkTimes = 3;
+    constexpr Core::Millis leastSilence { 1000 };
+
+    auto scaled(Core::Duration duration, double factor) -> Core::Duration
+    {
+        return Core::Duration(static_cast<Core::Duration::rep>(static_cast<double>(duration.count()) * factor));
+    }
+
+    auto contains(const std::vector<Core::RegionId>* homes, const Core::RegionId& region) -> bool
+    {
+        return homes == nullptr || homes->empty() || std::find(homes->begin(), homes->end(), region) != homes->end();
+    }
+
+    auto wasTried(const ChoiceQuery& query, const Core::UpstreamId& id) -> bool
+    {
+        return query.tried != nullptr && std::find(query.tried->begin(), query.tried->end(), id) != query.tried->end();
+    }
+
+    auto healthOf(const ExchangeReport& report) -> std::optional<UpstreamState::Health>
+    {
+        using Health = UpstreamState::Health;
+        switch (report.outcome) {
+        case ExchangeOutcome::Answered:
+            return report.isUpstreamError ? Health::Refusing : Health::Good;
+        case ExchangeOutcome::NotRun:
+            return Health::Refusing;
+        case ExchangeOutcome::Misdirected:
+        case ExchangeOutcome::NotSent:
+        case ExchangeOutcome::TimedOut:
+        case ExchangeOutcome::Invalid:
+            return Health::Bad;
+        case ExchangeOutcome::Lost:
+            // A kept connection may just have been closed for its age.
+            return report.reusedConnection ? Health::Refusing : Health::Bad;
+        case ExchangeOutcome::Cancelled:
+            break;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+ServicePool::ServicePool(Core::ServiceId service, Environment environment)
+    : m_service(std::move(service))
+    , m_environment(std::move(environment))
+{
+}
+
+auto ServicePool::update(
+    const std::vector<UpstreamEntry>& entries, const EvacuatedDomains& evacuated, Core::Instant now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [target, state] : m_states)
+        state.leave();
+    for (const auto& entry : entries)
+        m_states.try_emplace(entry.target, entry).first->second.update(entry);
+    std::erase_if(m_states, [](const auto& item) { return item.second.isForgettable(); });
+    for (auto& [target, state] : m_states) {
+        const auto& domain = state.entry().failureDomain;
+        if (m_evacuated.contains(domain) && !evacuated.contains(domain))
+            state.requireProbe(now);
+    }
+    m_evacuated = evacuated;
+}
+
+auto ServicePool::setSettings(const ServiceSettings& settings) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_settings = settings;
+}
+
+auto ServicePool::mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool
+{
+    const auto& entry = state.entry();
+    if (!state.isUsable(now) || m_evacuated.contains(entry.failureDomain))
+        return false;
+    if (!contains(query.homes, entry.region) || wasTried(query, entry.target.id))
+        return false;
+    if (state.isCold(now) && !m_environment.coldOwnership.isOwner(entry))
+        return false;
+    const auto silentSince = state.silentSince();
+    const auto limit = std::max<Core::Duration>(leastSilence, m_workTime.cold() * silentWorkTimes);
+    return !silentSince || now - *silentSince < limit;
+}
+
+auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>
+{
+    const auto& key = query.object.value().empty() ? query.request.value() : query.object.value();
+    std::vector<Candidate> candidates;
+    for (auto& [target, state] : m_states) {
+        if (mayServe(state, query, now))
+            candidates.push_back({ &state, Fleet::rendezvousScore(key, target.id.value()) });
+    }
+    std::sort(
+        candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
+    return candidates;
+}
+
+auto ServicePool::waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration
+{
+    const double slots = std::max(1U, state.entry().slots.value());
+    const double occupancy = state.occupancy(now);
+    // A free slot may be gone on arrival, the more likely the fewer there are.
+    constexpr double freeSlotDoubt = 0.25;
+    const double queued = std::max(0.0, occupancy - slots + 1);
+    return scaled(m_workTime.warm(), queued / slots + freeSlotDoubt * std::min(1.0, occupancy / slots));
+}
+
+auto ServicePool::distanceCost(const UpstreamEntry& entry) const -> Core::Duration
+{
+    const auto& settings = m_environment.settings;
+    if (entry.region != m_environment.place.region)
+        return settings.regionBorderCost + settings.regionRoundTrip;
+    if (entry.failureDomain != m_environment.place.failureDomain)
+        return settings.domainBorderCost;
+    return {};
+}
+
+auto ServicePool::predict(
+    const UpstreamState& state, std::size_t rank, const ChoiceQuery& query, Core::Instant now) const -> Prediction
+{
+    const auto& settings = m_environment.settings;
+    const bool hasObject = !query.object.value().empty();
+    Prediction prediction;
+    prediction.wait = waitAt(state, now);
+    prediction.isWarm = hasObject && state.remembers(query.object);
+    Core::Duration rankCost {};
+    if (hasObject && !prediction.isWarm)
+        rankCost = settings.rankCost * static_cast<int>(rank);
+    const bool isExpectedWarm = prediction.isWarm || (hasObject && rank < settings.replicas);
+    prediction.work = isExpectedWarm ? m_workTime.warm() : m_workTime.cold();
+    prediction.cost = prediction.wait + prediction.work + rankCost + distanceCost(state.entry())
+        + scaled(settings.failureCost, state.failureShare());
+    return prediction;
+}
+
+auto ServicePool::choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult
+{
+    const std::lock_guard lock(m_mutex);
+    auto candidates = candidatesFor(query, now);
+    if (candidates.empty())
+        return tl::unexpected(NoChoice { NoChoiceReason::NoUpstream, {} });
+    std::vector<std::pair<Prediction, Candidate>> predictions;
+    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
+        predictions.emplace_back(predict(*candidates[rank].state, rank, query, now), candidates[rank]);
+    std::stable_sort(predictions.begin(), predictions.end(),
+        [](const auto& a, const auto& b) { return a.first.cost < b.first.cost; });
+    const auto leastWait = std::min_element(predictions.begin(), predictions.end(), [](const auto& a, const auto& b) {
+        return a.first.wait < b.first.wait;
+    })->first.wait;
+    for (auto& [prediction, candidate] : predictions) {
+        auto& state = *candidate.state;
+        const double slots = std::max(1U, state.entry().slots.value());
+        if (state.occupancy(now) >= slots * (1 + m_environment.settings.waitingPerSlot))
+            continue;
+        if (state.isCold(now) && !state.takeColdAllowance(m_settings.coldRate, now))
+            continue;
+        if (prediction.wait + prediction.work > query.timeLeft)
+            return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, leastWait });
+        state.begin(now);
+        return Choice { state.entry().target, state.entry().failureDomain, prediction.isWarm, state.occupancy(now),
+            prediction.wait + prediction.work };
+    }
+    return tl::unexpected(NoChoice { NoChoiceReason::Busy, leastWait });
+}
+
+auto ServicePool::stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*
+{
+    const auto found = m_states.find(target);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+auto ServicePool::end(const ExchangeReport& report, Core::Instant now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto* state = stateOf(report.target);
+    if (state == nullptr)
+        return;
+    state->end(report.load, now);
+    if (const auto health = healthOf(report))
+        state->recordHealth(*health, now);
+    if (report.outcome == ExchangeOutcome::Misdirected)
+        state->eject(now);
+    if (report.outcome == ExchangeOutcome::Answered && !report.isUpstreamError) {
+        m_workTime.record(report.duration, report.wasWarm || m_workTime.looksWarm(report.duration));
+        if (!report.object.value().empty())
+            state->remember(report.object, now);
+    }
+    if (state->isForgettable())
+        m_states.erase(report.target);
+}
+
+auto ServicePool::takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Ports::UpstreamTarget> due;
+    for (auto& [target, state] : m_states) {
+        if (!state.isProbeDue(now) || m_evacuated.contains(state.entry().failureDomain))
+            continue;
+        state.beginProbe();
+        due.push_back(target);
+    }
+    return due;
+}
+
+auto ServicePool::recordProbe(
+    const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto* state = stateOf(target))
+        state->recordProbe(report, now);
+}
+
+auto ServicePool::healthPath() const -> std::string
+{
+    const std::lock_guard lock(m_mutex);
+    return m_settings.healthPath;
+}
+
+auto ServicePool::coldWorkTime() const -> Core::Duration
+{
+    const std::lock_guard lock(m_mutex);
+    return m_workTime.cold();
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/servicepool.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "forwarding/placementsettings.h"
+#include "forwarding/routingconfiguration.h"
+#include "forwarding/upstreamstate.h"
+#include "forwarding/worktime.h"
+
+#include <mutex>
+
+namespace Forwarding {
+
+/// Place of this entry VM, from which distances are counted.
+struct Place {
+    Core::FailureDomainId failureDomain;
+    Core::RegionId region;
+};
+
+/// Decides which entry VM may send requests to a cold upstream, so that its limit holds over all of them.
+class ColdOwnership {
+public:
+    virtual ~ColdOwnership() = default;
+    [[nodiscard]] virtual auto isOwner(const UpstreamEntry& upstream) const -> bool = 0;
+};
+
+/// What the choice of an upstream depends on.
+struct ChoiceQuery {
+    Core::RequestId request;
+    /// Empty when the request is about no object.
+    ObjectKey object;
+    /// Regions that may serve it; empty allows all.
+    const std::vector<Core::RegionId>* homes = nullptr;
+    /// Upstreams that it was sent to before.
+    const std::vector<Core::UpstreamId>* tried = nullptr;
+    Core::Duration timeLeft {};
+};
+
+/// Upstream that was chosen, with what decided it.
+struct Choice {
+    Ports::UpstreamTarget target;
+    Core::FailureDomainId failureDomain;
+    bool isWarm = false;
+    double occupancy = 0;
+    Core::Duration predicted {};
+};
+
+enum class NoChoiceReason : std::uint8_t {
+    /// The service has no upstream that may serve the request now.
+    NoUpstream,
+    /// All upstreams have as many requests waiting as can be served in time.
+    Busy,
+    /// An answer would come after the deadline.
+    DeadlineUnreachable,
+};
+
+struct NoChoice {
+    NoChoiceReason reason = NoChoiceReason::NoUpstream;
+    /// Time after which room is expected.
+    Core::Duration wait {};
+};
+
+using ChoiceResult = tl::expected<Choice, NoChoice>;
+
+/// How one exchange with a chosen upstream ended.
+struct ExchangeReport {
+    Ports::UpstreamTarget target;
+    ObjectKey object;
+    Ports::ExchangeOutcome outcome = Ports::ExchangeOutcome::Answered;
+    bool isUpstreamError = false;
+    bool reusedConnection = false;
+    std::optional<Ports::ReportedLoad> load;
+    Core::Duration duration {};
+    bool wasWarm = false;
+};
+
+/// The upstreams of one service and what is known of them. All functions are safe to call from several threads.
+class ServicePool {
+public:
+    struct Environment {
+        Place place;
+        const ColdOwnership& coldOwnership;
+        PlacementSettings settings;
+    };
+
+    ServicePool(Core::ServiceId service, Environment environment);
+
+    /// Takes the upstreams that are listed now, and which failure domains are evacuated.
+    auto update(const std::vector<UpstreamEntry>& entries, const EvacuatedDomains& evacuated, Core::Instant now)
+        -> void;
+    auto setSettings(const ServiceSettings& settings) -> void;
+    /// Chooses an upstream and counts the request there; each choice needs an end().
+    auto choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
+    auto end(const ExchangeReport& report, Core::Instant now) -> void;
+    /// Upstreams whose health is to be asked now; each needs a recordProbe().
+    auto takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>;
+    auto recordProbe(const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report,
+        Core::Instant now) -> void;
+    [[nodiscard]] auto healthPath() const -> std::string;
+    [[nodiscard]] auto service() const -> const Core::ServiceId& { return m_service; }
+    /// Time that an upstream takes for an object that it does not know.
+    [[nodiscard]] auto coldWorkTime() const -> Core::Duration;
+
+private:
+    struct Candidate {
+        UpstreamState* state = nullptr;
+        std::uint64_t score = 0;
+    };
+
+    struct Prediction {
+        Core::Duration wait {};
+        Core::Duration work {};
+        Core::Duration cost {};
+        bool isWarm = false;
+    };
+
+    [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>;
+    [[nodiscard]] auto mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool;
+    [[nodiscard]] auto predict(
+        const UpstreamState& state, std::size_t rank, const ChoiceQuery& query, Core::Instant now) const -> Prediction;
+    [[nodiscard]] auto waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration;
+    [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
+    [[nodiscard]] auto stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*;
+
+    const Core::ServiceId m_service;
+    const Environment m_environment;
+    mutable std::mutex m_mutex;
+    ServiceSettings m_settings;
+    EvacuatedDomains m_evacuated;
+    /// Upstreams that left stay until their last exchange ends.
+    std::map<Ports::UpstreamTarget, UpstreamState> m_states;
+    WorkTime m_workTime;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -0,0 +1,116 @@
+#include "forwarding/upstreamregistry.h"
+
+namespace Forwarding {
+
+UpstreamRegistry::UpstreamRegistry(Environment environment, Changed changed)
+    : m_environment(environment)
+    , m_changed(std::move(changed))
+{
+}
+
+auto UpstreamRegistry::replaceAll(const std::vector<UpstreamEntry>& entries) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
+    std::set<Core::UpstreamId> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.target.id);
+        put(entry);
+    }
+    std::vector<Core::UpstreamId> left;
+    for (const auto& [id, entry] : m_entries) {
+        if (!listed.contains(id))
+            left.push_back(id);
+    }
+    for (const auto& id : left)
+        drop(id, now);
+}
+
+auto UpstreamRegistry::upsert(const UpstreamEntry& entry) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    put(entry);
+}
+
+auto UpstreamRegistry::remove(const Core::UpstreamId& id) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    drop(id, m_environment.clock.now());
+}
+
+auto UpstreamRegistry::put(const UpstreamEntry& entry) -> void
+{
+    m_missing.erase(entry.target.id);
+    const auto found = m_entries.find(entry.target.id);
+    const bool isNew = found == m_entries.end() || found->second.target != entry.target
+        || found->second.isDraining != entry.isDraining;
+    m_entries[entry.target.id] = entry;
+    if (isNew)
+        record(entry.isDraining ? "upstream.draining" : "upstream.listed", entry);
+}
+
+auto UpstreamRegistry::drop(const Core::UpstreamId& id, Core::Instant now) -> void
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    // An upstream that announced its leaving has gone, whatever the store went through.
+    if (isGraceTime(now) && !found->second.isDraining) {
+        m_missing.insert(id);
+        return;
+    }
+    record("upstream.left", found->second);
+    m_entries.erase(found);
+}
+
+auto UpstreamRegistry::isGraceTime(Core::Instant now) const -> bool
+{
+    return m_isStoreLost || (m_graceUntil && now < *m_graceUntil);
+}
+
+auto UpstreamRegistry::commit() -> void
+{
+    UpstreamEntries entries;
+    {
+        const std::lock_guard lock(m_mutex);
+        entries = m_entries;
+    }
+    m_changed(entries);
+}
+
+auto UpstreamRegistry::storeLost() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStoreLost = true;
+}
+
+auto UpstreamRegistry::storeRegained() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStoreLost = false;
+    m_graceUntil = m_environment.clock.now() + returnTime;
+    m_graceTimer = m_environment.scheduler.after(returnTime, [this] { dropMissing(); });
+}
+
+auto UpstreamRegistry::dropMissing() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStoreLost)
+            return;
+        m_graceUntil.reset();
+        for (const auto& id : std::exchange(m_missing, {}))
+            drop(id, m_environment.clock.now());
+    }
+    commit();
+}
+
+auto UpstreamRegistry::record(const char* kind, const UpstreamEntry& entry) -> void
+{
+    m_environment.events.record({ Ports::EventKind(kind), {},
+        { { "upstream", entry.target.id.value() }, { "start", std::to_string(entry.target.start.value()) },
+            { "service", entry.service.value() }, { "failureDomain", entry.failureDomain.value() },
+            { "address", entry.target.address.value() } } });
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -0,0 +1,154 @@
+#include "forwarding/upstreamstate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Forwarding {
+
+namespace {
+
+    /// Failures in a row after which an upstream is asked for its health before it gets requests.
+    constexpr std::uint32_t failuresToEject = 2;
+    constexpr Core::Millis firstProbeDelay { 400 };
+    constexpr Core::Millis longestProbeDelay { 3000 };
+    constexpr Core::Millis refusalPause { 60 };
+    /// Share of the newest outcome in the failure share.
+    constexpr double newestOutcomeShare = 0.15;
+    /// Time after which a reported load counts half.
+    constexpr Core::Millis loadHalfLife { 700 };
+    /// Objects that an upstream is taken to know; the longest unused one is dropped.
+    constexpr std::size_t rememberedObjects = 24;
+
+    auto probeDelay(std::uint32_t failedProbes) -> Core::Duration
+    {
+        return std::min<Core::Duration>(longestProbeDelay, firstProbeDelay * (1U << std::min(failedProbes, 4U)));
+    }
+
+} // namespace
+
+UpstreamState::UpstreamState(UpstreamEntry entry)
+    : m_entry(std::move(entry))
+    , m_coldUntil(m_entry.coldUntil)
+{
+}
+
+auto UpstreamState::update(const UpstreamEntry& entry) -> void
+{
+    m_entry = entry;
+    m_isListed = true;
+    m_coldUntil = std::max(m_coldUntil, entry.coldUntil);
+}
+
+auto UpstreamState::begin(Core::Instant now) -> void
+{
+    if (m_inFlight++ == 0)
+        m_lastHeard = now;
+}
+
+auto UpstreamState::end(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
+{
+    --m_inFlight;
+    if (!load)
+        return;
+    m_lastHeard = now;
+    const double others = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
+    m_othersLoad = others;
+    m_reportedAt = now;
+}
+
+auto UpstreamState::recordHealth(Health health, Core::Instant now) -> void
+{
+    m_failureShare += newestOutcomeShare * ((health == Health::Good ? 0.0 : 1.0) - m_failureShare);
+    if (health == Health::Good) {
+        m_consecutiveBad = 0;
+        return;
+    }
+    if (health == Health::Refusing) {
+        m_pausedUntil = now + refusalPause;
+        return;
+    }
+    if (++m_consecutiveBad >= failuresToEject)
+        eject(now);
+}
+
+auto UpstreamState::eject(Core::Instant now) -> void
+{
+    if (m_isEjected)
+        return;
+    m_isEjected = true;
+    m_failedProbes = 0;
+    m_probeAt = now + firstProbeDelay;
+}
+
+auto UpstreamState::recordProbe(const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> void
+{
+    m_isProbing = false;
+    if (!report || !report->isHealthy || report->id != m_entry.target.id) {
+        ++m_failedProbes;
+        m_probeAt = now + probeDelay(m_failedProbes);
+        return;
+    }
+    m_isEjected = false;
+    m_consecutiveBad = 0;
+    m_failureShare /= 2;
+    m_coldUntil = std::max(m_coldUntil, now + report->coldLeft);
+    if (report->coldLeft.count() > 0)
+        m_objects.clear();
+}
+
+auto UpstreamState::requireProbe(Core::Instant now) -> void
+{
+    m_isEjected = true;
+    m_failedProbes = 0;
+    m_probeAt = now;
+}
+
+auto UpstreamState::remember(const ObjectKey& object, Core::Instant now) -> void
+{
+    m_objects[object] = now;
+    if (m_objects.size() > rememberedObjects)
+        forgetOldest();
+}
+
+auto UpstreamState::forgetOldest() -> void
+{
+    const auto oldest = std::min_element(
+        m_objects.begin(), m_objects.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    m_objects.erase(oldest);
+}
+
+auto UpstreamState::isUsable(Core::Instant now) const -> bool
+{
+    return m_isListed && !m_entry.isDraining && !m_isEjected && now >= m_pausedUntil;
+}
+
+auto UpstreamState::isProbeDue(Core::Instant now) const -> bool
+{
+    return m_isListed && m_isEjected && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
+}
+
+auto UpstreamState::occupancy(Core::Instant now) const -> double
+{
+    const double halfLives = static_cast<double>((now - m_reportedAt).count())
+        / static_cast<double>(std::chrono::duration_cast<Core::Duration>(loadHalfLife).count());
+    return m_inFlight + m_othersLoad * std::exp2(-halfLives);
+}
+
+auto UpstreamState::silentSince() const -> std::optional<Core::Instant>
+{
+    if (m_inFlight == 0)
+        return std::nullopt;
+    return m_lastHeard;
+}
+
+auto UpstreamState::takeColdAllowance(double perSecond, Core::Instant now) -> bool
+{
+    if (perSecond <= 0)
+        return true;
+    if (now < m_coldAllowanceAt)
+        return false;
+    m_coldAllowanceAt = now + Core::Duration(static_cast<Core::Duration::rep>(1e6 / perSecond));
+    return true;
+}
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwarding/upstreamstate.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "forwarding/objectkey.h"
+#include "forwarding/upstreamlist.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace Forwarding {
+
+/// What this entry VM knows about one start of an upstream.
+class UpstreamState {
+public:
+    /// How an exchange counts for the upstream's health.
+    enum class Health : std::uint8_t { Good, Refusing, Bad };
+
+    explicit UpstreamState(UpstreamEntry entry);
+
+    /// Takes what the list says now of the same start.
+    auto update(const UpstreamEntry& entry) -> void;
+    /// The upstream is no longer listed; its open exchanges go on.
+    auto leave() -> void { m_isListed = false; }
+    auto begin(Core::Instant now) -> void;
+    auto end(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void;
+    auto recordHealth(Health health, Core::Instant now) -> void;
+    /// Takes no requests until a health answer says that it is well.
+    auto eject(Core::Instant now) -> void;
+    auto recordProbe(const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> void;
+    auto beginProbe() -> void { m_isProbing = true; }
+    /// The upstream may have become cold without saying so: ask before it gets requests again.
+    auto requireProbe(Core::Instant now) -> void;
+    auto remember(const ObjectKey& object, Core::Instant now) -> void;
+
+    [[nodiscard]] auto entry() const -> const UpstreamEntry& { return m_entry; }
+    [[nodiscard]] auto isForgettable() const -> bool { return !m_isListed && m_inFlight == 0 && !m_isProbing; }
+    [[nodiscard]] auto isUsable(Core::Instant now) const -> bool;
+    [[nodiscard]] auto isCold(Core::Instant now) const -> bool { return now < m_coldUntil; }
+    [[nodiscard]] auto isProbeDue(Core::Instant now) const -> bool;
+    [[nodiscard]] auto remembers(const ObjectKey& object) const -> bool { return m_objects.contains(object); }
+    /// Share of the last requests that failed or were refused though there was room.
+    [[nodiscard]] auto failureShare() const -> double { return m_failureShare; }
+    /// Requests at the upstream, those of other entry VMs as last reported.
+    [[nodiscard]] auto occupancy(Core::Instant now) const -> double;
+    [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
+    /// Requests are out and nothing has been heard since the instant.
+    [[nodiscard]] auto silentSince() const -> std::optional<Core::Instant>;
+    /// Takes one request from the allowance of a cold upstream; false when it is used up.
+    [[nodiscard]] auto takeColdAllowance(double perSecond, Core::Instant now) -> bool;
+
+private:
+    auto forgetOldest() -> void;
+
+    UpstreamEntry m_entry;
+    std::uint32_t m_inFlight = 0;
+    double m_othersLoad = 0;
+    Core::Instant m_reportedAt;
+    Core::Instant m_pausedUntil;
+    Core::Instant m_coldUntil;
+    Core::Instant m_lastHeard;
+    Core::Instant m_coldAllowanceAt;
+    Core::Instant m_probeAt;
+    bool m_isListed = true;
+    bool m_isEjected = false;
+    bool m_isProbing = false;
+    std::uint32_t m_consecutiveBad = 0;
+    std::uint32_t m_failedProbes = 0;
+    double m_failureShare = 0;
+    std::unordered_map<ObjectKey, Core::Instant> m_objects;
+};
+
+} // namespace Forwarding
--- /dev/null
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -0,0 +1,140 @@
+#include "forwardinghost/listeners.h"
+
+namespace ForwardingHost {
+
+auto DecodingListener::recordUnreadable(const Ports::CollectionItem& item, const Core::Error& error) -> void
+{
+    m_environment.events.record({ Ports::EventKind("store.item-refused"), {},
+        { { "item", item.name }, { "revision", std::to_string(item.revision.value()) },
+            { "detail", describe(error) } } });
+}
+
+ConfigurationListener::ConfigurationListener(ListenerEnvironment environment, Changed changed)
+    : DecodingListener(environment)
+    , m_changed(std::move(changed))
+{
+}
+
+auto ConfigurationListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+{
+    for (const auto& item : items)
+        upsert(item);
+}
+
+auto ConfigurationListener::upsert(const Ports::CollectionItem& item) -> void
+{
+    if (item.name != environment().codec.configurationName())
+        return;
+    const auto configuration = environment().codec.decodeConfiguration(item);
+    if (!configuration) {
+        recordUnreadable(item, configuration.error());
+        return;
+    }
+    if ((*configuration)->version <= m_version)
+        return;
+    m_version = (*configuration)->version;
+    environment().events.record({ Ports::EventKind("configuration.in-force"), {},
+        { { "version", std::to_string(m_version.value()) }, { "revision", std::to_string(item.revision.value()) },
+            { "routes", std::to_string((*configuration)->routes.size()) } } });
+    m_changed(*configuration);
+}
+
+auto ConfigurationListener::remove(const std::string& name) -> void
+{
+    // What was accepted holds until something newer is.
+    environment().events.record({ Ports::EventKind("configuration.removed"), {}, { { "item", name } } });
+}
+
+UpstreamListener::UpstreamListener(ListenerEnvironment environment, Forwarding::UpstreamRegistry& registry)
+    : DecodingListener(environment)
+    , m_registry(registry)
+{
+}
+
+auto UpstreamListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+{
+    std::vector<Forwarding::UpstreamEntry> entries;
+    for (const auto& item : items) {
+        const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
+        if (entry)
+            entries.push_back(*entry);
+        else
+            recordUnreadable(item, entry.error());
+    }
+    m_registry.replaceAll(entries);
+}
+
+auto UpstreamListener::upsert(const Ports::CollectionItem& item) -> void
+{
+    const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
+    if (entry)
+        m_registry.upsert(*entry);
+    else
+        recordUnreadable(item, entry.error());
+}
+
+auto UpstreamListener::remove(const std::string& name) -> void { m_registry.remove(Core::UpstreamId(name)); }
+
+auto UpstreamListener::commit() -> void { m_registry.commit(); }
+
+EvacuationListener::EvacuationListener(ListenerEnvironment environment, Changed changed)
+    : DecodingListener(environment)
+    , m_changed(std::move(changed))
+{
+}
+
+auto EvacuationListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+{
+    m_domains.clear();
+    for (const auto& item : items)
+        m_domains.insert(Core::FailureDomainId(item.name));
+}
+
+auto EvacuationListener::upsert(const Ports::CollectionItem& item) -> void
+{
+    m_domains.insert(Core::FailureDomainId(item.name));
+    environment().events.record({ Ports::EventKind("evacuation.started"), {}, { { "failureDomain", item.name } } });
+}
+
+auto EvacuationListener::remove(const std::string& name) -> void
+{
+    m_domains.erase(Core::FailureDomainId(name));
+    environment().events.record({ Ports::EventKind("evacuation.ended"), {}, { { "failureDomain", name } } });
+}
+
+auto EvacuationListener::commit() -> void { m_changed(m_domains); }
+
+EntryVmListener::EntryVmListener(ListenerEnvironment environment, EntryFleet::EntryFleet& fleet, Changed changed)
+    : DecodingListener(environment)
+    , m_fleet(fleet)
+    , m_changed(std::move(changed))
+{
+}
+
+auto EntryVmListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+{
+    std::vector<EntryFleet::EntryVmEntry> entries;
+    for (const auto& item : items) {
+        const auto entry = environment().codec.decodeEntryVm(item);
+        if (entry)
+            entries.push_back(*entry);
+        else
+            recordUnreadable(item, entry.error());
+    }
+    m_fleet.replaceAll(entries);
+}
+
+auto EntryVmListener::upsert(const Ports::CollectionItem& item) -> void
+{
+    const auto entry = environment().codec.decodeEntryVm(item);
+    if (entry)
+        m_fleet.upsert(*entry);
+    else
+        recordUnreadable(item, entry.error());
+}
+
+auto EntryVmListener::remove(const std::string& name) -> void { m_fleet.remove(Core::EntryVmId(name)); }
+
+auto EntryVmListener::commit() -> void { m_changed(); }
+
+} // namespace ForwardingHost
--- /dev/null
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -0,0 +1,125 @@
+#include "datagrampeer/datagrampeer.h"
+
+#include "cbor/cbor.h"
+#include "runtime/endpoints.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace DatagramPeer {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using Udp = asio::ip::udp;
+    using Error = boost::system::error_code;
+
+    constexpr std::size_t maximumDatagram = 1024;
+
+    auto toUdp(const asio::ip::tcp::endpoint& endpoint) -> Udp::endpoint
+    {
+        return { endpoint.address(), endpoint.port() };
+    }
+
+} // namespace
+
+auto encodeHeartbeat(const EntryFleet::Heartbeat& heartbeat) -> std::string
+{
+    return Cbor::pack(
+        nlohmann::json::array({ heartbeat.sender.value(), heartbeat.start.value(), heartbeat.isLeaving }));
+}
+
+auto decodeHeartbeat(const std::string& payload) -> Core::Result<EntryFleet::Heartbeat>
+{
+    return Cbor::unpack(payload, "a heartbeat", [](const nlohmann::json& value) {
+        return EntryFleet::Heartbeat { Core::EntryVmId(value.at(0).get<std::string>()),
+            Core::StartMark(value.at(1).get<std::int64_t>()), value.at(2).get<bool>() };
+    });
+}
+
+class DatagramPeer::Implementation : public std::enable_shared_from_this<DatagramPeer::Implementation> {
+public:
+    Implementation(asio::io_context& context, const Core::Address& address)
+        : m_strand(asio::make_strand(context))
+        , m_socket(m_strand, toUdp(Runtime::requireEndpoint(address)))
+    {
+    }
+
+    auto start(Receiver receiver) -> void
+    {
+        m_receiver = std::move(receiver);
+        asio::post(m_strand, [self = shared_from_this()] { self->receiveNext(); });
+    }
+
+    auto send(const Core::Address& to, std::string payload) -> void
+    {
+        const auto endpoint = Runtime::parseEndpoint(to);
+        if (!endpoint)
+            return;
+        asio::post(m_strand, [self = shared_from_this(), target = toUdp(*endpoint), payload = std::move(payload)] {
+            // A lost heartbeat is followed by the next one.
+            Error ignored;
+            self->m_socket.send_to(asio::buffer(payload), target, 0, ignored);
+        });
+    }
+
+    auto close() -> void
+    {
+        asio::post(m_strand, [self = shared_from_this()] {
+            Error ignored;
+            self->m_socket.close(ignored);
+        });
+    }
+
+    [[nodiscard]] auto malformedCount() const -> std::uint64_t { return m_malformed; }
+
+private:
+    auto receiveNext() -> void
+    {
+        m_socket.async_receive_from(
+            asio::buffer(m_buffer), m_sender, [self = shared_from_this()](const Error& error, std::size_t size) {
+                if (error == asio::error::operation_aborted || !self->m_socket.is_open())
+                    return;
+                if (!error)
+                    self->take(std::string(self->m_buffer.data(), size));
+                self->receiveNext();
+            });
+    }
+
+    auto take(const std::string& payload) -> void
+    {
+        const auto heartbeat = decodeHeartbeat(payload);
+        if (heartbeat)
+            m_receiver(*heartbeat);
+        else
+            ++m_malformed;
+    }
+
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::basic_datagram_socket<Udp, asio::strand<asio::io_context::executor_type>> m_socket;
+    Receiver m_receiver;
+    std::array<char, maximumDatagram> m_buffer {};
+    Udp::endpoint m_sender;
+    std::atomic<std::uint64_t> m_malformed { 0 };
+};
+
+DatagramPeer::DatagramPeer(asio::io_context& context, const Core::Address& address)
+    : m_implementation(std::make_shared<Implementation>(context, address))
+{
+}
+
+DatagramPeer::~DatagramPeer() { m_implementation->close(); }
+
+auto DatagramPeer::start(Receiver receiver) -> void { m_implementation->start(std::move(receiver)); }
+
+auto DatagramPeer::send(const Core::Address& to, const EntryFleet::Heartbeat& heartbeat) -> void
+{
+    m_implementation->send(to, encodeHeartbeat(heartbeat));
+}
+
+auto DatagramPeer::malformedCount() const -> std::uint64_t { return m_implementation->malformedCount(); }
+
+} // namespace DatagramPeer
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -2,9 +2,13 @@
 
 #include "core/sharded.h"
 #include "runtime/endpoints.h"
+#include "runtime/socketoptions.h"
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +31,10 @@
 namespace {
 
     constexpr int maximumInterimResponses = 8;
+    /// Longer request bodies are written while the response is read: a server may answer before it has read them.
+    constexpr std::size_t sequentialWriteLimit = 8 * 1024;
+    /// A server closes idle connections after the time it names; they are left alone this long before.
+    constexpr Core::Millis keepAliveMargin { 1000 };
 
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Stream = beast::basic_stream<Tcp, Strand>;
@@ -39,11 +47,59 @@
         Stream stream;
         beast::flat_buffer buffer;
         bool isReused = false;
-        std::chrono::steady_clock::time_point idleSince;
+        bool isCancelled = false;
+        bool hasUnwrittenInput = false;
+        /// A response came that belongs to no request.
+        bool hasStrayResponse = false;
+        std::chrono::steady_clock::time_point usableUntil;
     };
 
     using ConnectionPointer = std::shared_ptr<Connection>;
 
+    class PendingExchange : public PendingCall {
+    public:
+        explicit PendingExchange(ConnectionPointer connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
+        auto cancel() -> void override
+        {
+            asio::post(m_connection->stream.get_executor(), [connection = m_connection] {
+                connection->isCancelled = true;
+                connection->stream.close();
+            });
+        }
+
+    private:
+        ConnectionPointer m_connection;
+    };
+
+    struct PoolKey {
+        Core::Address address;
+        std::string incarnation;
+        friend auto operator==(const PoolKey&, const PoolKey&) -> bool = default;
+    };
+
+    struct PoolKeyHash {
+        auto operator()(const PoolKey& key) const noexcept -> std::size_t
+        {
+            return std::hash<Core::Address> {}(key.address) ^ (std::hash<std::string> {}(key.incarnation) << 1U);
+        }
+    };
+
+    /// Time for which the server keeps the idle connection, by its Keep-Alive header; the limit when it names none.
+    auto idleTimeOf(const HttpResponse& response, Core::Duration limit) -> Core::Duration
+    {
+        constexpr std::string_view parameter = "timeout=";
+        const std::string_view value(response[http::field::keep_alive]);
+        const auto at = value.find(parameter);
+        if (at == std::string_view::npos)
+            return limit;
+        const auto seconds = std::strtol(std::string(value.substr(at + parameter.size())).c_str(), nullptr, 10);
+        return std::min<Core::Duration>(limit, std::chrono::seconds(seconds) - keepAliveMargin);
+    }
+
     /// An idle connection must have nothing to read: neither an end of stream nor stray bytes.
     auto isStillOpen(Connection& connection) -> bool
     {
@@ -72,13 +128,14 @@
     {
     }
 
-    auto send(Call call, Callback callback) -> void
+    auto send(Call call, Callback callback) -> std::shared_ptr<PendingCall>
     {
-        auto connection = takeIdle(call.address);
+        auto connection = takeIdle(keyOf(call));
         if (!connection)
             connection = std::make_shared<Connection>(m_context);
         auto executor = connection->stream.get_executor();
         auto shared = std::make_shared<Call>(std::move(call));
+        auto pending = std::make_shared<PendingExchange>(connection);
         asio::co_spawn(executor, exchange(shared_from_this(), connection, shared),
             [callback = std::move(callback)](
                 const std::exception_ptr& exception, tl::expected<Exchange, Failure> result) {
@@ -87,10 +144,15 @@
                 else
                     callback(std::move(result));
             });
+        return pending;
     }
 
+    [[nodiscard]] auto openedConnections() const -> std::uint64_t { return m_opened; }
+
 private:
-    using Pool = std::unordered_map<Core::Address, std::vector<ConnectionPointer>>;
+    using Pool = std::unordered_map<PoolKey, std::vector<ConnectionPointer>, PoolKeyHash>;
+
+    static auto keyOf(const Call& call) -> PoolKey { return { call.address, call.incarnation }; }
 
     static auto exchange(std::shared_ptr<Implementation> self, ConnectionPointer connection, std::shared_ptr<Call> call)
         -> asio::awaitable<tl::expected<Exchange, Failure>>
@@ -103,30 +165,55 @@
         }
         connection->stream.expires_at(deadline);
         Error error;
-        co_await http::async_write(connection->stream, call->request, asio::redirect_error(asio::use_awaitable, error));
+        if (call->request.body().size() > sequentialWriteLimit)
+            self->writeBeside(connection, call);
+        else
+            co_await http::async_write(
+                connection->stream, call->request, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
-        auto response = co_await self->readFinalResponse(*connection, error);
+        auto response = co_await self->readFinalResponse(*connection, *call, error);
         if (error)
             co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
         Exchange result { std::move(response), connection->isReused };
-        if (result.response.keep_alive() && connection->buffer.size() == 0)
-            self->keep(call->address, connection);
+        if (isReusable(*connection, result.response))
+            self->keep(*call, connection, idleTimeOf(result.response, self->m_limits.idleTimeout));
+        else
+            connection->stream.close();
         co_return result;
     }
 
-    /// Skips interim responses, of which a server may send a few before its answer.
-    auto readFinalResponse(Connection& connection, Error& error) -> asio::awaitable<HttpResponse>
+    static auto isReusable(const Connection& connection, const HttpResponse& response) -> bool
+    {
+        return response.keep_alive() && connection.buffer.size() == 0 && !connection.hasUnwrittenInput
+            && !connection.hasStrayResponse && !connection.isCancelled;
+    }
+
+    /// Writes the request while the response is read.
+    static auto writeBeside(const ConnectionPointer& connection, const std::shared_ptr<Call>& call) -> void
+    {
+        connection->hasUnwrittenInput = true;
+        http::async_write(connection->stream, call->request, [connection, call](const Error& error, std::size_t) {
+            connection->hasUnwrittenInput = static_cast<bool>(error);
+        });
+    }
+
+    /// Skips interim responses, of which a server may send a few before its answer, and stray ones.
+    auto readFinalResponse(Connection& connection, const Call& call, Error& error) -> asio::awaitable<HttpResponse>
     {
         for (int interim = 0; interim < maximumInterimResponses; ++interim) {
             http::response_parser<http::string_body> parser;
             parser.body_limit(m_limits.maximumBody.value());
+            parser.skip(call.request.method() == http::verb::head);
             co_await http::async_read(
                 connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return HttpResponse();
-            if (http::to_status_class(parser.get().result_int()) != http::status_class::informational)
+            if (http::to_status_class(parser.get().result_int()) == http::status_class::informational)
+                continue;
+            if (!call.isOwnResponse || call.isOwnResponse(parser.get()))
                 co_return parser.release();
+            connection.hasStrayResponse = true;
         }
         error = http::make_error_code(http::error::bad_status);
         co_return HttpResponse();
@@ -143,7 +230,10 @@
         co_await connection.stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return error.message();
+        ++m_opened;
         connection.stream.socket().set_option(Tcp::no_delay(true), error);
+        if (m_limits.silenceTimeout.count() > 0)
+            Runtime::detectSilence(connection.stream.socket().native_handle(), m_limits.silenceTimeout);
         co_return std::string();
     }
 
@@ -151,18 +241,22 @@
     {
         // What made one old connection fail has often made the others fail as well: the next calls take new ones.
         if (connection.isReused)
-            m_idle.with(call.address, [&](Pool& pool) { pool.erase(call.address); });
-        return { stageAfterWrite(error), connection.isReused, error.message() };
+            m_idle.with(call.address, [&](Pool& pool) { pool.erase(keyOf(call)); });
+        const auto stage = connection.isCancelled ? FailureStage::Cancelled : stageAfterWrite(error);
+        return { stage, connection.isReused, error.message() };
     }
 
-    auto takeIdle(const Core::Address& address) -> ConnectionPointer
+    auto takeIdle(const PoolKey& key) -> ConnectionPointer
     {
-        return m_idle.with(address, [&](Pool& pool) -> ConnectionPointer {
-            auto& connections = pool[address];
+        return m_idle.with(key.address, [&](Pool& pool) -> ConnectionPointer {
+            const auto found = pool.find(key);
+            if (found == pool.end())
+                return nullptr;
+            auto& connections = found->second;
             while (!connections.empty()) {
                 auto connection = std::move(connections.back());
                 connections.pop_back();
-                const bool isFresh = connection->idleSince + m_limits.idleTimeout > std::chrono::steady_clock::now();
+                const bool isFresh = connection->usableUntil > std::chrono::steady_clock::now();
                 if (isFresh && isStillOpen(*connection)) {
                     connection->isReused = true;
                     return connection;
@@ -172,12 +266,12 @@
         });
     }
 
-    auto keep(const Core::Address& address, const ConnectionPointer& connection) -> void
+    auto keep(const Call& call, const ConnectionPointer& connection, Core::Duration idleTime) -> void
     {
         connection->stream.expires_never();
-        connection->idleSince = std::chrono::steady_clock::now();
-        m_idle.with(address, [&](Pool& pool) {
-            auto& connections = pool[address];
+        connection->usableUntil = std::chrono::steady_clock::now() + idleTime;
+        m_idle.with(call.address, [&](Pool& pool) {
+            auto& connections = pool[keyOf(call)];
             if (connections.size() < m_limits.idleConnectionsPerAddress)
                 connections.push_back(connection);
         });
@@ -186,6 +280,7 @@
     asio::io_context& m_context;
     Limits m_limits;
     Core::Sharded<Pool> m_idle;
+    std::atomic<std::uint64_t> m_opened { 0 };
 };
 
 Client::Client(asio::io_context& context, Limits limits)
@@ -195,9 +290,11 @@
 
 Client::~Client() = default;
 
-auto Client::send(Call call, Callback callback) -> void
+auto Client::send(Call call, Callback callback) -> std::shared_ptr<PendingCall>
 {
-    m_implementation->send(std::move(call), std::move(callback));
+    return m_implementation->send(std::move(call), std::move(callback));
 }
 
+auto Client::openedConnections() const -> std::uint64_t { return m_implementation->openedConnections(); }
+
 } // namespace HttpClient
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <string>
 #include <tl/expected.hpp>
 
 namespace HttpClient {
@@ -25,6 +26,8 @@
     TimedOut,
     /// The response was not valid HTTP or too large.
     InvalidResponse,
+    /// As AfterWrite, and the caller of the client gave the exchange up.
+    Cancelled,
 };
 
 struct Failure {
@@ -42,6 +45,20 @@
     Core::Address address;
     HttpRequest request;
     Core::Duration timeout {};
+    /// Connections are shared only by calls with the same text here: a server that started anew at the same address
+    /// must not be reached over what is left of the one before it.
+    std::string incarnation;
+    /// Whether a response belongs to this request. Others are skipped, and the connection is closed afterwards. Empty
+    /// takes the first response.
+    std::function<bool(const HttpResponse&)> isOwnResponse;
+};
+
+/// Exchange that was started; may be given up. Dropping it leaves the exchange running.
+class PendingCall {
+public:
+    virtual ~PendingCall() = default;
+    /// Closes the connection, which tells the server to stop. The callback still comes. Safe from any thread.
+    virtual auto cancel() -> void = 0;
 };
 
 struct Limits {
@@ -51,6 +68,8 @@
     /// Connections that were idle for longer are closed instead of used: something between the two ends may have
     /// forgotten them.
     Core::Millis idleTimeout { 30'000 };
+    /// A connection whose other end acknowledges nothing for so long is broken; zero leaves it to the system.
+    Core::Millis silenceTimeout { 0 };
 };
 
 /// HTTP/1.1 client with a pool of idle connections for each address. A connection whose exchange failed is closed.
@@ -62,7 +81,9 @@
     ~Client();
 
     /// Calls back exactly once.
-    auto send(Call call, Callback callback) -> void;
+    auto send(Call call, Callback callback) -> std::shared_ptr<PendingCall>;
+    /// Connections that were opened since the start.
+    [[nodiscard]] auto openedConnections() const -> std::uint64_t;
 
 private:
     class Implementation;
--- /dev/null
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -0,0 +1,144 @@
+#include "httpforward/forwardfront.h"
+
+#include "httpforward/httpmessage.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <cstdio>
+
+namespace HttpForward {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using Core::RefusalReason;
+    using HttpServer::HttpRequest;
+    using HttpServer::HttpResponse;
+
+    constexpr int httpVersion = 11;
+    /// Callers that come while the process can't serve at all return after this time.
+    constexpr Core::Millis unavailableRetryAfter { 200 };
+
+    auto textResponse(http::status status, const std::string& text) -> HttpResponse
+    {
+        HttpResponse response { status, httpVersion };
+        response.set(http::field::content_type, "text/plain");
+        response.body() = text + '\n';
+        return response;
+    }
+
+    /// Seconds with milliseconds as fraction.
+    auto setRetryAfter(HttpResponse& response, Core::Duration time) -> void
+    {
+        std::array<char, 32> text {};
+        const auto length
+            = std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+        response.set(http::field::retry_after, std::string_view(text.data(), static_cast<std::size_t>(length)));
+    }
+
+    auto statusFor(const Forwarding::ForwardRefusal& refusal) -> http::status
+    {
+        if (refusal.outcome == Core::RunOutcome::Unknown)
+            return refusal.reason == RefusalReason::UpstreamTimeout ? http::status::gateway_timeout
+                                                                    : http::status::bad_gateway;
+        if (refusal.reason == RefusalReason::UnknownService)
+            return http::status::not_found;
+        return http::status::service_unavailable;
+    }
+
+    auto encodeRefusal(const Forwarding::ForwardRefusal& refusal) -> HttpResponse
+    {
+        auto response = textResponse(statusFor(refusal), refusal.message);
+        if (refusal.retryAfter.count() > 0)
+            setRetryAfter(response, refusal.retryAfter);
+        return response;
+    }
+
+    auto encodeReply(const Forwarding::ForwardReply& reply) -> HttpResponse
+    {
+        if (const auto* refusal = std::get_if<Forwarding::ForwardRefusal>(&reply))
+            return encodeRefusal(*refusal);
+        auto response = static_cast<const AnswerMessage&>(*std::get<Ports::MessagePointer>(reply)).response();
+        removeConnectionHeaders(response);
+        response.version(httpVersion);
+        return response;
+    }
+
+    auto cookieValue(const HttpRequest& request, const std::string& name) -> std::string
+    {
+        const auto [first, last] = request.equal_range(http::field::cookie);
+        for (auto header = first; header != last; ++header) {
+            std::string_view rest(header->value());
+            while (!rest.empty()) {
+                const auto end = rest.find(';');
+                auto pair = rest.substr(0, end);
+                pair.remove_prefix(std::min(pair.find_first_not_of(' '), pair.size()));
+                if (pair.size() > name.size() && pair[name.size()] == '=' && pair.starts_with(name))
+                    return std::string(pair.substr(name.size() + 1));
+                rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+            }
+        }
+        return {};
+    }
+
+    auto parsePatience(std::string_view text) -> std::optional<Core::Duration>
+    {
+        std::int64_t milliseconds = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return Core::Millis(milliseconds);
+    }
+
+} // namespace
+
+ForwardFront::ForwardFront(Forwarding::Forwarder& forwarder, HeaderNames names)
+    : m_forwarder(forwarder)
+    , m_names(std::move(names))
+{
+}
+
+auto ForwardFront::decode(HttpRequest request) const -> Forwarding::ForwardRequest
+{
+    Forwarding::ForwardRequest decoded;
+    decoded.id = Core::RequestId(std::string(request[m_names.requestId]));
+    decoded.host = std::string(request[http::field::host]);
+    decoded.path = std::string(request.target());
+    decoded.object = Forwarding::ObjectKey(cookieValue(request, m_names.objectCookie));
+    decoded.patience = parsePatience(request[m_names.timeLeft]);
+    decoded.message = std::make_shared<RequestMessage>(std::move(request));
+    return decoded;
+}
+
+auto ForwardFront::handle(HttpRequest request, Respond respond) -> void
+{
+    m_forwarder.handle(decode(std::move(request)),
+        [respond = std::move(respond)](const Forwarding::ForwardReply& reply) { respond(encodeReply(reply)); });
+}
+
+auto ForwardFront::handleFor(
+    const std::shared_ptr<HttpServer::ClientPresence>& client, HttpRequest request, Respond respond) -> void
+{
+    const auto open = m_forwarder.handle(decode(std::move(request)),
+        [respond = std::move(respond)](const Forwarding::ForwardReply& reply) { respond(encodeReply(reply)); });
+    client->onGone([weak = std::weak_ptr(open)] {
+        if (const auto request = weak.lock())
+            request->abandon();
+    });
+}
+
+auto ForwardFront::malformed(http::status status, const std::string& detail) -> HttpResponse
+{
+    return textResponse(status, "the request cannot be read: " + detail);
+}
+
+auto ForwardFront::failed() -> HttpResponse { return textResponse(http::status::bad_gateway, "internal error"); }
+
+auto ForwardFront::overloaded() -> HttpResponse
+{
+    auto response = textResponse(http::status::service_unavailable, "too many connections");
+    setRetryAfter(response, unavailableRetryAfter);
+    return response;
+}
+
+} // namespace HttpForward
--- /dev/null
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -0,0 +1,178 @@
+#include "httpforward/httpexchangeclient.h"
+
+#include "httpforward/httpmessage.h"
+
+#include <array>
+#include <charconv>
+
+namespace HttpForward {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using Ports::ExchangeOutcome;
+
+    constexpr Core::Millis healthTimeout { 1000 };
+    constexpr int httpVersion = 11;
+
+    class PendingExchange : public Ports::Exchange {
+    public:
+        explicit PendingExchange(std::shared_ptr<HttpClient::PendingCall> call)
+            : m_call(std::move(call))
+        {
+        }
+        auto cancel() -> void override { m_call->cancel(); }
+
+    private:
+        std::shared_ptr<HttpClient::PendingCall> m_call;
+    };
+
+    auto outcomeOf(const HttpClient::Failure& failure) -> ExchangeOutcome
+    {
+        switch (failure.stage) {
+        case HttpClient::FailureStage::BeforeWrite:
+            return ExchangeOutcome::NotSent;
+        case HttpClient::FailureStage::AfterWrite:
+            return ExchangeOutcome::Lost;
+        case HttpClient::FailureStage::TimedOut:
+            return ExchangeOutcome::TimedOut;
+        case HttpClient::FailureStage::InvalidResponse:
+            return ExchangeOutcome::Invalid;
+        case HttpClient::FailureStage::Cancelled:
+            break;
+        }
+        return ExchangeOutcome::Cancelled;
+    }
+
+    auto parseNumber(std::string_view text) -> std::optional<std::uint32_t>
+    {
+        std::uint32_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
+    auto incarnationOf(const Ports::UpstreamTarget& target) -> std::string
+    {
+        return target.id.value() + '/' + std::to_string(target.start.value());
+    }
+
+} // namespace
+
+HttpExchangeClient::HttpExchangeClient(HttpClient::Client& client, HeaderNames names)
+    : m_client(client)
+    , m_names(std::move(names))
+{
+}
+
+auto HttpExchangeClient::encode(const Ports::ExchangeCall& call) const -> HttpClient::HttpRequest
+{
+    auto request = static_cast<const RequestMessage&>(*call.request).request();
+    removeConnectionHeaders(request);
+    request.set(m_names.timeLeft, std::to_string(std::chrono::floor<Core::Millis>(call.timeLeft).count()));
+    request.set(m_names.expectedUpstream, call.target.id.value());
+    request.version(httpVersion);
+    request.keep_alive(true);
+    if (!request.body().empty() || request.has_content_length())
+        request.content_length(request.body().size());
+    return request;
+}
+
+auto HttpExchangeClient::start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange>
+{
+    HttpClient::Call httpCall;
+    httpCall.address = call.target.address;
+    httpCall.request = encode(call);
+    httpCall.timeout = call.timeLeft;
+    httpCall.incarnation = incarnationOf(call.target);
+    httpCall.isOwnResponse = [this, id = call.id.value()](const HttpClient::HttpResponse& response) {
+        const auto echoed = response.find(m_names.requestId);
+        return echoed == response.end() || echoed->value() == id;
+    };
+    auto pending = m_client.send(std::move(httpCall),
+        [this, callback = std::move(callback)](tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
+            if (result) {
+                callback(decode(std::move(*result)));
+                return;
+            }
+            Ports::ExchangeResult failed;
+            failed.outcome = outcomeOf(result.error());
+            failed.reusedConnection = result.error().reusedConnection;
+            failed.detail = result.error().detail;
+            callback(failed);
+        });
+    return std::make_shared<PendingExchange>(std::move(pending));
+}
+
+auto HttpExchangeClient::decode(HttpClient::Exchange exchange) const -> Ports::ExchangeResult
+{
+    Ports::ExchangeResult result;
+    auto& response = exchange.response;
+    result.status = static_cast<int>(response.result_int());
+    result.reusedConnection = exchange.reusedConnection;
+    result.load = decodeLoad(response);
+    result.isUpstreamError = http::to_status_class(response.result()) == http::status_class::server_error;
+    const bool isNamed = response.find(m_names.requestId) != response.end();
+    if (response.result() == http::status::misdirected_request) {
+        result.outcome = ExchangeOutcome::Misdirected;
+        result.detail = "another upstream has the address";
+    } else if (response.find(m_names.notRun) != response.end()) {
+        result.outcome = ExchangeOutcome::NotRun;
+        result.detail = "the upstream answered " + std::to_string(result.status);
+    } else if (!isNamed) {
+        result.outcome = ExchangeOutcome::Invalid;
+        result.detail = "the answer " + std::to_string(result.status) + " names no request";
+    } else {
+        result.outcome = ExchangeOutcome::Answered;
+        result.answer = std::make_shared<AnswerMessage>(std::move(response));
+    }
+    return result;
+}
+
+auto HttpExchangeClient::decodeLoad(const HttpClient::HttpResponse& response) const
+    -> std::optional<Ports::ReportedLoad>
+{
+    const std::string_view text(response[m_names.load]);
+    const auto first = text.find(',');
+    const auto second = text.find(',', first + 1);
+    if (first == std::string_view::npos || second == std::string_view::npos)
+        return std::nullopt;
+    const auto running = parseNumber(text.substr(0, first));
+    const auto waiting = parseNumber(text.substr(first + 1, second - first - 1));
+    const auto slots = parseNumber(text.substr(second + 1));
+    if (!running || !waiting || !slots)
+        return std::nullopt;
+    return Ports::ReportedLoad { *running, *waiting, Core::SlotCount(*slots) };
+}
+
+auto HttpExchangeClient::askHealth(
+    const Ports::UpstreamTarget& target, const std::string& path, HealthCallback callback) -> void
+{
+    HttpClient::Call call;
+    call.address = target.address;
+    call.request = { http::verb::get, path, httpVersion };
+    call.request.set(http::field::host, target.address.value());
+    call.timeout = healthTimeout;
+    call.incarnation = incarnationOf(target);
+    m_client.send(std::move(call),
+        [this, callback = std::move(callback)](tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
+            if (result)
+                callback(decodeHealth(result->response));
+            else
+                callback(Core::fail(Core::ErrorKind::Unreachable, result.error().detail, "ask again later"));
+        });
+}
+
+auto HttpExchangeClient::decodeHealth(const HttpClient::HttpResponse& response) const
+    -> Core::Result<Ports::HealthReport>
+{
+    Ports::HealthReport report;
+    report.isHealthy = response.result() == http::status::ok;
+    report.id = Core::UpstreamId(std::string(response[m_names.upstream]));
+    report.load = decodeLoad(response);
+    report.coldLeft = Core::Millis(parseNumber(response[m_names.coldLeft]).value_or(0));
+    return report;
+}
+
+} // namespace HttpForward
--- /dev/null
+++ b/src/plugins/httpforward/httpmessage.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "httpserver/httpserver.h"
+#include "ports/exchangeclient.h"
+
+namespace HttpForward {
+
+/// Request of a caller on its way through.
+class RequestMessage : public Ports::Message {
+public:
+    explicit RequestMessage(HttpServer::HttpRequest request)
+        : m_request(std::move(request))
+    {
+    }
+    [[nodiscard]] auto request() const -> const HttpServer::HttpRequest& { return m_request; }
+
+private:
+    HttpServer::HttpRequest m_request;
+};
+
+/// Answer of an upstream on its way back.
+class AnswerMessage : public Ports::Message {
+public:
+    explicit AnswerMessage(HttpServer::HttpResponse response)
+        : m_response(std::move(response))
+    {
+    }
+    [[nodiscard]] auto response() const -> const HttpServer::HttpResponse& { return m_response; }
+
+private:
+    HttpServer::HttpResponse m_response;
+};
+
+/// Removes the headers that concern one connection only.
+auto removeConnectionHeaders(boost::beast::http::fields& fields) -> void;
+
+} // namespace HttpForward
--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -91,6 +91,30 @@
         return [ticket = std::move(ticket)](HttpResponse response) { ticket->deliver(std::move(response)); };
     }
 
+    auto Presence::onGone(std::function<void()> callback) -> void
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (!m_isGone) {
+                m_callback = std::move(callback);
+                return;
+            }
+        }
+        callback();
+    }
+
+    auto Presence::announceGone() -> void
+    {
+        std::function<void()> callback;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isGone = true;
+            callback = std::exchange(m_callback, nullptr);
+        }
+        if (callback)
+            callback();
+    }
+
     Connection::Connection(Socket socket, Environment environment)
         : m_socket(std::move(socket))
         , m_environment(std::move(environment))
@@ -109,6 +133,7 @@
         }
         Error ignored;
         self->m_socket.shutdown(Socket::shutdown_send, ignored);
+        self->m_socket.cancel(ignored);
         self->m_timeout.cancel();
     }
 
@@ -146,7 +171,8 @@
         if (m_environment.server->isShuttingDown)
             co_return false;
         m_isIdle = true;
-        armTimeout(m_environment.limits.idleTimeout);
+        m_limits = m_environment.server->limits.load();
+        armTimeout(m_limits->idleTimeout);
         Error error;
         co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
         m_isIdle = false;
@@ -165,29 +191,34 @@
         auto request = parser.release();
         const bool keepAlive = request.keep_alive();
         const bool isHead = request.method() == http::verb::head;
+        auto& openRequests = m_environment.server->openRequests;
+        ++openRequests;
         auto response = co_await ask(std::move(request));
-        response.keep_alive(keepAlive && !m_environment.server->isShuttingDown);
+        response.keep_alive(keepAlive && !endsAfterAnswer());
         if (hasNoBody(response.result()))
             response.body().clear();
         response.prepare_payload();
         if (isHead)
             response.body().clear();
         const bool isWritten = co_await write(response);
+        --openRequests;
         co_return isWritten&& response.keep_alive();
     }
 
     auto Connection::readRequest(Parser& parser) -> asio::awaitable<Error>
     {
-        const auto& limits = m_environment.limits;
-        parser.header_limit(static_cast<std::uint32_t>(limits.maximumHeader.value()));
-        parser.body_limit(limits.maximumBody.value());
-        armTimeout(limits.idleTimeout);
+        m_limits = m_environment.server->limits.load();
+        parser.header_limit(static_cast<std::uint32_t>(m_limits->maximumHeader.value()));
+        parser.body_limit(m_limits->maximumBody.value());
+        armTimeout(m_limits->headerTimeout.count() > 0 ? m_limits->headerTimeout : m_limits->idleTimeout);
         Error error;
         co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return error;
         if (hasUnknownTransferCoding(parser.get()))
             co_return http::make_error_code(http::error::bad_transfer_encoding);
+        if (!parser.is_done())
+            armTimeout(m_limits->idleTimeout);
         if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue"))
             error = co_await writeContinue();
         if (!error)
@@ -200,11 +231,16 @@
     {
         m_isAnswered = false;
         m_response.reset();
+        ++m_requestNumber;
+        const auto client = std::make_shared<Presence>();
         try {
-            m_environment.handler.handle(std::move(request), makeRespond(shared_from_this(), m_environment.server));
+            m_environment.handler.handleFor(
+                client, std::move(request), makeRespond(shared_from_this(), m_environment.server));
         } catch (const std::exception&) {
             // The ticket that the handler did not use delivers the failure.
         }
+        if (!m_isAnswered)
+            watchClient(client);
         while (!m_isAnswered) {
             Error ignored;
             m_responseArrival.expires_at(asio::steady_timer::time_point::max());
@@ -217,7 +253,7 @@
 
     auto Connection::write(HttpResponse& response) -> asio::awaitable<bool>
     {
-        armTimeout(m_environment.limits.idleTimeout);
+        armTimeout(m_limits->idleTimeout);
         Error error;
         co_await http::async_write(m_socket, response, asio::redirect_error(asio::use_awaitable, error));
         m_timeout.cancel();
@@ -273,6 +309,25 @@
         });
     }
 
+    auto Connection::watchClient(std::shared_ptr<Presence> client) -> void
+    {
+        if (m_buffer.size() > 0)
+            return;
+        m_socket.async_wait(Socket::wait_read,
+            [self = shared_from_this(), client = std::move(client), number = m_requestNumber](Error error) {
+                if (error || self->m_isAnswered || number != self->m_requestNumber)
+                    return;
+                // Input that is not an end of stream is the next request: this client is there.
+                if (self->m_socket.available(error) == 0)
+                    client->announceGone();
+            });
+    }
+
+    auto Connection::endsAfterAnswer() const -> bool
+    {
+        return m_environment.server->isShuttingDown || m_environment.server->isDraining;
+    }
+
     auto Connection::hasInput() -> bool
     {
         Error ignored;
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <mutex>
 #include <optional>
 
 namespace HttpServer {
@@ -21,18 +22,33 @@
 
     /// What a server and its connections share.
     struct ServerState {
+        /// The server answers what comes, and ends connections with the answers.
+        std::atomic<bool> isDraining { false };
+        std::atomic<std::size_t> openRequests { 0 };
+        std::atomic<std::shared_ptr<const Limits>> limits;
         std::atomic<bool> isShuttingDown { false };
         /// The server was destroyed; nothing may be posted to its connections.
         std::atomic<bool> isDestroyed { false };
     };
 
+    /// Tells once that the client of a request has gone.
+    class Presence : public ClientPresence {
+    public:
+        auto onGone(std::function<void()> callback) -> void override;
+        auto announceGone() -> void;
+
+    private:
+        std::mutex m_mutex;
+        bool m_isGone = false;
+        std::function<void()> m_callback;
+    };
+
     /// One connection of a client. Its coroutine and all its handlers run on the socket's strand.
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
         struct Environment {
             HttpHandler& handler;
-            Limits limits;
-            std::shared_ptr<const ServerState> server;
+            std::shared_ptr<ServerState> server;
         };
 
         Connection(Socket socket, Environment environment);
@@ -63,6 +79,9 @@
         auto discardInput() -> boost::asio::awaitable<void>;
         auto armTimeout(Core::Duration timeout) -> void;
         auto hasInput() -> bool;
+        /// Watches for the client's leaving until the request in flight is answered.
+        auto watchClient(std::shared_ptr<Presence> client) -> void;
+        [[nodiscard]] auto endsAfterAnswer() const -> bool;
 
         Socket m_socket;
         Environment m_environment;
@@ -74,6 +93,9 @@
         /// Cancelled when the response to the request in flight is there.
         boost::asio::steady_timer m_responseArrival;
         bool m_isAnswered = false;
+        /// Counts the requests of this connection; a watch of an earlier one does nothing.
+        std::uint64_t m_requestNumber = 0;
+        std::shared_ptr<const Limits> m_limits;
         std::optional<HttpResponse> m_response;
     };
 
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -34,8 +34,9 @@
         : m_context(context)
         , m_acceptor(asio::make_strand(context), Runtime::requireEndpoint(address))
         , m_handler(handler)
-        , m_limits(limits)
+        , m_maximumConnections(limits.maximumConnections)
     {
+        setLimits(limits);
     }
 
     auto start() -> void { asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached); }
@@ -57,6 +58,12 @@
         finishIfEmpty();
     }
 
+    auto setLimits(const Limits& limits) -> void { m_state->limits.store(std::make_shared<const Limits>(limits)); }
+
+    auto startDraining() -> void { m_state->isDraining = true; }
+
+    [[nodiscard]] auto openRequests() const -> std::size_t { return m_state->openRequests; }
+
     auto abandon() -> void { m_state->isDestroyed = true; }
 
 private:
@@ -80,7 +87,7 @@
 
     auto take(detail::Socket socket) -> void
     {
-        const Connection::Environment environment { m_handler, m_limits, m_state };
+        const Connection::Environment environment { m_handler, m_state };
         auto connection = std::make_shared<Connection>(std::move(socket), environment);
         const auto executor = connection->executor();
         const auto admission = admit(connection);
@@ -100,7 +107,7 @@
         const std::lock_guard lock(m_mutex);
         if (m_state->isShuttingDown)
             return Admission::Closed;
-        if (m_connections.size() < m_limits.maximumConnections) {
+        if (m_connections.size() < m_maximumConnections) {
             m_connections.insert(connection);
             return Admission::Served;
         }
@@ -141,7 +148,7 @@
     asio::io_context& m_context;
     asio::basic_socket_acceptor<Tcp, detail::Strand> m_acceptor;
     HttpHandler& m_handler;
-    Limits m_limits;
+    const std::size_t m_maximumConnections;
     std::shared_ptr<detail::ServerState> m_state = std::make_shared<detail::ServerState>();
     std::mutex m_mutex;
     std::set<std::shared_ptr<Connection>> m_connections;
@@ -149,6 +156,11 @@
     std::function<void()> m_done;
 };
 
+auto HttpHandler::handleFor(const std::shared_ptr<ClientPresence>&, HttpRequest request, Respond respond) -> void
+{
+    handle(std::move(request), std::move(respond));
+}
+
 auto HttpHandler::failed() -> HttpResponse { return { http::status::internal_server_error, httpVersion }; }
 
 auto HttpHandler::overloaded() -> HttpResponse { return { http::status::service_unavailable, httpVersion }; }
@@ -163,6 +175,12 @@
 
 auto Server::port() const -> std::uint16_t { return m_implementation->port(); }
 
+auto Server::setLimits(const Limits& limits) -> void { m_implementation->setLimits(limits); }
+
+auto Server::startDraining() -> void { m_implementation->startDraining(); }
+
+auto Server::openRequests() const -> std::size_t { return m_implementation->openRequests(); }
+
 auto Server::shutDown(std::function<void()> done) -> void { m_implementation->shutDown(std::move(done)); }
 
 } // namespace HttpServer
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -14,6 +14,14 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// The client of one request, for as long as its answer is awaited.
+class ClientPresence {
+public:
+    virtual ~ClientPresence() = default;
+    /// Calls back once, from any thread, when the client closes its connection before it has the answer.
+    virtual auto onGone(std::function<void()> callback) -> void = 0;
+};
+
 /// Answers decoded HTTP requests.
 class HttpHandler {
 public:
@@ -22,6 +30,8 @@
     virtual ~HttpHandler() = default;
     /// Calls respond once, from any thread; further calls are ignored.
     virtual auto handle(HttpRequest request, Respond respond) -> void = 0;
+    /// As above, for handlers whose work should end when its client has gone.
+    virtual auto handleFor(const std::shared_ptr<ClientPresence>& client, HttpRequest request, Respond respond) -> void;
     /// Response to a request that could not be parsed.
     virtual auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpResponse = 0;
     /// Response to a request whose handler threw, or gave up without responding.
@@ -35,6 +45,8 @@
     Core::Bytes maximumBody { 1024 * 1024 };
     /// Time for which a connection may be idle, or take to send one request.
     Core::Millis idleTimeout { 60'000 };
+    /// Time that a client may take from the first byte of a request to the end of its header; zero for idleTimeout.
+    Core::Millis headerTimeout { 0 };
     /// Connections beyond this are told so and closed.
     std::size_t maximumConnections = 4096;
 };
@@ -48,6 +60,12 @@
 
     /// Port that the server listens on; useful when the address gave port 0.
     [[nodiscard]] auto port() const -> std::uint16_t;
+    /// Takes effect for the next request on each connection.
+    auto setLimits(const Limits& limits) -> void;
+    /// Answers from now on end their connections; new connections are still accepted.
+    auto startDraining() -> void;
+    /// Requests that were read and not yet answered.
+    [[nodiscard]] auto openRequests() const -> std::size_t;
     /// Accepts no more connections, closes idle ones, and calls back when the last request in flight was answered.
     auto shutDown(std::function<void()> done) -> void;
 
--- a/src/plugins/httpupstream/httpupstreamclient.cpp
+++ b/src/plugins/httpupstream/httpupstreamclient.cpp
@@ -53,6 +53,7 @@
         case HttpClient::FailureStage::BeforeWrite:
             return UpstreamOutcome::NotSent;
         case HttpClient::FailureStage::AfterWrite:
+        case HttpClient::FailureStage::Cancelled:
             return UpstreamOutcome::Lost;
         case HttpClient::FailureStage::TimedOut:
             return UpstreamOutcome::TimedOut;
--- /dev/null
+++ b/src/plugins/runtime/socketoptions.cpp
@@ -0,0 +1,31 @@
+#include "runtime/socketoptions.h"
+
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Runtime {
+
+namespace {
+
+    auto setOption(int socket, int level, int name, int value) -> void
+    {
+        // A system without the option leaves the connection to its own timeouts.
+        (void)::setsockopt(socket, level, name, &value, sizeof value);
+    }
+
+} // namespace
+
+auto detectSilence(int socket, Core::Millis limit) -> void
+{
+    constexpr int probeIntervalSeconds = 1;
+    const auto seconds = static_cast<int>(std::chrono::ceil<std::chrono::seconds>(limit).count());
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probeIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, seconds - 1));
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
+} // namespace Runtime
