Keep each object at few upstreams, and list again after a lost watch

Ruled out: slow upstreams (holdbook ran at 280 ms meanwhile); entries that lapse by age (known objects stayed known for 20 s).

--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     /// Longest wait of one watch call.
-    constexpr Core::Millis watchWait { 25'000 };
+    constexpr Core::Millis watchWait { 18'000 };
     /// Pause after an answer, in which further changes gather; each call to the store has a price.
     constexpr Core::Millis gatherPause { 250 };
     constexpr Core::Millis firstRetryDelay { 100 };
@@ -111,7 +111,7 @@
         m_call = std::move(call);
 }
 
-auto CollectionFollower::renewWatch() -> void
+auto CollectionFollower::refresh() -> void
 {
     std::shared_ptr<Ports::StoreCall> call;
     {
@@ -122,7 +122,7 @@
         ++m_watchNumber;
     }
     call->cancel();
-    watch();
+    list();
 }
 
 auto CollectionFollower::onChanges(const Core::Result<Ports::CollectionChanges>& result) -> void
@@ -159,11 +159,9 @@
 auto CollectionFollower::retryLater(const Core::Error& error) -> void
 {
     std::uint32_t failures = 0;
-    bool isLoaded = false;
     {
         const std::lock_guard lock(m_mutex);
         failures = m_failures++;
-        isLoaded = m_isLoaded;
     }
     if (failures == 0) {
         m_environment.events.record({ Ports::EventKind("store.lost"), {},
@@ -172,7 +170,8 @@
     const auto delay = std::min<Core::Duration>(longestRetryDelay, firstRetryDelay * (1U << std::min(failures, 4U)));
     // Entry VMs that lost the store together must not come back together.
     const auto jitter = static_cast<Core::Duration::rep>(m_environment.random.next() % 512) * delay / 1024;
-    schedule(delay / 2 + jitter, isLoaded ? &CollectionFollower::watch : &CollectionFollower::list);
+    // A watch from the old revision may wait at a store that has dropped what happened since.
+    schedule(delay / 2 + jitter, &CollectionFollower::list);
 }
 
 auto CollectionFollower::recordRecovery() -> void
--- a/src/libs/following/collectionfollower.h
+++ b/src/libs/following/collectionfollower.h
@@ -36,8 +36,8 @@
     CollectionFollower(Ports::CollectionName name, CollectionListener& listener, Environment environment);
 
     auto start() -> void;
-    /// Gives a waiting watch up and watches anew from the same revision, for when the store was away.
-    auto renewWatch() -> void;
+    /// Gives a waiting watch up and lists again, for when the store was away.
+    auto refresh() -> void;
     auto stop() -> void;
     /// The collection has been read at least once.
     [[nodiscard]] auto isLoaded() const -> bool;
--- a/src/libs/following/storewatchdog.cpp
+++ b/src/libs/following/storewatchdog.cpp
@@ -56,7 +56,7 @@
     if (isAnswered && wasLost) {
         m_listener.storeRegained();
         for (const auto& follower : m_followers)
-            follower->renewWatch();
+            follower->refresh();
     }
     schedule();
 }
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -10,8 +10,6 @@
     using Core::RunOutcome;
     using Ports::ExchangeOutcome;
 
-    /// An idempotent request is sent to another upstream after so many times the usual work on an unknown object.
-    constexpr int slowWorkTimes = 2;
     constexpr Core::Millis leastRetryAfter { 100 };
     /// Part of the caller's time that may pass before it comes back.
     constexpr int retryAfterDivisor = 3;
@@ -125,6 +123,7 @@
     query.homes = &m_route->homes;
     query.tried = &m_tried;
     query.timeLeft = m_deadline - now;
+    query.targetLatency = m_route->targetLatency;
     const auto choice = m_desk->pool.choose(query, now);
     if (choice)
         startExchange(*choice, now);
@@ -150,9 +149,8 @@
         const std::lock_guard lock(m_mutex);
         m_attempts[index].exchange = exchange;
         isDone = m_isDone;
-        const auto slowAfter = m_desk->pool.coldWorkTime() * slowWorkTimes;
         if (!isDone && m_route->isIdempotent && m_sends < m_route->attempts) {
-            m_slowTimer = m_environment.scheduler.after(slowAfter, [weak = weak_from_this(), index] {
+            m_slowTimer = m_environment.scheduler.after(m_desk->pool.silenceLimit(), [weak = weak_from_this(), index] {
                 if (const auto passage = weak.lock())
                     passage->onSlow(index);
             });
@@ -199,7 +197,7 @@
     report.reusedConnection = result.reusedConnection;
     report.load = result.load;
     report.duration = now - attempt.startedAt;
-    report.wasWarm = attempt.choice.isWarm;
+    report.familiarity = attempt.choice.familiarity;
     m_desk->pool.end(report, now);
     m_environment.metrics.upstreamEnded(m_service, metricOutcome(result.outcome));
     if (result.outcome == ExchangeOutcome::Answered)
@@ -221,8 +219,7 @@
             return;
         exchange = m_attempts[index].exchange;
     }
-    // Another upstream is of use only if there is time for its work.
-    if (exchange && m_deadline - now > m_desk->pool.coldWorkTime() / slowWorkTimes)
+    if (exchange && m_desk->pool.isSilent(m_attempts[index].choice.target, now))
         exchange->cancel();
 }
 
@@ -339,7 +336,8 @@
         const auto& choice = m_attempts.back().choice;
         event.fields.insert(event.fields.end(),
             { { "upstream", choice.target.id.value() }, { "failureDomain", choice.failureDomain.value() },
-                { "attempts", std::to_string(m_attempts.size()) }, { "warm", choice.isWarm ? "yes" : "no" },
+                { "object", m_request.object.value() }, { "attempts", std::to_string(m_attempts.size()) },
+                { "warm", choice.familiarity == Familiarity::Warm ? "yes" : "no" },
                 { "occupancy", std::to_string(choice.occupancy).substr(0, 4) },
                 { "predictedMs", millis(choice.predicted) } });
     }
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -3,6 +3,7 @@
 #include "fleet/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Forwarding {
 
@@ -13,6 +14,8 @@
     /// An upstream that has answered nothing for so many times its usual work is taken to be silent.
     constexpr int silentWorkTimes = 3;
     constexpr Core::Millis leastSilence { 1000 };
+    /// Share of the newest report in the mean load of others.
+    constexpr double newestLoadShare = 0.1;
 
     auto scaled(Core::Duration duration, double factor) -> Core::Duration
     {
@@ -91,9 +94,31 @@
         return false;
     if (state.isCold(now) && !m_environment.coldOwnership.isOwner(entry))
         return false;
+    return !isSilent(state, now);
+}
+
+auto ServicePool::silenceLimitLocked() const -> Core::Duration
+{
+    return std::max<Core::Duration>(leastSilence, m_workTime.cold() * silentWorkTimes);
+}
+
+auto ServicePool::isSilent(const UpstreamState& state, Core::Instant now) const -> bool
+{
     const auto silentSince = state.silentSince();
-    const auto limit = std::max<Core::Duration>(leastSilence, m_workTime.cold() * silentWorkTimes);
-    return !silentSince || now - *silentSince < limit;
+    return silentSince && now - *silentSince >= silenceLimitLocked();
+}
+
+auto ServicePool::replicasOf(const ObjectKey& object, std::size_t candidates) const -> std::size_t
+{
+    const auto& settings = m_environment.settings;
+    const double byHeat = settings.heatFactor * m_heat.share(object) * static_cast<double>(candidates);
+    return std::max<std::size_t>(settings.replicas, static_cast<std::size_t>(std::ceil(byHeat)) + 1);
+}
+
+auto ServicePool::occupancy(const UpstreamState& state, Core::Instant now) const -> double
+{
+    const double slots = std::max(1U, state.entry().slots.value());
+    return state.occupancy(m_othersPerSlot * slots, now);
 }
 
 auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>
@@ -106,13 +131,15 @@
     }
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
+    if (!query.object.value().empty())
+        candidates.resize(std::min(candidates.size(), replicasOf(query.object, candidates.size())));
     return candidates;
 }
 
 auto ServicePool::waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration
 {
     const double slots = std::max(1U, state.entry().slots.value());
-    const double occupancy = state.occupancy(now);
+    const double occupancy = this->occupancy(state, now);
     // A free slot may be gone on arrival, the more likely the fewer there are.
     constexpr double freeSlotDoubt = 0.25;
     const double queued = std::max(0.0, occupancy - slots + 1);
@@ -136,12 +163,16 @@
     const bool hasObject = !query.object.value().empty();
     Prediction prediction;
     prediction.wait = waitAt(state, now);
-    prediction.isWarm = hasObject && state.remembers(query.object);
     Core::Duration rankCost {};
-    if (hasObject && !prediction.isWarm)
-        rankCost = settings.rankCost * static_cast<int>(rank);
-    const bool isExpectedWarm = prediction.isWarm || (hasObject && rank < settings.replicas);
-    prediction.work = isExpectedWarm ? m_workTime.warm() : m_workTime.cold();
+    if (hasObject) {
+        prediction.familiarity = state.remembers(query.object) ? Familiarity::Warm : Familiarity::Cold;
+        if (prediction.familiarity == Familiarity::Cold)
+            rankCost = settings.rankCost * static_cast<int>(rank);
+        // Another entry VM may have brought the object there.
+        prediction.work = m_workTime.warm();
+    } else {
+        prediction.work = m_workTime.mean(Familiarity::Plain);
+    }
     prediction.cost = prediction.wait + prediction.work + rankCost + distanceCost(state.entry())
         + scaled(settings.failureCost, state.failureShare());
     return prediction;
@@ -150,6 +181,9 @@
 auto ServicePool::choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult
 {
     const std::lock_guard lock(m_mutex);
+    m_workTime.assume(query.targetLatency);
+    if (!query.object.value().empty())
+        m_heat.record(query.object, now);
     auto candidates = candidatesFor(query, now);
     if (candidates.empty())
         return tl::unexpected(NoChoice { NoChoiceReason::NoUpstream, {} });
@@ -164,14 +198,15 @@
     for (auto& [prediction, candidate] : predictions) {
         auto& state = *candidate.state;
         const double slots = std::max(1U, state.entry().slots.value());
-        if (state.occupancy(now) >= slots * (1 + m_environment.settings.waitingPerSlot))
+        const double occupied = occupancy(state, now);
+        if (occupied >= slots * (1 + m_environment.settings.waitingPerSlot))
             continue;
         if (state.isCold(now) && !state.takeColdAllowance(m_settings.coldRate, now))
             continue;
         if (prediction.wait + prediction.work > query.timeLeft)
             return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, leastWait });
         state.begin(now);
-        return Choice { state.entry().target, state.entry().failureDomain, prediction.isWarm, state.occupancy(now),
+        return Choice { state.entry().target, state.entry().failureDomain, prediction.familiarity, occupied,
             prediction.wait + prediction.work };
     }
     return tl::unexpected(NoChoice { NoChoiceReason::Busy, leastWait });
@@ -190,12 +225,16 @@
     if (state == nullptr)
         return;
     state->end(report.load, now);
+    if (report.load) {
+        const double slots = std::max(1U, state->entry().slots.value());
+        m_othersPerSlot += newestLoadShare * (state->othersLoad() / slots - m_othersPerSlot);
+    }
     if (const auto health = healthOf(report))
         state->recordHealth(*health, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
         state->eject(now);
     if (report.outcome == ExchangeOutcome::Answered && !report.isUpstreamError) {
-        m_workTime.record(report.duration, report.wasWarm || m_workTime.looksWarm(report.duration));
+        m_workTime.record(report.duration, report.familiarity);
         if (!report.object.value().empty())
             state->remember(report.object, now);
     }
@@ -230,10 +269,17 @@
     return m_settings.healthPath;
 }
 
-auto ServicePool::coldWorkTime() const -> Core::Duration
+auto ServicePool::isSilent(const Ports::UpstreamTarget& target, Core::Instant now) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    const auto* state = stateOf(target);
+    return state != nullptr && isSilent(*state, now);
+}
+
+auto ServicePool::silenceLimit() const -> Core::Duration
 {
     const std::lock_guard lock(m_mutex);
-    return m_workTime.cold();
+    return silenceLimitLocked();
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/objectheat.h"
 #include "forwarding/placementsettings.h"
 #include "forwarding/routingconfiguration.h"
 #include "forwarding/upstreamstate.h"
@@ -32,13 +33,15 @@
     /// Upstreams that it was sent to before.
     const std::vector<Core::UpstreamId>* tried = nullptr;
     Core::Duration timeLeft {};
+    /// Time within which an answer is worth most.
+    Core::Duration targetLatency {};
 };
 
 /// Upstream that was chosen, with what decided it.
 struct Choice {
     Ports::UpstreamTarget target;
     Core::FailureDomainId failureDomain;
-    bool isWarm = false;
+    Familiarity familiarity = Familiarity::Plain;
     double occupancy = 0;
     Core::Duration predicted {};
 };
@@ -69,7 +72,7 @@
     bool reusedConnection = false;
     std::optional<Ports::ReportedLoad> load;
     Core::Duration duration {};
-    bool wasWarm = false;
+    Familiarity familiarity = Familiarity::Plain;
 };
 
 /// The upstreams of one service and what is known of them. All functions are safe to call from several threads.
@@ -96,8 +99,10 @@
         Core::Instant now) -> void;
     [[nodiscard]] auto healthPath() const -> std::string;
     [[nodiscard]] auto service() const -> const Core::ServiceId& { return m_service; }
-    /// Time that an upstream takes for an object that it does not know.
-    [[nodiscard]] auto coldWorkTime() const -> Core::Duration;
+    /// The upstream has answered nothing for much longer than its work takes.
+    [[nodiscard]] auto isSilent(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
+    /// Time after which it is worth asking whether an upstream is silent.
+    [[nodiscard]] auto silenceLimit() const -> Core::Duration;
 
 private:
     struct Candidate {
@@ -109,13 +114,18 @@
         Core::Duration wait {};
         Core::Duration work {};
         Core::Duration cost {};
-        bool isWarm = false;
+        Familiarity familiarity = Familiarity::Plain;
     };
 
     [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>;
     [[nodiscard]] auto mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool;
     [[nodiscard]] auto predict(
         const UpstreamState& state, std::size_t rank, const ChoiceQuery& query, Core::Instant now) const -> Prediction;
+    /// Places in an object's order that its requests may go to.
+    [[nodiscard]] auto replicasOf(const ObjectKey& object, std::size_t candidates) const -> std::size_t;
+    [[nodiscard]] auto isSilent(const UpstreamState& state, Core::Instant now) const -> bool;
+    [[nodiscard]] auto silenceLimitLocked() const -> Core::Duration;
+    [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
     [[nodiscard]] auto stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*;
@@ -128,6 +138,9 @@
     /// Upstreams that left stay until their last exchange ends.
     std::map<Ports::UpstreamTarget, UpstreamState> m_states;
     WorkTime m_workTime;
+    ObjectHeat m_heat;
+    /// Moving mean of the load that other entry VMs put on an upstream, in requests for each slot.
+    double m_othersPerSlot = 0;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -127,11 +127,11 @@
     return m_isListed && m_isEjected && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
 }
 
-auto UpstreamState::occupancy(Core::Instant now) const -> double
+auto UpstreamState::occupancy(double meanOfOthers, Core::Instant now) const -> double
 {
     const double halfLives = static_cast<double>((now - m_reportedAt).count())
         / static_cast<double>(std::chrono::duration_cast<Core::Duration>(loadHalfLife).count());
-    return m_inFlight + m_othersLoad * std::exp2(-halfLives);
+    return m_inFlight + meanOfOthers + (m_othersLoad - meanOfOthers) * std::exp2(-halfLives);
 }
 
 auto UpstreamState::silentSince() const -> std::optional<Core::Instant>
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -39,8 +39,10 @@
     [[nodiscard]] auto remembers(const ObjectKey& object) const -> bool { return m_objects.contains(object); }
     /// Share of the last requests that failed or were refused though there was room.
     [[nodiscard]] auto failureShare() const -> double { return m_failureShare; }
-    /// Requests at the upstream, those of other entry VMs as last reported.
-    [[nodiscard]] auto occupancy(Core::Instant now) const -> double;
+    /// Requests at the upstream. Those of other entry VMs are as last reported, and tend to the mean as time passes.
+    [[nodiscard]] auto occupancy(double meanOfOthers, Core::Instant now) const -> double;
+    /// Requests of other entry VMs by the last report.
+    [[nodiscard]] auto othersLoad() const -> double { return m_othersLoad; }
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
     /// Requests are out and nothing has been heard since the instant.
     [[nodiscard]] auto silentSince() const -> std::optional<Core::Instant>;
--- a/src/libs/forwarding/worktime.h
+++ b/src/libs/forwarding/worktime.h
@@ -4,18 +4,31 @@
 
 namespace Forwarding {
 
-/// Moving means of the time that a service's upstreams take for an object that they know and for one that they don't.
+/// What is known of an object at the upstream that works for it.
+enum class Familiarity : std::uint8_t {
+    /// The upstream has handled the object lately.
+    Warm,
+    /// The upstream does not know the object.
+    Cold,
+    /// The request is about no object.
+    Plain,
+};
+
+/// Moving means of the time that a service's upstreams take for a request.
 class WorkTime {
 public:
-    auto record(Core::Duration time, bool wasWarm) -> void;
-    [[nodiscard]] auto warm() const -> Core::Duration;
-    [[nodiscard]] auto cold() const -> Core::Duration;
-    /// Whether an answer that took so long looks like one for a known object.
-    [[nodiscard]] auto looksWarm(Core::Duration time) const -> bool;
+    /// Sets what is assumed before anything was measured.
+    auto assume(Core::Duration targetLatency) -> void;
+    auto record(Core::Duration time, Familiarity familiarity) -> void;
+    [[nodiscard]] auto mean(Familiarity familiarity) const -> Core::Duration;
+    [[nodiscard]] auto warm() const -> Core::Duration { return mean(Familiarity::Warm); }
+    [[nodiscard]] auto cold() const -> Core::Duration { return mean(Familiarity::Cold); }
 
 private:
-    double m_warmMicros = 250'000;
-    double m_coldMicros = 800'000;
+    bool m_isAssumed = false;
+    double m_warmMicros = 0;
+    double m_coldMicros = 0;
+    double m_plainMicros = 0;
 };
 
 } // namespace Forwarding
