Bring an object to one more upstream when small losses have added up

Now each object has one upstream that all entry VMs agree on; others follow by the ski rental rule. Ruled out: nearness alone (the loss also counts waiting).

--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -138,6 +138,8 @@
     return addresses;
 }
 
+auto EntryFleet::regionalCount() const -> std::size_t { return std::max<std::size_t>(1, callerAddresses().size()); }
+
 auto EntryFleet::listedCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -14,7 +14,7 @@
 
 /// What this entry VM knows of the others. The store lists them; heartbeats inside the region tell which of them live.
 /// Only entry VMs of the own region exchange heartbeats, so that the cost of one does not grow with the fleet.
-class EntryFleet : public Forwarding::ColdOwnership {
+class EntryFleet : public Forwarding::EntryVmView {
 public:
     /// Interval of heartbeats.
     static constexpr Core::Millis heartbeatInterval { 700 };
@@ -44,6 +44,7 @@
     /// Entry VMs that the store lists, this one included.
     [[nodiscard]] auto listedCount() const -> std::size_t;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
+    [[nodiscard]] auto regionalCount() const -> std::size_t override;
 
 private:
     struct Member {
--- a/src/libs/forwarding/placementsettings.h
+++ b/src/libs/forwarding/placementsettings.h
@@ -6,13 +6,10 @@
 
 /// Weights of the choice of an upstream. Durations are added to the predicted time of an answer.
 struct PlacementSettings {
-    /// Upstreams that an object is brought to at least. Each remembers only some objects, so more would make them all
-    /// forget.
+    /// Upstreams in an object's order, over all regions and again in the own region, that it may be brought to. Each
+    /// upstream remembers only some objects, so more would make them all forget.
     std::uint32_t replicas = 3;
-    /// An object that has a larger share of the requests gets this many times its share of the upstreams.
-    double heatFactor = 1.5;
-    /// For each place that an upstream stands further back in the object's order.
-    Core::Millis rankCost { 40 };
+    std::uint32_t regionalReplicas = 2;
     /// For an upstream in another failure domain of the region, beyond the network's latency.
     Core::Millis domainBorderCost { 10 };
     /// For an upstream in another region, beyond the network's latency.
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -3,7 +3,7 @@
 #include "fleet/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 namespace Forwarding {
 
@@ -92,7 +92,7 @@
         return false;
     if (!contains(query.homes, entry.region) || wasTried(query, entry.target.id))
         return false;
-    if (state.isCold(now) && !m_environment.coldOwnership.isOwner(entry))
+    if (state.isCold(now) && !m_environment.entryVms.isOwner(entry))
         return false;
     return !isSilent(state, now);
 }
@@ -108,32 +108,79 @@
     return silentSince && now - *silentSince >= silenceLimitLocked();
 }
 
-auto ServicePool::replicasOf(const ObjectKey& object, std::size_t candidates) const -> std::size_t
-{
-    const auto& settings = m_environment.settings;
-    const double byHeat = settings.heatFactor * m_heat.share(object) * static_cast<double>(candidates);
-    return std::max<std::size_t>(settings.replicas, static_cast<std::size_t>(std::ceil(byHeat)) + 1);
-}
-
 auto ServicePool::occupancy(const UpstreamState& state, Core::Instant now) const -> double
 {
     const double slots = std::max(1U, state.entry().slots.value());
     return state.occupancy(m_othersPerSlot * slots, now);
 }
 
-auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>
+auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates
 {
-    const auto& key = query.object.value().empty() ? query.request.value() : query.object.value();
-    std::vector<Candidate> candidates;
+    const bool hasObject = !query.object.value().empty();
+    const auto& key = hasObject ? query.object.value() : query.request.value();
+    Candidates candidates;
     for (auto& [target, state] : m_states) {
-        if (mayServe(state, query, now))
-            candidates.push_back({ &state, Fleet::rendezvousScore(key, target.id.value()) });
+        if (!mayServe(state, query, now))
+            continue;
+        Candidate candidate;
+        candidate.state = &state;
+        candidate.score = Fleet::rendezvousScore(key, target.id.value());
+        if (hasObject)
+            candidate.familiarity = state.remembers(query.object) ? Familiarity::Warm : Familiarity::Cold;
+        predict(candidate, now);
+        candidates.push_back(candidate);
     }
+    return candidates;
+}
+
+auto ServicePool::arrangeByObject(Candidates& candidates) const -> std::size_t
+{
+    const auto& settings = m_environment.settings;
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
-    if (!query.object.value().empty())
-        candidates.resize(std::min(candidates.size(), replicasOf(query.object, candidates.size())));
-    return candidates;
+    // All entry VMs bring the object to the first of its order before any other.
+    if (!candidates.empty())
+        candidates.front().familiarity = Familiarity::Warm;
+    std::size_t rank = 0;
+    std::size_t regionalRank = 0;
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+        const bool isRegional = candidate.state->entry().region == m_environment.place.region;
+        const bool isNear = isRegional && regionalRank < settings.regionalReplicas;
+        const bool isUsed = candidate.familiarity == Familiarity::Warm || rank < settings.replicas || isNear;
+        ++rank;
+        if (isRegional)
+            ++regionalRank;
+        return !isUsed;
+    });
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+        return std::tie(a.familiarity, a.cost) < std::tie(b.familiarity, b.cost);
+    });
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(),
+        [](const Candidate& candidate) { return candidate.familiarity == Familiarity::Warm; }));
+}
+
+auto ServicePool::considerReplica(Candidates& candidates, std::size_t known, const ObjectKey& object, Core::Instant now)
+    -> void
+{
+    if (known == candidates.size())
+        return;
+    const auto& best = candidates.front();
+    const auto alternative = candidates.begin() + static_cast<Candidates::difference_type>(known);
+    const auto price = (m_workTime.cold() - m_workTime.warm())
+        / static_cast<Core::Duration::rep>(m_environment.entryVms.regionalCount());
+    // A full upstream costs the request itself.
+    const auto loss = hasRoom(best) ? best.cost - alternative->cost : price;
+    if (loss.count() <= 0 || !hasRoom(*alternative))
+        return;
+    m_planner.addRegret(object, loss, now);
+    if (m_planner.tryReplicate(object, price, now))
+        std::rotate(candidates.begin(), alternative, alternative + 1);
+}
+
+auto ServicePool::hasRoom(const Candidate& candidate) const -> bool
+{
+    const double slots = std::max(1U, candidate.state->entry().slots.value());
+    return candidate.occupancy < slots * (1 + m_environment.settings.waitingPerSlot);
 }
 
 auto ServicePool::waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration
@@ -156,58 +203,48 @@
     return {};
 }
 
-auto ServicePool::predict(
-    const UpstreamState& state, std::size_t rank, const ChoiceQuery& query, Core::Instant now) const -> Prediction
+auto ServicePool::predict(Candidate& candidate, Core::Instant now) const -> void
 {
-    const auto& settings = m_environment.settings;
-    const bool hasObject = !query.object.value().empty();
-    Prediction prediction;
-    prediction.wait = waitAt(state, now);
-    Core::Duration rankCost {};
-    if (hasObject) {
-        prediction.familiarity = state.remembers(query.object) ? Familiarity::Warm : Familiarity::Cold;
-        if (prediction.familiarity == Familiarity::Cold)
-            rankCost = settings.rankCost * static_cast<int>(rank);
-        // Another entry VM may have brought the object there.
-        prediction.work = m_workTime.warm();
-    } else {
-        prediction.work = m_workTime.mean(Familiarity::Plain);
-    }
-    prediction.cost = prediction.wait + prediction.work + rankCost + distanceCost(state.entry())
-        + scaled(settings.failureCost, state.failureShare());
-    return prediction;
+    const auto& state = *candidate.state;
+    candidate.occupancy = occupancy(state, now);
+    candidate.wait = waitAt(state, now);
+    // What this entry VM does not know to be warm may have been warmed by another.
+    candidate.work
+        = candidate.familiarity == Familiarity::Plain ? m_workTime.mean(Familiarity::Plain) : m_workTime.warm();
+    candidate.cost = candidate.wait + candidate.work + distanceCost(state.entry())
+        + scaled(m_environment.settings.failureCost, state.failureShare());
 }
 
 auto ServicePool::choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult
 {
     const std::lock_guard lock(m_mutex);
     m_workTime.assume(query.targetLatency);
-    if (!query.object.value().empty())
-        m_heat.record(query.object, now);
     auto candidates = candidatesFor(query, now);
     if (candidates.empty())
         return tl::unexpected(NoChoice { NoChoiceReason::NoUpstream, {} });
-    std::vector<std::pair<Prediction, Candidate>> predictions;
-    for (std::size_t rank = 0; rank < candidates.size(); ++rank)
-        predictions.emplace_back(predict(*candidates[rank].state, rank, query, now), candidates[rank]);
-    std::stable_sort(predictions.begin(), predictions.end(),
-        [](const auto& a, const auto& b) { return a.first.cost < b.first.cost; });
-    const auto leastWait = std::min_element(predictions.begin(), predictions.end(), [](const auto& a, const auto& b) {
-        return a.first.wait < b.first.wait;
-    })->first.wait;
-    for (auto& [prediction, candidate] : predictions) {
+    if (query.object.value().empty()) {
+        std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+            return std::tie(a.cost, a.score) < std::tie(b.cost, b.score);
+        });
+    } else {
+        const auto known = arrangeByObject(candidates);
+        considerReplica(candidates, known, query.object, now);
+    }
+    auto leastWait = candidates.front().wait;
+    for (const auto& candidate : candidates) {
         auto& state = *candidate.state;
-        const double slots = std::max(1U, state.entry().slots.value());
-        const double occupied = occupancy(state, now);
-        if (occupied >= slots * (1 + m_environment.settings.waitingPerSlot))
+        leastWait = std::min(leastWait, candidate.wait);
+        if (!hasRoom(candidate))
+            continue;
+        if (candidate.familiarity == Familiarity::Cold && &candidate != &candidates.front())
             continue;
         if (state.isCold(now) && !state.takeColdAllowance(m_settings.coldRate, now))
             continue;
-        if (prediction.wait + prediction.work > query.timeLeft)
+        if (candidate.wait + candidate.work > query.timeLeft)
             return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, leastWait });
         state.begin(now);
-        return Choice { state.entry().target, state.entry().failureDomain, prediction.familiarity, occupied,
-            prediction.wait + prediction.work };
+        return Choice { state.entry().target, state.entry().failureDomain, candidate.familiarity, candidate.occupancy,
+            candidate.wait + candidate.work };
     }
     return tl::unexpected(NoChoice { NoChoiceReason::Busy, leastWait });
 }
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "forwarding/objectheat.h"
 #include "forwarding/placementsettings.h"
+#include "forwarding/replicaplanner.h"
 #include "forwarding/routingconfiguration.h"
 #include "forwarding/upstreamstate.h"
 #include "forwarding/worktime.h"
@@ -16,11 +16,15 @@
     Core::RegionId region;
 };
 
-/// Decides which entry VM may send requests to a cold upstream, so that its limit holds over all of them.
-class ColdOwnership {
+/// What placement needs to know of the other entry VMs.
+class EntryVmView {
 public:
-    virtual ~ColdOwnership() = default;
+    virtual ~EntryVmView() = default;
+    /// Whether this entry VM alone may send requests to the upstream while it is cold, so that its limit holds over
+    /// all.
     [[nodiscard]] virtual auto isOwner(const UpstreamEntry& upstream) const -> bool = 0;
+    /// Entry VMs of the region that take callers, this one included; at least 1.
+    [[nodiscard]] virtual auto regionalCount() const -> std::size_t = 0;
 };
 
 /// What the choice of an upstream depends on.
@@ -80,7 +84,7 @@
 public:
     struct Environment {
         Place place;
-        const ColdOwnership& coldOwnership;
+        const EntryVmView& entryVms;
         PlacementSettings settings;
     };
 
@@ -105,24 +109,30 @@
     [[nodiscard]] auto silenceLimit() const -> Core::Duration;
 
 private:
+    /// Upstream that may serve a request, with what is predicted for it there.
     struct Candidate {
         UpstreamState* state = nullptr;
+        /// Place of the upstream in the object's order.
         std::uint64_t score = 0;
-    };
-
-    struct Prediction {
+        Familiarity familiarity = Familiarity::Plain;
+        double occupancy = 0;
         Core::Duration wait {};
         Core::Duration work {};
+        /// What the choice is made by: time to the answer, with distance and failures weighed in.
         Core::Duration cost {};
-        Familiarity familiarity = Familiarity::Plain;
     };
 
-    [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> std::vector<Candidate>;
+    using Candidates = std::vector<Candidate>;
+
+    [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates;
     [[nodiscard]] auto mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool;
-    [[nodiscard]] auto predict(
-        const UpstreamState& state, std::size_t rank, const ChoiceQuery& query, Core::Instant now) const -> Prediction;
-    /// Places in an object's order that its requests may go to.
-    [[nodiscard]] auto replicasOf(const ObjectKey& object, std::size_t candidates) const -> std::size_t;
+    auto predict(Candidate& candidate, Core::Instant now) const -> void;
+    /// Moves the candidates that may be used for the object to the front: those that know it, by cost, after them those
+    /// that it may be brought to, by cost. Returns the number of the first.
+    [[nodiscard]] auto arrangeByObject(Candidates& candidates) const -> std::size_t;
+    /// Puts a candidate that does not know the object first when that pays in the long run.
+    auto considerReplica(Candidates& candidates, std::size_t known, const ObjectKey& object, Core::Instant now) -> void;
+    [[nodiscard]] auto hasRoom(const Candidate& candidate) const -> bool;
     [[nodiscard]] auto isSilent(const UpstreamState& state, Core::Instant now) const -> bool;
     [[nodiscard]] auto silenceLimitLocked() const -> Core::Duration;
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
@@ -138,7 +148,7 @@
     /// Upstreams that left stay until their last exchange ends.
     std::map<Ports::UpstreamTarget, UpstreamState> m_states;
     WorkTime m_workTime;
-    ObjectHeat m_heat;
+    ReplicaPlanner m_planner;
     /// Moving mean of the load that other entry VMs put on an upstream, in requests for each slot.
     double m_othersPerSlot = 0;
 };
