--- a/src/libs/fleet/rendezvous.cpp
+++ b/src/libs/fleet/rendezvous.cpp
@@ -31,6 +31,13 @@
     return finalize(append(finalize(append(fnvOffset, key)), candidate));
 }
 
+auto rendezvousFraction(std::string_view key) -> double
+{
+    constexpr unsigned usedBits = 53;
+    constexpr auto range = static_cast<double>(std::uint64_t { 1 } << usedBits);
+    return static_cast<double>(finalize(append(fnvOffset, key)) >> (64U - usedBits)) / range;
+}
+
 auto rendezvousPosition(std::string_view key, std::string_view candidate, const std::vector<std::string>& all)
     -> std::size_t
 {
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -3,6 +3,7 @@
 #include "fleet/rendezvous.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace Forwarding {
@@ -133,23 +134,44 @@
     return candidates;
 }
 
-auto ServicePool::arrangeByObject(Candidates& candidates) const -> std::size_t
+auto ServicePool::belongsHere(const Candidates& candidates, const ObjectKey& object) const -> bool
+{
+    double localSlots = 0;
+    double allSlots = 0;
+    std::set<Core::RegionId> regions;
+    for (const auto& candidate : candidates) {
+        const auto& entry = candidate.state->entry();
+        allSlots += entry.slots.value();
+        if (entry.region == m_environment.place.region)
+            localSlots += entry.slots.value();
+        regions.insert(entry.region);
+    }
+    const double fairShare = allSlots / static_cast<double>(regions.size());
+    return Fleet::rendezvousFraction(object.value()) < localSlots / fairShare;
+}
+
+auto ServicePool::arrangeByObject(Candidates& candidates, const ObjectKey& object) const -> std::size_t
 {
     const auto& settings = m_environment.settings;
-    std::sort(
-        candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
-    // All entry VMs bring the object to the first of its order before any other.
+    const bool isLocalFirst = belongsHere(candidates, object);
+    const auto isLocal
+        = [this](const Candidate& candidate) { return candidate.state->entry().region == m_environment.place.region; };
+    std::sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
+        if (isLocal(a) != isLocal(b))
+            return isLocal(a) == isLocalFirst;
+        return a.score > b.score;
+    });
+    // All entry VMs of the region bring the object to the first of its order before any other.
     if (!candidates.empty())
         candidates.front().familiarity = Familiarity::Warm;
     std::size_t rank = 0;
-    std::size_t regionalRank = 0;
+    std::size_t localRank = 0;
     std::erase_if(candidates, [&](const Candidate& candidate) {
-        const bool isRegional = candidate.state->entry().region == m_environment.place.region;
-        const bool isNear = isRegional && regionalRank < settings.regionalReplicas;
+        const bool isNear = isLocal(candidate) && localRank < settings.regionalReplicas;
         const bool isUsed = candidate.familiarity == Familiarity::Warm || rank < settings.replicas || isNear;
         ++rank;
-        if (isRegional)
-            ++regionalRank;
+        if (isLocal(candidate))
+            ++localRank;
         return !isUsed;
     });
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
@@ -188,7 +210,7 @@
     const double slots = std::max(1U, state.entry().slots.value());
     const double occupancy = this->occupancy(state, now);
     // A free slot may be gone on arrival, the more likely the fewer there are.
-    constexpr double freeSlotDoubt = 0.25;
+    constexpr double freeSlotDoubt = 0.05;
     const double queued = std::max(0.0, occupancy - slots + 1);
     return scaled(m_workTime.warm(), queued / slots + freeSlotDoubt * std::min(1.0, occupancy / slots));
 }
@@ -227,7 +249,7 @@
             return std::tie(a.cost, a.score) < std::tie(b.cost, b.score);
         });
     } else {
-        const auto known = arrangeByObject(candidates);
+        const auto known = arrangeByObject(candidates, query.object);
         considerReplica(candidates, known, query.object, now);
     }
     auto leastWait = candidates.front().wait;
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -129,7 +129,10 @@
     auto predict(Candidate& candidate, Core::Instant now) const -> void;
     /// Moves the candidates that may be used for the object to the front: those that know it, by cost, after them those
     /// that it may be brought to, by cost. Returns the number of the first.
-    [[nodiscard]] auto arrangeByObject(Candidates& candidates) const -> std::size_t;
+    [[nodiscard]] auto arrangeByObject(Candidates& candidates, const ObjectKey& object) const -> std::size_t;
+    /// Whether the object belongs to upstreams of the own region. A region that has less than its share of the slots
+    /// keeps a part of its objects only, the same one in all its entry VMs.
+    [[nodiscard]] auto belongsHere(const Candidates& candidates, const ObjectKey& object) const -> bool;
     /// Puts a candidate that does not know the object first when that pays in the long run.
     auto considerReplica(Candidates& candidates, std::size_t known, const ObjectKey& object, Core::Instant now) -> void;
     [[nodiscard]] auto hasRoom(const Candidate& candidate) const -> bool;
