--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -59,8 +59,8 @@
 
 } // namespace
 
-ForwardingProcess::ForwardingProcess(
-    ForwardingHost::HostSettings settings, const PlatformAdapter& platform, ReadSettings reload)
+ForwardingProcess::ForwardingProcess(ForwardingHost::HostSettings settings,
+    const Forwarding::PlacementSettings& placement, const PlatformAdapter& platform, ReadSettings reload)
     : m_settings(std::move(settings))
     , m_platform(platform)
     , m_reload(std::move(reload))
@@ -76,7 +76,7 @@
     , m_fleet(m_self, { m_clock, m_runtime, m_observation.events(), m_datagrams })
     , m_exchanges(m_upstreamClient, platform.headerNames())
     , m_forwarder({ m_clock, m_runtime, m_random, m_exchanges, m_observation.events(), m_observation.metrics(),
-          { { m_settings.failureDomain, m_settings.region }, m_fleet, {} } })
+          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement } })
     , m_registry({ m_clock, m_runtime, m_observation.events() },
           [this](const Forwarding::UpstreamEntries& entries) {
               const std::lock_guard lock(m_listMutex);
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -19,7 +19,8 @@
 public:
     using ReadSettings = std::function<Core::Result<ForwardingHost::HostSettings>()>;
 
-    ForwardingProcess(ForwardingHost::HostSettings settings, const PlatformAdapter& platform, ReadSettings reload);
+    ForwardingProcess(ForwardingHost::HostSettings settings, const Forwarding::PlacementSettings& placement,
+        const PlatformAdapter& platform, ReadSettings reload);
     ~ForwardingProcess() override;
 
     /// Serves until a signal asks for a graceful shutdown that has ended.
--- a/src/libs/forwarding/placementsettings.h
+++ b/src/libs/forwarding/placementsettings.h
@@ -6,10 +6,11 @@
 
 /// Weights of the choice of an upstream. Durations are added to the predicted time of an answer.
 struct PlacementSettings {
-    /// Upstreams in an object's order, over all regions and again in the own region, that it may be brought to. Each
-    /// upstream remembers only some objects, so more would make them all forget.
+    /// Upstreams in an object's order that it may be brought to. Each upstream remembers only some objects, so more
+    /// would make them all forget.
     std::uint32_t replicas = 3;
-    std::uint32_t regionalReplicas = 2;
+    /// Price of one more replica, as a multiple of the time that the first work for an object takes longer.
+    double replicaPrice = 1;
     /// For an upstream in another failure domain of the region, beyond the network's latency.
     Core::Millis domainBorderCost { 10 };
     /// For an upstream in another region, beyond the network's latency.
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace Forwarding {
 
@@ -164,15 +165,20 @@
     // All entry VMs of the region bring the object to the first of its order before any other.
     if (!candidates.empty())
         candidates.front().familiarity = Familiarity::Warm;
+    // One replica follows another in the same order in all entry VMs: else each would make one of its own. Only the
+    // nearest failure domain goes first.
     std::size_t rank = 0;
-    std::size_t localRank = 0;
+    bool hasNear = false;
+    bool hasNext = false;
     std::erase_if(candidates, [&](const Candidate& candidate) {
-        const bool isNear = isLocal(candidate) && localRank < settings.regionalReplicas;
-        const bool isUsed = candidate.familiarity == Familiarity::Warm || rank < settings.replicas || isNear;
-        ++rank;
-        if (isLocal(candidate))
-            ++localRank;
-        return !isUsed;
+        const bool isNear = candidate.state->entry().failureDomain == m_environment.place.failureDomain;
+        const bool isNearest = isNear && !std::exchange(hasNear, hasNear || isNear);
+        const bool isInOrder = rank++ < settings.replicas;
+        if (candidate.familiarity == Familiarity::Warm)
+            return false;
+        if (isNearest)
+            return false;
+        return !isInOrder || std::exchange(hasNext, true);
     });
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         return std::tie(a.familiarity, a.cost) < std::tie(b.familiarity, b.cost);
@@ -188,8 +194,8 @@
         return;
     const auto& best = candidates.front();
     const auto alternative = candidates.begin() + static_cast<Candidates::difference_type>(known);
-    const auto price = (m_workTime.cold() - m_workTime.warm())
-        / static_cast<Core::Duration::rep>(m_environment.entryVms.regionalCount());
+    const auto sharers = static_cast<double>(m_environment.entryVms.regionalCount());
+    const auto price = scaled(m_workTime.cold() - m_workTime.warm(), m_environment.settings.replicaPrice / sharers);
     // A full upstream costs the request itself.
     const auto loss = hasRoom(best) ? best.cost - alternative->cost : price;
     if (loss.count() <= 0 || !hasRoom(*alternative))
