--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -9,7 +9,7 @@
     /// Longest wait of one watch call.
     constexpr Core::Millis watchWait { 18'000 };
     /// Pause after an answer, in which further changes gather; each call to the store has a price.
-    constexpr Core::Millis gatherPause { 250 };
+    constexpr Core::Millis gatherPause { 500 };
     constexpr Core::Millis firstRetryDelay { 100 };
     constexpr Core::Millis longestRetryDelay { 800 };
 
--- a/src/libs/following/storewatchdog.cpp
+++ b/src/libs/following/storewatchdog.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-    constexpr Core::Millis pingInterval { 1000 };
+    constexpr Core::Millis pingInterval { 1500 };
     /// Interval while the store does not answer.
     constexpr Core::Millis lostPingInterval { 300 };
 
