Learn from other entry VMs while the store turns this one away, and refuse requests that crash upstreams

They ask others for their copies now, over the product's own peer streams, and never take what is older. Requests that crash upstreams are counted over the fleet; a lost answer counts only when the upstream cannot be reached right after it. Load reports count the request that they answer. Ruled out: allowance of cold upstreams (the owner sent 4 a second at most).

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -72,7 +72,8 @@
 auto EntryVmProcess::run() -> void
 {
     m_dispatcher.setSuspicionAnnouncer(m_suspicions);
-    SuspicionPeer::registerSuspicionHandler(m_peerHandlers, m_suspicions);
+    SuspicionPeer::registerSuspicionHandler(
+        m_peerHandlers, [this](const Dispatch::CrashSuspicion& suspicion) { m_suspicions.accept(suspicion); });
     LedgerPeer::registerHandlers(
         m_peerHandlers, m_bookings.backup(), m_bookings.coordinator(), m_configuration, m_clock);
     RelayPeer::registerRelayHandlers(m_peerHandlers, m_steering.relayHandler(), m_steering.creditHandler());
--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -9,6 +9,10 @@
     /// Share of the descriptors that callers' connections may use; the rest is for upstreams and the store.
     constexpr double callerDescriptorShare = 0.6;
     constexpr Core::Millis housekeepingInterval { 100 };
+    /// Interval at which connections to other entry VMs that no call used are closed.
+    constexpr Core::Millis peerCloseInterval { 5000 };
+    /// Entry VMs that are told of a request that crashes upstreams.
+    constexpr std::size_t announcementTargets = 32;
     constexpr Core::Millis registrationRetry { 500 };
     /// A connection whose other end acknowledges nothing for so long is broken.
     constexpr Core::Millis silenceTimeout { 2000 };
@@ -54,7 +58,7 @@
     auto selfOf(const ForwardingHost::HostSettings& settings, Core::WallTime now) -> EntryFleet::EntryVmEntry
     {
         return { settings.id, Core::StartMark(now.time_since_epoch().count()), settings.failureDomain, settings.region,
-            settings.front, settings.heartbeats };
+            settings.front, settings.heartbeats, settings.peers };
     }
 
 } // namespace
@@ -73,6 +77,9 @@
     , m_store(platform.makeStore(m_storeClient))
     , m_self(selfOf(m_settings, m_clock.wallTime()))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
+    , m_peers(m_runtime.context(), m_peerTraffic)
+    , m_mirrorPeer(m_peers)
+    , m_suspicionPeer(m_peers)
     , m_fleet(m_self, { m_clock, m_runtime, m_observation.events(), m_datagrams })
     , m_exchanges(m_upstreamClient, platform.headerNames())
     , m_forwarder({ m_clock, m_runtime, m_random, m_exchanges, m_observation.events(), m_observation.metrics(),
@@ -101,6 +108,7 @@
     , m_readinessServer(m_runtime.context(), m_settings.readiness, *m_readiness)
     , m_lookupServer(m_runtime.context(), m_settings.lookup, *m_lookup)
     , m_adminServer(m_runtime.context(), m_settings.metrics, m_observation.admin())
+    , m_peerServer(m_runtime.context(), m_settings.peers, m_peerHandlers, m_peerTraffic)
     , m_signals(m_runtime.context(), SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -111,6 +119,7 @@
 {
     recordLifecycle("process.started", "listens at " + m_settings.front.value());
     awaitSignal();
+    registerPeerHandlers();
     m_datagrams.start([this](const EntryFleet::Heartbeat& heartbeat) { m_fleet.receive(heartbeat); });
     applyRetryAllowance();
     startFollowing();
@@ -123,7 +132,7 @@
 auto ForwardingProcess::startFollowing() -> void
 {
     const Following::CollectionFollower::Environment environment { *m_store, m_runtime, m_random,
-        m_observation.events() };
+        m_observation.events(), m_mirror };
     const auto names = m_platform.codec().collections();
     const auto follow = [&](const Ports::CollectionName& name, Following::CollectionListener& listener) {
         m_followers.push_back(std::make_shared<Following::CollectionFollower>(name, listener, environment));
@@ -133,8 +142,11 @@
     follow(names.evacuations, m_evacuationListener);
     follow(names.entryVms, m_entryVmListener);
     m_watchdog = std::make_shared<Following::StoreWatchdog>(environment, *this);
+    m_peerRefresh = std::make_shared<Following::PeerRefresh>(Following::PeerRefresh::Environment {
+        environment, m_mirrorPeer, m_mirror, [this] { return peersToAsk(); }, [this] { m_registry.storeRegained(); } });
     for (const auto& follower : m_followers) {
         m_watchdog->add(follower);
+        m_peerRefresh->add(follower->name(), follower);
         follower->start();
     }
     m_watchdog->start();
@@ -152,6 +164,32 @@
         });
 }
 
+auto ForwardingProcess::registerPeerHandlers() -> void
+{
+    MirrorPeer::registerMirrorHandler(m_peerHandlers, m_mirror, [this] { return m_watchdog->isAnswering(); });
+    auto& guard = m_forwarder.crashGuard();
+    SuspicionPeer::registerSuspicionHandler(
+        m_peerHandlers, [&guard](const Dispatch::CrashSuspicion& suspicion) { guard.accept(suspicion); });
+    guard.setAnnounce([this](const Dispatch::CrashSuspicion& suspicion) { announceSuspicion(suspicion); });
+}
+
+auto ForwardingProcess::peersToAsk() const -> std::vector<Core::Address>
+{
+    auto peers = m_fleet.peerAddresses();
+    return peers.empty() ? m_settings.seeds : peers;
+}
+
+auto ForwardingProcess::announceSuspicion(const Dispatch::CrashSuspicion& suspicion) -> void
+{
+    auto targets = m_fleet.peerAddresses();
+    targets.resize(std::min(targets.size(), announcementTargets));
+    for (const auto& address : targets) {
+        Fleet::EntryVm target;
+        target.peerAddress = address;
+        m_suspicionPeer.send(target, suspicion, [] {});
+    }
+}
+
 auto ForwardingProcess::applyConfiguration(const std::shared_ptr<const Forwarding::RoutingConfiguration>& configuration)
     -> void
 {
@@ -179,11 +217,13 @@
 {
     recordLifecycle("store.unanswered", "what is known of the store stays in force");
     m_registry.storeLost();
+    m_peerRefresh->start();
 }
 
 auto ForwardingProcess::storeRegained() -> void
 {
     recordLifecycle("store.answers", "the store answers again");
+    m_peerRefresh->stop();
     m_registry.storeRegained();
 }
 
@@ -191,6 +231,11 @@
 {
     m_housekeeping = m_runtime.after(housekeepingInterval, [this] {
         m_forwarder.runProbes();
+        const auto now = m_clock.now();
+        if (now - m_peersClosedAt >= peerCloseInterval) {
+            m_peersClosedAt = now;
+            m_peers.closeIdleConnections();
+        }
         scheduleHousekeeping();
     });
 }
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -7,7 +7,11 @@
 #include "forwardinghost/listeners.h"
 #include "httpforward/forwardfront.h"
 #include "httpforward/httpexchangeclient.h"
+#include "mirrorpeer/mirrorpeer.h"
+#include "peerstream/peerstreamclient.h"
+#include "peerstream/peerstreamserver.h"
 #include "runtime/asioruntime.h"
+#include "suspicionpeer/suspicionpeer.h"
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
@@ -36,6 +40,10 @@
     auto applyRetryAllowance() -> void;
     auto startFollowing() -> void;
     auto registerSelf() -> void;
+    auto registerPeerHandlers() -> void;
+    /// Entry VMs to ask when the store does not answer.
+    [[nodiscard]] auto peersToAsk() const -> std::vector<Core::Address>;
+    auto announceSuspicion(const Dispatch::CrashSuspicion& suspicion) -> void;
     auto awaitSignal() -> void;
     auto reloadSettings() -> void;
     auto scheduleHousekeeping() -> void;
@@ -56,6 +64,11 @@
     std::unique_ptr<Ports::CollectionStore> m_store;
     const EntryFleet::EntryVmEntry m_self;
     DatagramPeer::DatagramPeer m_datagrams;
+    PeerStream::Traffic m_peerTraffic;
+    PeerStream::PeerStreamClient m_peers;
+    PeerStream::HandlerTable m_peerHandlers;
+    MirrorPeer::MirrorPeer m_mirrorPeer;
+    SuspicionPeer::SuspicionPeer m_suspicionPeer;
     EntryFleet::EntryFleet m_fleet;
     HttpForward::HttpExchangeClient m_exchanges;
     Forwarding::Forwarder m_forwarder;
@@ -68,7 +81,9 @@
     ForwardingHost::EvacuationListener m_evacuationListener;
     ForwardingHost::EntryVmListener m_entryVmListener;
     std::vector<std::shared_ptr<Following::CollectionFollower>> m_followers;
+    Following::CollectionMirror m_mirror;
     std::shared_ptr<Following::StoreWatchdog> m_watchdog;
+    std::shared_ptr<Following::PeerRefresh> m_peerRefresh;
     HttpForward::ForwardFront m_front;
     std::unique_ptr<HttpServer::HttpHandler> m_readiness;
     std::unique_ptr<HttpServer::HttpHandler> m_lookup;
@@ -76,7 +91,9 @@
     HttpServer::Server m_readinessServer;
     HttpServer::Server m_lookupServer;
     HttpServer::Server m_adminServer;
+    PeerStream::PeerStreamServer m_peerServer;
     std::unique_ptr<Ports::Timer> m_housekeeping;
+    Core::Instant m_peersClosedAt;
     std::unique_ptr<Ports::Timer> m_registration;
     std::unique_ptr<Ports::Timer> m_stopTimer;
     std::atomic<bool> m_isStopping { false };
--- a/src/libs/dispatch/requestquarantine.cpp
+++ b/src/libs/dispatch/requestquarantine.cpp
@@ -41,6 +41,14 @@
         m_entries.erase(found);
 }
 
+auto RequestQuarantine::clear(const RequestFingerprint& fingerprint) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end() && found->second.upstreams.size() < crashLimit)
+        m_entries.erase(found);
+}
+
 auto RequestQuarantine::endWithCrash(
     const RequestFingerprint& fingerprint, const Core::UpstreamId& upstream, Core::Instant now) -> CrashSuspicion
 {
--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -40,6 +40,9 @@
     auto endWithCrash(const RequestFingerprint& fingerprint, const Core::UpstreamId& upstream, Core::Instant now)
         -> CrashSuspicion;
 
+    /// The request was answered without being counted as begun; forgets it unless it is refused.
+    auto clear(const RequestFingerprint& fingerprint) -> void;
+
     [[nodiscard]] auto suspicions() const -> std::vector<CrashSuspicion> override;
     auto merge(const std::vector<CrashSuspicion>& suspicions, Core::Instant now) -> bool override;
 
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -138,6 +138,20 @@
     return addresses;
 }
 
+auto EntryFleet::peerAddresses() const -> std::vector<Core::Address>
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
+    std::vector<Core::Address> near;
+    std::vector<Core::Address> others;
+    for (const auto& [id, member] : m_members) {
+        const bool isNear = isNeighbour(member.entry) && isAlive(member, now);
+        (isNear ? near : others).push_back(member.entry.peers);
+    }
+    near.insert(near.end(), others.begin(), others.end());
+    return near;
+}
+
 auto EntryFleet::regionalCount() const -> std::size_t { return std::max<std::size_t>(1, callerAddresses().size()); }
 
 auto EntryFleet::listedCount() const -> std::size_t
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -41,6 +41,8 @@
 
     /// Entry VMs of the region that take callers, this one included while it does.
     [[nodiscard]] auto callerAddresses() const -> std::vector<Core::Address>;
+    /// Where to send messages to the other entry VMs: those of the region that live, after them all others.
+    [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
     /// Entry VMs that the store lists, this one included.
     [[nodiscard]] auto listedCount() const -> std::size_t;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
--- a/src/libs/entryfleet/entryvmentry.h
+++ b/src/libs/entryfleet/entryvmentry.h
@@ -15,6 +15,8 @@
     Core::Address front;
     /// Where heartbeats are received.
     Core::Address heartbeats;
+    /// Where messages of other entry VMs are received.
+    Core::Address peers;
 };
 
 /// Sign of life of one entry VM.
--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -69,13 +69,7 @@
         retryLater(result.error());
         return;
     }
-    m_listener.replaceAll(result->items);
-    m_listener.commit();
-    {
-        const std::lock_guard lock(m_mutex);
-        m_revision = result->revision;
-        m_isLoaded = true;
-    }
+    take(*result);
     m_environment.events.record({ Ports::EventKind("store.listed"), {},
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
             { "revision", std::to_string(result->revision.value()) } } });
@@ -83,6 +77,28 @@
     watch();
 }
 
+auto CollectionFollower::take(const Ports::CollectionList& list) -> void
+{
+    const std::lock_guard listenerLock(m_listenerMutex);
+    m_environment.mirror.replaceAll(m_name, list);
+    m_listener.replaceAll(list.items);
+    m_listener.commit();
+    const std::lock_guard lock(m_mutex);
+    m_revision = list.revision;
+    m_isLoaded = true;
+}
+
+auto CollectionFollower::adopt(const Ports::CollectionList& list) -> bool
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopped || list.revision <= m_revision)
+            return false;
+    }
+    take(list);
+    return true;
+}
+
 auto CollectionFollower::watch() -> void
 {
     std::uint64_t number = 0;
@@ -141,13 +157,17 @@
         }
         return;
     }
-    for (const auto& change : result->changes) {
-        if (change.isDeleted)
-            m_listener.remove(change.item.name);
-        else
-            m_listener.upsert(change.item);
+    {
+        const std::lock_guard listenerLock(m_listenerMutex);
+        m_environment.mirror.apply(m_name, *result);
+        for (const auto& change : result->changes) {
+            if (change.isDeleted)
+                m_listener.remove(change.item.name);
+            else
+                m_listener.upsert(change.item);
+        }
+        m_listener.commit();
     }
-    m_listener.commit();
     {
         const std::lock_guard lock(m_mutex);
         m_revision = std::max(m_revision, result->revision);
--- a/src/libs/following/collectionfollower.h
+++ b/src/libs/following/collectionfollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "following/collectionmirror.h"
 #include "ports/clock.h"
 #include "ports/collectionstore.h"
 #include "ports/eventsink.h"
@@ -31,6 +32,7 @@
         Ports::Scheduler& scheduler;
         Ports::RandomSource& random;
         Ports::EventSink& events;
+        CollectionMirror& mirror;
     };
 
     CollectionFollower(Ports::CollectionName name, CollectionListener& listener, Environment environment);
@@ -39,12 +41,16 @@
     /// Gives a waiting watch up and lists again, for when the store was away.
     auto refresh() -> void;
     auto stop() -> void;
+    /// Takes a copy of the collection that another entry VM has, unless it is no newer. Returns whether it was taken.
+    auto adopt(const Ports::CollectionList& list) -> bool;
+    [[nodiscard]] auto name() const -> const Ports::CollectionName& { return m_name; }
     /// The collection has been read at least once.
     [[nodiscard]] auto isLoaded() const -> bool;
 
 private:
     auto list() -> void;
     auto watch() -> void;
+    auto take(const Ports::CollectionList& list) -> void;
     auto onList(const Core::Result<Ports::CollectionList>& result) -> void;
     auto onChanges(const Core::Result<Ports::CollectionChanges>& result) -> void;
     auto retryLater(const Core::Error& error) -> void;
@@ -54,6 +60,8 @@
     const Ports::CollectionName m_name;
     CollectionListener& m_listener;
     const Environment m_environment;
+    /// Held while the listener is told, so that it hears one thing after another.
+    std::mutex m_listenerMutex;
     mutable std::mutex m_mutex;
     Ports::StoreRevision m_revision;
     bool m_isLoaded = false;
--- /dev/null
+++ b/src/libs/following/peerrefresh.cpp
@@ -0,0 +1,86 @@
+#include "following/peerrefresh.h"
+
+namespace Following {
+
+namespace {
+
+    constexpr Core::Millis askInterval { 400 };
+
+} // namespace
+
+PeerRefresh::PeerRefresh(Environment environment)
+    : m_environment(std::move(environment))
+{
+}
+
+auto PeerRefresh::add(const Ports::CollectionName& name, std::shared_ptr<CollectionFollower> follower) -> void
+{
+    m_followers[name] = std::move(follower);
+}
+
+auto PeerRefresh::start() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_isRunning, true))
+            return;
+    }
+    ask();
+}
+
+auto PeerRefresh::stop() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isRunning = false;
+    m_timer.reset();
+}
+
+auto PeerRefresh::schedule() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isRunning)
+        return;
+    m_timer = m_environment.follower.scheduler.after(askInterval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->ask();
+    });
+}
+
+auto PeerRefresh::ask() -> void
+{
+    const auto peers = m_environment.peers();
+    if (peers.empty()) {
+        schedule();
+        return;
+    }
+    const auto peer = peers[m_turn++ % peers.size()];
+    m_environment.port.fetch(peer, m_environment.mirror.revisions(),
+        [weak = weak_from_this(), peer](const Core::Result<MirrorAnswer>& answer) {
+            if (const auto self = weak.lock())
+                self->take(peer, answer);
+        });
+}
+
+auto PeerRefresh::take(const Core::Address& peer, const Core::Result<MirrorAnswer>& answer) -> void
+{
+    bool isRunning = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isRunning = m_isRunning;
+    }
+    if (isRunning && answer) {
+        for (const auto& [name, list] : answer->lists) {
+            const auto found = m_followers.find(name);
+            if (found == m_followers.end() || !found->second->adopt(list))
+                continue;
+            m_environment.follower.events.record({ Ports::EventKind("store.learnt-from-peer"), {},
+                { { "collection", name.value() }, { "peer", peer.value() },
+                    { "revision", std::to_string(list.revision.value()) } } });
+        }
+        if (answer->isStoreAnswering)
+            m_environment.onRefreshed();
+    }
+    schedule();
+}
+
+} // namespace Following
--- a/src/libs/following/storewatchdog.cpp
+++ b/src/libs/following/storewatchdog.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-    constexpr Core::Millis pingInterval { 1500 };
+    constexpr Core::Millis pingInterval { 1000 };
     /// Interval while the store does not answer.
     constexpr Core::Millis lostPingInterval { 300 };
 
@@ -25,6 +25,12 @@
     m_timer.reset();
 }
 
+auto StoreWatchdog::isAnswering() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_isLost;
+}
+
 auto StoreWatchdog::schedule() -> void
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/following/storewatchdog.h
+++ b/src/libs/following/storewatchdog.h
@@ -21,6 +21,7 @@
     auto add(std::shared_ptr<CollectionFollower> follower) -> void { m_followers.push_back(std::move(follower)); }
     auto start() -> void;
     auto stop() -> void;
+    [[nodiscard]] auto isAnswering() const -> bool;
 
 private:
     auto ping() -> void;
@@ -30,7 +31,7 @@
     const CollectionFollower::Environment m_environment;
     StoreListener& m_listener;
     std::vector<std::shared_ptr<CollectionFollower>> m_followers;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     bool m_isLost = false;
     bool m_isStopped = false;
     std::unique_ptr<Ports::Timer> m_timer;
--- /dev/null
+++ b/src/libs/forwarding/crashguard.cpp
@@ -0,0 +1,55 @@
+#include "forwarding/crashguard.h"
+
+namespace Forwarding {
+
+CrashGuard::CrashGuard(Environment environment)
+    : m_environment(environment)
+{
+}
+
+auto CrashGuard::setAnnounce(Announce announce) -> void { m_announce = std::move(announce); }
+
+auto CrashGuard::isRefused(const Dispatch::RequestFingerprint& request) const -> bool
+{
+    return m_quarantine.isQuarantined(request, m_environment.clock.now());
+}
+
+auto CrashGuard::recordAnswer(const Dispatch::RequestFingerprint& request) -> void { m_quarantine.clear(request); }
+
+auto CrashGuard::recordLoss(const Dispatch::RequestFingerprint& request, const Ports::UpstreamTarget& target,
+    const std::string& healthPath) -> void
+{
+    m_environment.exchanges.askHealth(
+        target, healthPath, [this, request, target](const Core::Result<Ports::HealthReport>& report) {
+            if (!report)
+                suspect({ request, { target.id } });
+        });
+}
+
+auto CrashGuard::suspect(const Dispatch::CrashSuspicion& suspicion) -> void
+{
+    if (!m_quarantine.merge({ suspicion }, m_environment.clock.now()))
+        return;
+    m_environment.events.record({ Ports::EventKind("request-content.suspected"), {},
+        { { "fingerprint", std::to_string(suspicion.fingerprint.high) },
+            { "upstream", suspicion.upstreams.begin()->value() },
+            { "refused", isRefused(suspicion.fingerprint) ? "yes" : "no" } } });
+    if (m_announce)
+        m_announce(suspicion);
+}
+
+auto CrashGuard::accept(const Dispatch::CrashSuspicion& suspicion) -> void
+{
+    (void)m_quarantine.merge({ suspicion }, m_environment.clock.now());
+}
+
+auto fingerprintOf(const ForwardRequest& request) -> Dispatch::RequestFingerprint
+{
+    Core::ServiceRequest content;
+    content.service = Core::ServiceId(request.host);
+    content.operation = request.path;
+    content.body = request.object.value();
+    return Dispatch::fingerprintOf(content);
+}
+
+} // namespace Forwarding
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -18,6 +18,7 @@
 
 Forwarder::Forwarder(Environment environment)
     : m_environment(std::move(environment))
+    , m_crashGuard({ m_environment.clock, m_environment.events, m_environment.exchanges })
     , m_desks(std::make_shared<const detail::ServiceDesks>())
 {
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/crashguard.h"
 #include "forwarding/forwardrequest.h"
 #include "forwarding/rollingretrybudget.h"
 #include "forwarding/routingconfiguration.h"
@@ -58,6 +59,7 @@
     auto handle(ForwardRequest request, ForwardCallback callback) -> std::shared_ptr<OpenRequest>;
     /// Asks ejected upstreams for their health; called at short intervals.
     auto runProbes() -> void;
+    auto crashGuard() -> CrashGuard& { return m_crashGuard; }
     [[nodiscard]] auto configuration() const -> std::shared_ptr<const RoutingConfiguration>;
 
 private:
@@ -67,6 +69,7 @@
 
     const Environment m_environment;
     WeightedTurns m_turns;
+    CrashGuard m_crashGuard;
     std::atomic<std::shared_ptr<const RoutingConfiguration>> m_configuration;
     std::atomic<std::shared_ptr<const detail::ServiceDesks>> m_desks;
     std::atomic<double> m_retryRatio { RetryAllowance().ratio };
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -52,6 +52,12 @@
             || outcome == ExchangeOutcome::Invalid || outcome == ExchangeOutcome::Cancelled;
     }
 
+    auto describeNoChoice(const std::string& problem, const NoChoice& noChoice) -> std::string
+    {
+        return "the " + std::to_string(noChoice.candidates) + " upstreams weighed " + problem + "; the least wait is "
+            + std::to_string(std::chrono::duration_cast<Core::Millis>(noChoice.wait).count()) + " ms";
+    }
+
     auto millis(Core::Duration duration) -> std::string
     {
         return std::to_string(std::chrono::duration_cast<Core::Millis>(duration).count());
@@ -64,6 +70,7 @@
     , m_environment(forwarder.m_environment)
     , m_request(std::move(request))
     , m_callback(std::move(callback))
+    , m_fingerprint(fingerprintOf(m_request))
     , m_arrivedAt(m_environment.clock.now())
 {
 }
@@ -78,6 +85,10 @@
         refuse(RefusalReason::DeadlinePassed, "no time is left", {});
         return;
     }
+    if (m_forwarder.m_crashGuard.isRefused(m_fingerprint)) {
+        refuse(RefusalReason::RequestQuarantined, "the request has crashed upstreams", {});
+        return;
+    }
     m_desk->retries.recordRequest(m_arrivedAt);
     {
         const std::lock_guard lock(m_mutex);
@@ -200,8 +211,12 @@
     report.familiarity = attempt.choice.familiarity;
     m_desk->pool.end(report, now);
     m_environment.metrics.upstreamEnded(m_service, metricOutcome(result.outcome));
-    if (result.outcome == ExchangeOutcome::Answered)
+    if (result.outcome == ExchangeOutcome::Answered) {
+        m_forwarder.m_crashGuard.recordAnswer(m_fingerprint);
         return;
+    }
+    if (result.outcome == ExchangeOutcome::Lost)
+        m_forwarder.m_crashGuard.recordLoss(m_fingerprint, attempt.choice.target, m_desk->pool.healthPath());
     m_environment.events.record({ Ports::EventKind("exchange.failed"), m_request.id,
         { { "upstream", attempt.choice.target.id.value() }, { "service", m_service.value() },
             { "outcome", toString(result.outcome) }, { "detail", result.detail },
@@ -232,7 +247,7 @@
 
 auto Passage::repeatOrGiveUp(const Ports::ExchangeResult& result) -> void
 {
-    const bool isSafe = m_route->isIdempotent || !m_mayHaveRun;
+    const bool isSafe = (m_route->isIdempotent || !m_mayHaveRun) && !m_forwarder.m_crashGuard.isRefused(m_fingerprint);
     if (isSafe && mayRepeat(m_environment.clock.now())) {
         send();
         return;
@@ -250,10 +265,10 @@
         refuse(RefusalReason::NoUpstream, "the service has no usable upstream", leastRetryAfter);
         return;
     case NoChoiceReason::Busy:
-        refuse(RefusalReason::Overloaded, "all upstreams are full", noChoice.wait);
+        refuse(RefusalReason::Overloaded, describeNoChoice("are full", noChoice), noChoice.wait);
         return;
     case NoChoiceReason::DeadlineUnreachable:
-        refuse(RefusalReason::DeadlineUnreachable, "no upstream can answer in time", noChoice.wait);
+        refuse(RefusalReason::DeadlineUnreachable, describeNoChoice("cannot answer in time", noChoice), noChoice.wait);
         return;
     }
 }
--- a/src/libs/forwarding/passage.h
+++ b/src/libs/forwarding/passage.h
@@ -43,6 +43,7 @@
     const Forwarder::Environment& m_environment;
     const ForwardRequest m_request;
     ForwardCallback m_callback;
+    const Dispatch::RequestFingerprint m_fingerprint;
     const Core::Instant m_arrivedAt;
     Core::Instant m_deadline;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -249,7 +249,7 @@
     m_workTime.assume(query.targetLatency);
     auto candidates = candidatesFor(query, now);
     if (candidates.empty())
-        return tl::unexpected(NoChoice { NoChoiceReason::NoUpstream, {} });
+        return tl::unexpected(NoChoice { NoChoiceReason::NoUpstream, 0, {} });
     if (query.object.value().empty()) {
         std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
             return std::tie(a.cost, a.score) < std::tie(b.cost, b.score);
@@ -269,12 +269,12 @@
         if (state.isCold(now) && !state.takeColdAllowance(m_settings.coldRate, now))
             continue;
         if (candidate.wait + candidate.work > query.timeLeft)
-            return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, leastWait });
+            return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, candidates.size(), leastWait });
         state.begin(now);
         return Choice { state.entry().target, state.entry().failureDomain, candidate.familiarity, candidate.occupancy,
             candidate.wait + candidate.work };
     }
-    return tl::unexpected(NoChoice { NoChoiceReason::Busy, leastWait });
+    return tl::unexpected(NoChoice { NoChoiceReason::Busy, candidates.size(), leastWait });
 }
 
 auto ServicePool::stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -61,6 +61,8 @@
 
 struct NoChoice {
     NoChoiceReason reason = NoChoiceReason::NoUpstream;
+    /// Upstreams that were weighed.
+    std::size_t candidates = 0;
     /// Time after which room is expected.
     Core::Duration wait {};
 };
--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -87,7 +87,8 @@
 auto UpstreamRegistry::storeRegained() -> void
 {
     const std::lock_guard lock(m_mutex);
-    m_isStoreLost = false;
+    if (!std::exchange(m_isStoreLost, false))
+        return;
     m_graceUntil = m_environment.clock.now() + returnTime;
     m_graceTimer = m_environment.scheduler.after(returnTime, [this] { dropMissing(); });
 }
--- a/src/libs/forwarding/upstreamregistry.h
+++ b/src/libs/forwarding/upstreamregistry.h
@@ -35,6 +35,7 @@
     /// All changes that came together have been told.
     auto commit() -> void;
     auto storeLost() -> void;
+    /// The store answers again, this VM or another that passes on what it learns.
     auto storeRegained() -> void;
 
 private:
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -47,13 +47,13 @@
 
 auto UpstreamState::end(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
 {
+    if (load) {
+        m_lastHeard = now;
+        // The report counts the request that it answers.
+        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
+        m_reportedAt = now;
+    }
     --m_inFlight;
-    if (!load)
-        return;
-    m_lastHeard = now;
-    const double others = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
-    m_othersLoad = others;
-    m_reportedAt = now;
 }
 
 auto UpstreamState::recordHealth(Health health, Core::Instant now) -> void
--- a/src/libs/forwarding/worktime.cpp
+++ b/src/libs/forwarding/worktime.cpp
@@ -27,35 +27,43 @@
         return;
     m_isAssumed = true;
     const auto micros = static_cast<double>(targetLatency.count());
-    m_warmMicros = micros * assumedWarmShare;
-    m_plainMicros = micros * assumedWarmShare;
-    m_coldMicros = micros * assumedColdShare;
+    m_warm.micros = micros * assumedWarmShare;
+    m_plain.micros = micros * assumedWarmShare;
+    m_cold.micros = micros * assumedColdShare;
 }
 
 auto WorkTime::record(Core::Duration time, Familiarity familiarity) -> void
 {
     const auto micros = static_cast<double>(time.count());
-    // An object that was taken for unknown may have been brought there by another entry VM.
-    const bool looksWarm = micros < (m_warmMicros + m_coldMicros) / 2;
-    if (familiarity == Familiarity::Cold && looksWarm)
-        familiarity = Familiarity::Warm;
-    auto& mean = familiarity == Familiarity::Plain ? m_plainMicros
-                                                   : (familiarity == Familiarity::Warm ? m_warmMicros : m_coldMicros);
-    mean += newestShare * (micros - mean);
-    m_coldMicros = std::max(m_coldMicros, m_warmMicros * leastColdRatio);
+    // Another entry VM may have brought an object that was taken for unknown, and the first work for an object that
+    // this entry VM takes for known may still be to come.
+    const bool looksWarm = micros < (m_warm.micros + m_cold.micros) / 2;
+    if (familiarity == Familiarity::Plain)
+        m_plain.add(micros);
+    else if (looksWarm)
+        m_warm.add(micros);
+    else
+        m_cold.add(micros);
+    m_cold.micros = std::max(m_cold.micros, m_warm.micros * leastColdRatio);
+}
+
+auto WorkTime::Mean::add(double value) -> void
+{
+    ++samples;
+    micros += std::max(newestShare, 1.0 / samples) * (value - micros);
 }
 
 auto WorkTime::mean(Familiarity familiarity) const -> Core::Duration
 {
     switch (familiarity) {
     case Familiarity::Warm:
-        return toDuration(m_warmMicros);
+        return toDuration(m_warm.micros);
     case Familiarity::Cold:
-        return toDuration(m_coldMicros);
+        return toDuration(m_cold.micros);
     case Familiarity::Plain:
         break;
     }
-    return toDuration(m_plainMicros);
+    return toDuration(m_plain.micros);
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/worktime.h
+++ b/src/libs/forwarding/worktime.h
@@ -25,10 +25,18 @@
     [[nodiscard]] auto cold() const -> Core::Duration { return mean(Familiarity::Cold); }
 
 private:
+    struct Mean {
+        /// The first value replaces what was assumed.
+        auto add(double value) -> void;
+
+        double micros = 0;
+        std::uint32_t samples = 0;
+    };
+
     bool m_isAssumed = false;
-    double m_warmMicros = 0;
-    double m_coldMicros = 0;
-    double m_plainMicros = 0;
+    Mean m_warm;
+    Mean m_cold;
+    Mean m_plain;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwardinghost/hostsettings.h
+++ b/src/libs/forwardinghost/hostsettings.h
@@ -4,6 +4,7 @@
 #include "core/units.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace ForwardingHost {
 
@@ -22,6 +23,10 @@
     Core::Address metrics;
     /// Where heartbeats of other entry VMs arrive.
     Core::Address heartbeats;
+    /// Where messages of other entry VMs arrive.
+    Core::Address peers;
+    /// Some entry VMs that can be asked before the store has named any; may be out of date.
+    std::vector<Core::Address> seeds;
     Core::Address store;
     std::size_t threads = 1;
     std::size_t descriptors = 1024;
--- a/src/plugins/suspicionpeer/suspicionpeer.cpp
+++ b/src/plugins/suspicionpeer/suspicionpeer.cpp
@@ -44,16 +44,16 @@
         [callback = std::move(callback)](const Core::Result<std::string>&) { callback(); });
 }
 
-auto registerSuspicionHandler(Ports::PeerRouter& router, Suspicion::SuspicionSpread& spread) -> void
+auto registerSuspicionHandler(Ports::PeerRouter& router, SuspicionReceiver receiver) -> void
 {
-    router.registerHandler(
-        suspicionKind, [&spread](const std::string& payload, const Ports::PeerRouter::Respond& respond) {
+    router.registerHandler(suspicionKind,
+        [receiver = std::move(receiver)](const std::string& payload, const Ports::PeerRouter::Respond& respond) {
             const auto suspicion = decode(payload);
             if (!suspicion) {
                 respond(tl::unexpected(suspicion.error()));
                 return;
             }
-            spread.accept(*suspicion);
+            receiver(*suspicion);
             respond(std::string());
         });
 }
--- a/src/plugins/suspicionpeer/suspicionpeer.h
+++ b/src/plugins/suspicionpeer/suspicionpeer.h
@@ -17,7 +17,9 @@
     Ports::PeerTransport& m_transport;
 };
 
-/// Registers the handler of crash suspicions; the spread must outlive the router's calls.
-auto registerSuspicionHandler(Ports::PeerRouter& router, Suspicion::SuspicionSpread& spread) -> void;
+using SuspicionReceiver = std::function<void(const Dispatch::CrashSuspicion&)>;
+
+/// Registers the handler of crash suspicions.
+auto registerSuspicionHandler(Ports::PeerRouter& router, SuspicionReceiver receiver) -> void;
 
 } // namespace SuspicionPeer
--- a/tests/auto/suspicion/tst_suspicionspread.cpp
+++ b/tests/auto/suspicion/tst_suspicionspread.cpp
@@ -58,7 +58,8 @@
         : port(wire)
         , spread({ clock, random, members, fleet, port, quarantine }, Core::EntryVmId(id))
     {
-        SuspicionPeer::registerSuspicionHandler(wire.routers[Core::Address(id)], spread);
+        SuspicionPeer::registerSuspicionHandler(wire.routers[Core::Address(id)],
+            [this](const Dispatch::CrashSuspicion& suspicion) { spread.accept(suspicion); });
     }
 
     Dispatch::RequestQuarantine quarantine;
