--- /dev/null
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -0,0 +1,180 @@
+#include "datagrampeer/datagrampeer.h"
+#include "entryfleet/entryfleet.h"
+#include "support/virtualtime.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace {
+
+using EntryFleet::EntryVmEntry;
+
+class IgnoredEvents : public Ports::EventSink {
+public:
+    auto record(Ports::Event) -> void override { }
+};
+
+auto entryVm(const std::string& id, const std::string& region, std::int64_t start = 1) -> EntryVmEntry
+{
+    EntryVmEntry entry;
+    entry.id = Core::EntryVmId(id);
+    entry.start = Core::StartMark(start);
+    entry.failureDomain = Core::FailureDomainId(region + "-a");
+    entry.region = Core::RegionId(region);
+    entry.front = Core::Address(id + ":80");
+    entry.heartbeats = Core::Address(id + ":81");
+    entry.peers = Core::Address(id + ":82");
+    return entry;
+}
+
+/// Heartbeats reach their receivers at once, except those of silent entry VMs.
+class Wire : public EntryFleet::HeartbeatPort {
+public:
+    auto send(const Core::Address& to, const EntryFleet::Heartbeat& heartbeat) -> void override
+    {
+        ++sent;
+        if (silent.contains(heartbeat.sender) || !receivers.contains(to))
+            return;
+        receivers[to]->receive(heartbeat);
+    }
+
+    std::map<Core::Address, EntryFleet::EntryFleet*> receivers;
+    std::set<Core::EntryVmId> silent;
+    int sent = 0;
+};
+
+struct ThreeEntryVms {
+    ThreeEntryVms()
+    {
+        const std::vector entries { entryVm("atl-1", "atl"), entryVm("atl-2", "atl"), entryVm("sav-1", "sav") };
+        for (auto* fleet : { &one, &two, &other })
+            fleet->replaceAll(entries);
+        wire.receivers = { { Core::Address("atl-1:81"), &one }, { Core::Address("atl-2:81"), &two },
+            { Core::Address("sav-1:81"), &other } };
+        for (auto* fleet : { &one, &two, &other })
+            fleet->start();
+        time.runFor(Core::Millis(2000));
+    }
+
+    TestSupport::VirtualTime time;
+    IgnoredEvents events;
+    Wire wire;
+    EntryFleet::EntryFleet one { entryVm("atl-1", "atl"), { time, time, events, wire } };
+    EntryFleet::EntryFleet two { entryVm("atl-2", "atl"), { time, time, events, wire } };
+    EntryFleet::EntryFleet other { entryVm("sav-1", "sav"), { time, time, events, wire } };
+};
+
+auto coldUpstream(const std::string& id) -> Forwarding::UpstreamEntry
+{
+    Forwarding::UpstreamEntry entry;
+    entry.target.id = Core::UpstreamId(id);
+    entry.region = Core::RegionId("atl");
+    return entry;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryVmsOfARegion, ThreeEntryVms)
+
+BOOST_AUTO_TEST_SUITE(InCalmTimes)
+
+BOOST_AUTO_TEST_CASE(AreAllNamedToCallers)
+{
+    const std::vector expected { Core::Address("atl-1:80"), Core::Address("atl-2:80") };
+    BOOST_TEST((one.callerAddresses() == expected));
+}
+
+BOOST_AUTO_TEST_CASE(ShareTheColdUpstreamsOfTheirRegion)
+{
+    int owned = 0;
+    for (int upstream = 0; upstream < 40; ++upstream) {
+        const auto entry = coldUpstream("u" + std::to_string(upstream));
+        BOOST_TEST(one.isOwner(entry) != two.isOwner(entry));
+        BOOST_TEST(!other.isOwner(entry));
+        owned += one.isOwner(entry) ? 1 : 0;
+    }
+    BOOST_TEST(owned > 5);
+    BOOST_TEST(owned < 35);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfWhichOneFallsSilent)
+
+BOOST_AUTO_TEST_CASE(NameOnlyThoseThatLive)
+{
+    wire.silent.insert(Core::EntryVmId("atl-2"));
+    time.runFor(EntryFleet::EntryFleet::silenceLimit + EntryFleet::EntryFleet::heartbeatInterval);
+    BOOST_TEST((one.callerAddresses() == std::vector { Core::Address("atl-1:80") }));
+}
+
+BOOST_AUTO_TEST_CASE(NameItAgainWhenItIsHeard)
+{
+    wire.silent.insert(Core::EntryVmId("atl-2"));
+    time.runFor(Core::Millis(5000));
+    wire.silent.clear();
+    time.runFor(EntryFleet::EntryFleet::heartbeatInterval);
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfWhichOneLeaves)
+
+BOOST_AUTO_TEST_CASE(NameItNoMoreAtOnce)
+{
+    two.leave();
+    BOOST_TEST((one.callerAddresses() == std::vector { Core::Address("atl-1:80") }));
+    BOOST_TEST((two.callerAddresses() == std::vector { Core::Address("atl-1:80") }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfWhichOneStartsAgain)
+
+BOOST_AUTO_TEST_CASE(DoNotTakeItsEntryForASignOfLife)
+{
+    wire.silent.insert(Core::EntryVmId("atl-2"));
+    one.upsert(entryVm("atl-2", "atl", 2));
+    BOOST_TEST(one.callerAddresses().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IgnoreHeartbeatsOfItsEarlierStart)
+{
+    one.upsert(entryVm("atl-2", "atl", 2));
+    one.receive({ Core::EntryVmId("atl-2"), Core::StartMark(1), false });
+    BOOST_TEST(one.callerAddresses().size() == 1U);
+    one.receive({ Core::EntryVmId("atl-2"), Core::StartMark(2), false });
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(LeaveColdUpstreamsAloneUntilAllHaveBeenHeard)
+{
+    EntryFleet::EntryFleet fresh { entryVm("atl-3", "atl"), { time, time, events, wire } };
+    fresh.start();
+    BOOST_TEST(!fresh.isOwner(coldUpstream("u1")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AHeartbeat)
+
+BOOST_AUTO_TEST_CASE(IsReadAsItWasWritten)
+{
+    const auto read = DatagramPeer::decodeHeartbeat(
+        DatagramPeer::encodeHeartbeat({ Core::EntryVmId("atl-1"), Core::StartMark(77), true }));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->sender.value() == "atl-1");
+    BOOST_TEST(read->start.value() == 77);
+    BOOST_TEST(read->isLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(ThatIsDamagedIsRefused)
+{
+    for (const std::string bytes : { "", "x", "\xff\xff", "\x83\x01\x02\x03" })
+        BOOST_TEST(!DatagramPeer::decodeHeartbeat(bytes));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/following/fakes.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "following/peerrefresh.h"
+#include "support/virtualtime.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace FollowingTest {
+
+class IgnoredEvents : public Ports::EventSink {
+public:
+    auto record(Ports::Event) -> void override { }
+};
+
+class SeededRandom : public Ports::RandomSource {
+public:
+    auto next() -> std::uint64_t override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine { 1 };
+};
+
+/// Store whose answers a test gives by hand.
+class ScriptedStore : public Ports::CollectionStore {
+public:
+    struct Watch : Ports::StoreCall {
+        auto cancel() -> void override { isCancelled = true; }
+        Ports::StoreRevision after;
+        ChangesCallback callback;
+        bool isCancelled = false;
+    };
+
+    auto list(const Ports::CollectionName&, ListCallback callback) -> void override
+    {
+        ++lists;
+        if (isAway)
+            callback(away());
+        else
+            callback(content);
+    }
+
+    auto watch(const Ports::CollectionName&, Ports::StoreRevision after, Core::Millis, ChangesCallback callback)
+        -> std::shared_ptr<Ports::StoreCall> override
+    {
+        auto watch = std::make_shared<Watch>();
+        watch->after = after;
+        watch->callback = std::move(callback);
+        watches.push_back(watch);
+        return watch;
+    }
+
+    auto ping(DoneCallback callback) -> void override
+    {
+        if (isAway)
+            callback(away());
+        else
+            callback(Ports::StoreRevision());
+    }
+
+    auto put(const Ports::CollectionName&, const Ports::CollectionItem&, DoneCallback callback) -> void override
+    {
+        callback(Ports::StoreRevision());
+    }
+
+    static auto away() -> tl::unexpected<Core::Error>
+    {
+        return Core::fail(Core::ErrorKind::Unreachable, "the store is away", "wait");
+    }
+
+    Ports::CollectionList content;
+    std::vector<std::shared_ptr<Watch>> watches;
+    bool isAway = false;
+    int lists = 0;
+};
+
+/// Keeps the names that it is told of.
+class NameListener : public Following::CollectionListener {
+public:
+    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override
+    {
+        names.clear();
+        for (const auto& item : items)
+            names.insert(item.name);
+    }
+    auto upsert(const Ports::CollectionItem& item) -> void override { names.insert(item.name); }
+    auto remove(const std::string& name) -> void override { names.erase(name); }
+    auto commit() -> void override { ++commits; }
+
+    std::set<std::string> names;
+    int commits = 0;
+};
+
+inline auto item(const std::string& name, std::uint64_t revision) -> Ports::CollectionItem
+{
+    return { name, Ports::StoreRevision(revision), "{}" };
+}
+
+} // namespace FollowingTest
--- /dev/null
+++ b/tests/auto/following/tst_collectionfollower.cpp
@@ -0,0 +1,116 @@
+#include "fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace FollowingTest;
+
+namespace {
+
+struct AFollowedCollection {
+    AFollowedCollection()
+    {
+        store.content = { { item("a", 1), item("b", 2) }, Ports::StoreRevision(2) };
+        follower->start();
+    }
+
+    auto answerWatch(const Core::Result<Ports::CollectionChanges>& changes) -> void
+    {
+        const auto watch = store.watches.back();
+        watch->callback(changes);
+    }
+
+    TestSupport::VirtualTime time;
+    SeededRandom random;
+    IgnoredEvents events;
+    ScriptedStore store;
+    Following::CollectionMirror mirror;
+    NameListener listener;
+    Ports::CollectionName name { "upstreams" };
+    std::shared_ptr<Following::CollectionFollower> follower = std::make_shared<Following::CollectionFollower>(
+        name, listener, Following::CollectionFollower::Environment { store, time, random, events, mirror });
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AFollower, AFollowedCollection)
+
+BOOST_AUTO_TEST_SUITE(OfACollection)
+
+BOOST_AUTO_TEST_CASE(ListsItAndWatchesFromThere)
+{
+    BOOST_TEST(listener.names == (std::set<std::string> { "a", "b" }));
+    BOOST_REQUIRE(store.watches.size() == 1U);
+    BOOST_TEST((store.watches[0]->after == Ports::StoreRevision(2)));
+}
+
+BOOST_AUTO_TEST_CASE(TakesChangesAndWatchesOnFromTheirRevision)
+{
+    answerWatch(
+        Ports::CollectionChanges { { { item("a", 5), true }, { item("c", 6), false } }, Ports::StoreRevision(6) });
+    BOOST_TEST(listener.names == (std::set<std::string> { "b", "c" }));
+    time.runFor(Core::Millis(500));
+    BOOST_REQUIRE(store.watches.size() == 2U);
+    BOOST_TEST((store.watches[1]->after == Ports::StoreRevision(6)));
+    BOOST_TEST(store.lists == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseWatchEndsWithoutAnAnswer)
+
+BOOST_AUTO_TEST_CASE(ListsAgainRatherThanWatchFromAnOldRevision)
+{
+    // A store that cut its watches may have dropped what happened since, and lets a watch from before wait.
+    answerWatch(ScriptedStore::away());
+    store.content = { { item("b", 2), item("new", 9) }, Ports::StoreRevision(9) };
+    time.runFor(Core::Millis(500));
+    BOOST_TEST(store.lists == 2);
+    BOOST_TEST(listener.names == (std::set<std::string> { "b", "new" }));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnTryingWhileTheStoreIsAway)
+{
+    store.isAway = true;
+    answerWatch(ScriptedStore::away());
+    time.runFor(Core::Millis(10'000));
+    BOOST_TEST(listener.names.size() == 2U);
+    BOOST_TEST(store.lists > 5);
+    BOOST_TEST(store.lists < 40);
+    store.isAway = false;
+    store.content.items.push_back(item("c", 3));
+    time.runFor(Core::Millis(1000));
+    BOOST_TEST(listener.names.contains("c"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseHistoryIsDropped)
+
+BOOST_AUTO_TEST_CASE(ListsAtOnce)
+{
+    store.content = { { item("z", 30) }, Ports::StoreRevision(30) };
+    answerWatch(Core::fail(Core::ErrorKind::Conflict, "history is gone", "list again"));
+    time.runFor(Core::Millis(1));
+    BOOST_TEST(listener.names == (std::set<std::string> { "z" }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsOfferedAnotherVmsCopy)
+
+BOOST_AUTO_TEST_CASE(TakesANewerOne)
+{
+    BOOST_TEST(follower->adopt({ { item("n", 8) }, Ports::StoreRevision(8) }));
+    BOOST_TEST(listener.names == (std::set<std::string> { "n" }));
+}
+
+BOOST_AUTO_TEST_CASE(NeverGoesBack)
+{
+    BOOST_TEST(!follower->adopt({ { item("old", 1) }, Ports::StoreRevision(1) }));
+    BOOST_TEST(!follower->adopt({ { item("same", 2) }, Ports::StoreRevision(2) }));
+    BOOST_TEST(listener.names == (std::set<std::string> { "a", "b" }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/following/tst_peerrefresh.cpp
@@ -0,0 +1,114 @@
+#include "fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace FollowingTest;
+
+namespace {
+
+/// Another entry VM whose copy a test sets.
+class OtherEntryVm : public Following::MirrorPort {
+public:
+    auto fetch(const Core::Address& peer, const Following::KnownRevisions& known, Callback callback) -> void override
+    {
+        asked.push_back(peer);
+        callback(Following::MirrorAnswer { isStoreAnswering, mirror.newerThan(known) });
+    }
+
+    Following::CollectionMirror mirror;
+    bool isStoreAnswering = true;
+    std::vector<Core::Address> asked;
+};
+
+struct AVmThatTheStoreTurnsAway : Following::StoreListener {
+    AVmThatTheStoreTurnsAway()
+    {
+        store.content = { { item("a", 2) }, Ports::StoreRevision(2) };
+        follower->start();
+        refresh->add(name, follower);
+        watchdog->add(follower);
+        watchdog->start();
+        store.isAway = true;
+        time.runFor(Core::Millis(2000));
+    }
+
+    auto storeLost() -> void override
+    {
+        isLost = true;
+        refresh->start();
+    }
+    auto storeRegained() -> void override
+    {
+        isLost = false;
+        refresh->stop();
+    }
+
+    TestSupport::VirtualTime time;
+    SeededRandom random;
+    IgnoredEvents events;
+    ScriptedStore store;
+    Following::CollectionMirror mirror;
+    NameListener listener;
+    OtherEntryVm other;
+    bool isLost = false;
+    int refreshes = 0;
+    Ports::CollectionName name { "evacuations" };
+    Following::CollectionFollower::Environment environment { store, time, random, events, mirror };
+    std::shared_ptr<Following::CollectionFollower> follower
+        = std::make_shared<Following::CollectionFollower>(name, listener, environment);
+    std::shared_ptr<Following::StoreWatchdog> watchdog = std::make_shared<Following::StoreWatchdog>(environment, *this);
+    std::shared_ptr<Following::PeerRefresh> refresh
+        = std::make_shared<Following::PeerRefresh>(Following::PeerRefresh::Environment { environment, other, mirror,
+            [] {
+                return std::vector { Core::Address("10.0.0.1:1"), Core::Address("10.0.0.2:1") };
+            },
+            [this] { ++refreshes; } });
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AVmThatLostTheStore, AVmThatTheStoreTurnsAway)
+
+BOOST_AUTO_TEST_CASE(LearnsFromAnotherWhatChangedThere)
+{
+    BOOST_TEST(isLost);
+    other.mirror.replaceAll(name, { { item("atl-b", 7) }, Ports::StoreRevision(7) });
+    time.runFor(Core::Millis(500));
+    BOOST_TEST(listener.names == (std::set<std::string> { "atl-b" }));
+    BOOST_TEST(refreshes > 0);
+}
+
+BOOST_AUTO_TEST_CASE(TakesNothingOlderThanItKnows)
+{
+    other.mirror.replaceAll(name, { { item("old", 1) }, Ports::StoreRevision(1) });
+    time.runFor(Core::Millis(3000));
+    BOOST_TEST(listener.names == (std::set<std::string> { "a" }));
+}
+
+BOOST_AUTO_TEST_CASE(AsksTheOthersInTurn)
+{
+    time.runFor(Core::Millis(3000));
+    BOOST_TEST((std::set<Core::Address>(other.asked.begin(), other.asked.end()).size() == 2U));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotTakeTheStoreForBackWhenTheOtherLostItToo)
+{
+    refreshes = 0;
+    other.isStoreAnswering = false;
+    time.runFor(Core::Millis(3000));
+    BOOST_TEST(refreshes == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AsksNobodyAnyMoreWhenTheStoreAnswers)
+{
+    store.isAway = false;
+    store.content = { { item("b", 9) }, Ports::StoreRevision(9) };
+    time.runFor(Core::Millis(2000));
+    BOOST_TEST(!isLost);
+    BOOST_TEST(listener.names == (std::set<std::string> { "b" }));
+    const auto before = other.asked.size();
+    time.runFor(Core::Millis(5000));
+    BOOST_TEST(other.asked.size() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/forwarding/fakes.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "forwarding/forwarder.h"
+#include "support/virtualtime.h"
+
+#include <algorithm>
+#include <random>
+
+namespace ForwardingTest {
+
+/// Events by kind, for tests that count them.
+class EventBook : public Ports::EventSink {
+public:
+    auto record(Ports::Event event) -> void override { events.push_back(std::move(event)); }
+    [[nodiscard]] auto count(const std::string& kind) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+            events.begin(), events.end(), [&](const Ports::Event& event) { return event.kind.value() == kind; }));
+    }
+
+    std::vector<Ports::Event> events;
+};
+
+class NoMetrics : public Ports::MetricSink {
+public:
+    auto requestStarted(const Core::ServiceId&) -> void override { }
+    auto requestEnded(const Ports::RequestMetric&) -> void override { }
+    auto upstreamEnded(const Core::ServiceId&, Ports::UpstreamOutcome) -> void override { }
+};
+
+class SeededRandom : public Ports::RandomSource {
+public:
+    auto next() -> std::uint64_t override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine { 1 };
+};
+
+/// The only entry VM of its region, unless a test says otherwise.
+class OneEntryVm : public Forwarding::EntryVmView {
+public:
+    [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry&) const -> bool override { return ownsColdUpstreams; }
+    [[nodiscard]] auto regionalCount() const -> std::size_t override { return 1; }
+
+    bool ownsColdUpstreams = true;
+};
+
+class TextMessage : public Ports::Message {
+public:
+    explicit TextMessage(std::string content)
+        : text(std::move(content))
+    {
+    }
+    const std::string text;
+};
+
+/// Exchanges that a test ends by hand.
+class HeldExchanges : public Ports::ExchangeClient {
+public:
+    class Held : public Ports::Exchange {
+    public:
+        auto cancel() -> void override { isCancelled = true; }
+
+        Ports::ExchangeCall call;
+        ResultCallback callback;
+        bool isCancelled = false;
+    };
+
+    auto start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange> override
+    {
+        auto held = std::make_shared<Held>();
+        held->call = std::move(call);
+        held->callback = std::move(callback);
+        exchanges.push_back(held);
+        return held;
+    }
+
+    auto askHealth(const Ports::UpstreamTarget& target, const std::string&, HealthCallback callback) -> void override
+    {
+        ++probes;
+        if (isReachable)
+            callback(Ports::HealthReport { target.id, true, coldLeft, std::nullopt });
+        else
+            callback(Core::fail(Core::ErrorKind::Unreachable, "connection refused", "ask again later"));
+    }
+
+    auto end(std::size_t index, Ports::ExchangeOutcome outcome) -> void
+    {
+        Ports::ExchangeResult result;
+        result.outcome = outcome;
+        if (outcome == Ports::ExchangeOutcome::Answered)
+            result.answer = std::make_shared<TextMessage>("answer");
+        exchanges.at(index)->callback(result);
+    }
+
+    std::vector<std::shared_ptr<Held>> exchanges;
+    bool isReachable = true;
+    Core::Duration coldLeft {};
+    std::size_t probes = 0;
+};
+
+inline const Core::ServiceId stock { "stock" };
+inline const Forwarding::Place here { Core::FailureDomainId("atl-a"), Core::RegionId("atl") };
+
+inline auto upstream(const std::string& id, const std::string& domain = "atl-a", const std::string& region = "atl")
+    -> Forwarding::UpstreamEntry
+{
+    Forwarding::UpstreamEntry entry;
+    entry.target = { Core::UpstreamId(id), Core::StartMark(1), Core::Address("10.0.0.1:80") };
+    entry.service = stock;
+    entry.failureDomain = Core::FailureDomainId(domain);
+    entry.region = Core::RegionId(region);
+    entry.slots = Core::SlotCount(4);
+    return entry;
+}
+
+inline auto byId(const std::vector<Forwarding::UpstreamEntry>& entries) -> Forwarding::UpstreamEntries
+{
+    Forwarding::UpstreamEntries map;
+    for (const auto& entry : entries)
+        map[entry.target.id] = entry;
+    return map;
+}
+
+inline auto stockRoute() -> Forwarding::Route
+{
+    Forwarding::Route route;
+    route.id = Forwarding::RouteId("stock");
+    route.host = "desk.example";
+    route.pathPrefix = "/stock/";
+    route.services = { { stock, 1 } };
+    route.isIdempotent = true;
+    route.keepsObjects = true;
+    route.attempts = 2;
+    route.timeout = Core::Millis(2000);
+    route.targetLatency = Core::Millis(400);
+    return route;
+}
+
+inline auto configurationWith(const std::vector<Forwarding::Route>& routes)
+    -> std::shared_ptr<const Forwarding::RoutingConfiguration>
+{
+    auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
+    configuration->version = Core::Version(1);
+    for (const auto& route : routes) {
+        configuration->routes.add(route);
+        for (const auto& part : route.services)
+            configuration->services[part.service] = { "/health", Core::Millis(3000), 4 };
+    }
+    return configuration;
+}
+
+} // namespace ForwardingTest
--- /dev/null
+++ b/tests/auto/forwarding/tst_passage.cpp
@@ -0,0 +1,275 @@
+#include "fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ForwardingTest;
+using Core::RefusalReason;
+using Core::RunOutcome;
+using Ports::ExchangeOutcome;
+
+namespace {
+
+struct Story {
+    Story()
+    {
+        forwarder.setRetryAllowance({ 1, 10 });
+        forwarder.setUpstreams(byId({ upstream("a1"), upstream("a2"), upstream("a3") }), {});
+        configure(stockRoute());
+    }
+
+    auto configure(const Forwarding::Route& route) -> void { forwarder.setConfiguration(configurationWith({ route })); }
+
+    auto send(const std::string& id = "r1", const std::string& path = "/stock/7")
+        -> std::shared_ptr<Forwarding::OpenRequest>
+    {
+        Forwarding::ForwardRequest request;
+        request.id = Core::RequestId(id);
+        request.host = "desk.example";
+        request.path = path;
+        request.object = Forwarding::ObjectKey("7");
+        request.patience = Core::Millis(3000);
+        request.message = std::make_shared<TextMessage>("question");
+        return forwarder.handle(
+            std::move(request), [this](Forwarding::ForwardReply reply) { replies.push_back(std::move(reply)); });
+    }
+
+    auto refusal() -> const Forwarding::ForwardRefusal&
+    {
+        BOOST_REQUIRE(replies.size() == 1U);
+        return std::get<Forwarding::ForwardRefusal>(replies.front());
+    }
+
+    auto isAnswered() -> bool
+    {
+        return replies.size() == 1 && std::holds_alternative<Ports::MessagePointer>(replies.front());
+    }
+
+    auto exchange(std::size_t index) -> HeldExchanges::Held& { return *exchanges.exchanges.at(index); }
+
+    TestSupport::VirtualTime time;
+    SeededRandom random;
+    HeldExchanges exchanges;
+    EventBook events;
+    NoMetrics metrics;
+    OneEntryVm entryVms;
+    Forwarding::Forwarder forwarder { { time, time, random, exchanges, events, metrics, { here, entryVms, {} } } };
+    std::vector<Forwarding::ForwardReply> replies;
+};
+
+struct ABookingRoute : Story {
+    ABookingRoute()
+    {
+        auto route = stockRoute();
+        route.isIdempotent = false;
+        configure(route);
+    }
+};
+
+struct NothingConfigured : Story {
+    NothingConfigured()
+        : bare({ time, time, random, exchanges, events, metrics, { here, entryVms, {} } })
+    {
+    }
+    Forwarding::Forwarder bare;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ARequest)
+
+BOOST_FIXTURE_TEST_SUITE(ThatMayRunAgain, Story)
+
+BOOST_AUTO_TEST_CASE(GetsItsUpstreamsAnswer)
+{
+    send();
+    exchanges.end(0, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+    BOOST_TEST(events.count("request.forwarded") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsSentToAnotherUpstreamWhenItsAnswerIsLost)
+{
+    send();
+    exchanges.end(0, ExchangeOutcome::Lost);
+    BOOST_REQUIRE(exchanges.exchanges.size() == 2U);
+    BOOST_TEST((exchange(0).call.target.id != exchange(1).call.target.id));
+    exchanges.end(1, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(IsSentToNoMoreUpstreamsThanItsRouteAllows)
+{
+    send();
+    exchanges.end(0, ExchangeOutcome::Lost);
+    exchanges.end(1, ExchangeOutcome::Lost);
+    BOOST_TEST(exchanges.exchanges.size() == 2U);
+    BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(TellsTheSecondUpstreamOnlyTheTimeThatIsLeft)
+{
+    send();
+    time.runFor(Core::Millis(700));
+    exchanges.end(0, ExchangeOutcome::Lost);
+    BOOST_TEST((exchange(0).call.timeLeft == Core::Millis(2000)));
+    BOOST_TEST((exchange(1).call.timeLeft == Core::Millis(1300)));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotRepeatedWhenTheAllowanceIsUsedUp)
+{
+    forwarder.setRetryAllowance({ 0, 0 });
+    send();
+    exchanges.end(0, ExchangeOutcome::NotRun);
+    BOOST_TEST(exchanges.exchanges.size() == 1U);
+    BOOST_TEST((refusal().outcome == RunOutcome::NotRun));
+    BOOST_TEST(refusal().retryAfter.count() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotCancelledForSlownessWhileItsUpstreamAnswersOthers)
+{
+    send("slow");
+    for (int second = 0; second < 6; ++second) {
+        time.runFor(Core::Millis(300));
+        const auto before = exchanges.exchanges.size();
+        send("r" + std::to_string(second));
+        Ports::ExchangeResult result;
+        result.outcome = ExchangeOutcome::Answered;
+        result.answer = std::make_shared<TextMessage>("answer");
+        result.load = Ports::ReportedLoad { 1, 0, Core::SlotCount(4) };
+        exchange(before).callback(result);
+    }
+    BOOST_TEST(!exchange(0).isCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatMustRunOnce, ABookingRoute)
+
+BOOST_AUTO_TEST_CASE(IsNeverSentAgainAfterItMayHaveRun)
+{
+    for (const auto outcome : { ExchangeOutcome::Lost, ExchangeOutcome::Invalid, ExchangeOutcome::TimedOut }) {
+        replies.clear();
+        const auto before = exchanges.exchanges.size();
+        send();
+        exchanges.end(before, outcome);
+        BOOST_TEST(exchanges.exchanges.size() == before + 1);
+        BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsSentAgainAfterItProvablyDidNotRun)
+{
+    for (const auto outcome : { ExchangeOutcome::NotRun, ExchangeOutcome::Misdirected, ExchangeOutcome::NotSent }) {
+        replies.clear();
+        // Upstreams that an earlier round did not make suspect.
+        forwarder.setUpstreams(byId({ upstream("b1-" + toString(outcome)), upstream("b2-" + toString(outcome)) }), {});
+        const auto before = exchanges.exchanges.size();
+        send();
+        exchanges.end(before, outcome);
+        BOOST_REQUIRE(exchanges.exchanges.size() == before + 2);
+        exchanges.end(before + 1, ExchangeOutcome::Answered);
+        BOOST_TEST(isAnswered());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsToldTheTruthAtItsTimeout)
+{
+    send();
+    time.runFor(Core::Millis(2000));
+    BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+    BOOST_TEST((refusal().reason == RefusalReason::UpstreamTimeout));
+    BOOST_TEST(exchange(0).isCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhoseCallerLeaves, Story)
+
+BOOST_AUTO_TEST_CASE(EndsItsWorkAtTheUpstreamAtOnce)
+{
+    const auto open = send();
+    open->abandon();
+    BOOST_TEST(exchange(0).isCancelled);
+    exchanges.end(0, ExchangeOutcome::Cancelled);
+    BOOST_TEST(exchanges.exchanges.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatNothingCanServe, Story)
+
+BOOST_AUTO_TEST_CASE(IsRefusedAtOnceWithATimeToComeBack)
+{
+    forwarder.setUpstreams({}, {});
+    send();
+    BOOST_TEST((refusal().reason == RefusalReason::NoUpstream));
+    BOOST_TEST((refusal().outcome == RunOutcome::NotRun));
+    BOOST_TEST(refusal().retryAfter.count() > 0);
+    BOOST_TEST((refusal().retryAfter <= Core::Millis(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotFoundOnlyWhenAConfigurationSaysSo)
+{
+    send("r1", "/tents/1");
+    BOOST_TEST((refusal().reason == RefusalReason::UnknownService));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(BeforeTheFirstConfiguration, NothingConfigured)
+
+BOOST_AUTO_TEST_CASE(IsAskedToComeBack)
+{
+    Forwarding::ForwardRequest request;
+    request.host = "desk.example";
+    request.path = "/stock/7";
+    bare.handle(request, [this](Forwarding::ForwardReply reply) { replies.push_back(std::move(reply)); });
+    BOOST_TEST((refusal().reason == RefusalReason::NotConfigured));
+    BOOST_TEST((refusal().outcome == RunOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatCrashesUpstreams, Story)
+
+BOOST_AUTO_TEST_CASE(IsRefusedEverywhereAfterTheSecond)
+{
+    std::vector<Dispatch::CrashSuspicion> told;
+    forwarder.crashGuard().setAnnounce([&](const Dispatch::CrashSuspicion& suspicion) { told.push_back(suspicion); });
+    exchanges.isReachable = false;
+    send();
+    exchanges.end(0, ExchangeOutcome::Lost);
+    exchanges.end(1, ExchangeOutcome::Lost);
+    BOOST_TEST(told.size() == 2U);
+    replies.clear();
+    send("r2");
+    BOOST_TEST(exchanges.exchanges.size() == 2U);
+    BOOST_TEST((refusal().reason == RefusalReason::RequestQuarantined));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotSuspectedWhenOnlyItsAnswerWasLost)
+{
+    send();
+    exchanges.end(0, ExchangeOutcome::Lost);
+    exchanges.end(1, ExchangeOutcome::Lost);
+    replies.clear();
+    send("r2");
+    BOOST_TEST(exchanges.exchanges.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(BeforeAPlannedStop, Story)
+
+BOOST_AUTO_TEST_CASE(EndsBeforeTheProcess)
+{
+    forwarder.setEnd(time.now() + Core::Millis(500));
+    send();
+    BOOST_TEST((exchange(0).call.timeLeft == Core::Millis(500)));
+    time.runFor(Core::Millis(500));
+    BOOST_TEST(replies.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -0,0 +1,207 @@
+#include "httpforward/forwardfront.h"
+#include "httpforward/httpexchangeclient.h"
+#include "runtime/asioruntime.h"
+#include "scriptedupstreams.h"
+#include "standins/rawconnection.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace HttpForwardTest;
+
+namespace {
+
+class IgnoredEvents : public Ports::EventSink {
+public:
+    auto record(Ports::Event) -> void override { }
+};
+
+class NoMetrics : public Ports::MetricSink {
+public:
+    auto requestStarted(const Core::ServiceId&) -> void override { }
+    auto requestEnded(const Ports::RequestMetric&) -> void override { }
+    auto upstreamEnded(const Core::ServiceId&, Ports::UpstreamOutcome) -> void override { }
+};
+
+class OneEntryVm : public Forwarding::EntryVmView {
+public:
+    [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry&) const -> bool override { return true; }
+    [[nodiscard]] auto regionalCount() const -> std::size_t override { return 1; }
+};
+
+auto names() -> HttpForward::HeaderNames
+{
+    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left" };
+}
+
+const std::string good
+    = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nX-Seal: s1\r\nKeep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\npegs";
+const std::string question = "GET /stock/7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nTime-Left: 2000\r\n\r\n";
+
+auto smallLimits() -> HttpServer::Limits
+{
+    HttpServer::Limits limits;
+    limits.maximumHeader = Core::Bytes(2048);
+    limits.maximumBody = Core::Bytes(4096);
+    limits.headerTimeout = Core::Millis(300);
+    limits.idleTimeout = Core::Millis(2000);
+    limits.maximumConnections = 16;
+    return limits;
+}
+
+struct AServedFront {
+    AServedFront()
+        : thread([this] { runtime.run(); })
+    {
+    }
+    ~AServedFront()
+    {
+        runtime.stop();
+        thread.join();
+    }
+    AServedFront(const AServedFront&) = delete;
+    auto operator=(const AServedFront&) -> AServedFront& = delete;
+
+    auto serve(const ScriptedUpstream& upstream) -> void
+    {
+        Forwarding::Route route;
+        route.host = "desk.example";
+        route.pathPrefix = "/stock/";
+        route.services = { { Core::ServiceId("stock"), 1 } };
+        route.isIdempotent = true;
+        route.timeout = Core::Millis(1000);
+        route.targetLatency = Core::Millis(400);
+        auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
+        configuration->routes.add(route);
+        configuration->services[Core::ServiceId("stock")] = { "/health", {}, 0 };
+        forwarder.setConfiguration(configuration);
+        Forwarding::UpstreamEntry entry;
+        entry.target = { Core::UpstreamId("u1"), Core::StartMark(1), upstream.address() };
+        entry.service = Core::ServiceId("stock");
+        entry.slots = Core::SlotCount(4);
+        forwarder.setUpstreams({ { entry.target.id, entry } }, {});
+    }
+
+    auto exchange(const std::string& bytes) -> std::string
+    {
+        StandIns::RawConnection connection(server.port());
+        connection.send(bytes);
+        return connection.readUntil("\r\n\r\n");
+    }
+
+    Runtime::SystemClock clock;
+    Runtime::SystemRandom random;
+    Runtime::AsioRuntime runtime { 2 };
+    HttpClient::Client client { runtime.context() };
+    HttpForward::HttpExchangeClient exchanges { client, names() };
+    IgnoredEvents events;
+    NoMetrics metrics;
+    OneEntryVm entryVms;
+    Forwarding::Forwarder forwarder { { clock, runtime, random, exchanges, events, metrics, { {}, entryVms, {} } } };
+    HttpForward::ForwardFront front { forwarder, names() };
+    HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), front, smallLimits() };
+    std::thread thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AForwardingFront, AServedFront)
+
+BOOST_AUTO_TEST_SUITE(AnswersACaller)
+
+BOOST_AUTO_TEST_CASE(WithTheUpstreamsAnswerAsItCame)
+{
+    ScriptedUpstream upstream({ good });
+    serve(upstream);
+    StandIns::RawConnection connection(server.port());
+    connection.send(question);
+    const auto reply = connection.readUntil("pegs");
+    BOOST_TEST(reply.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(reply.find("X-Seal: s1") != std::string::npos);
+    BOOST_TEST(reply.find("Keep-Alive") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ThatTheRequestHasNotRunBeforeAnyConfiguration)
+{
+    const auto reply = exchange(question);
+    BOOST_TEST(reply.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(reply.find("Retry-After: 0.") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AtTheRoutesTimeoutAndEndsTheWork)
+{
+    ScriptedUpstream upstream({ "SILENCE" });
+    serve(upstream);
+    const auto reply = exchange(question);
+    BOOST_TEST(reply.starts_with("HTTP/1.1 504 "));
+    for (int wait = 0; wait < 400 && !upstream.wasLeft(); ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    BOOST_TEST(upstream.wasLeft());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseCallerLeaves)
+
+BOOST_AUTO_TEST_CASE(EndsTheUpstreamsWork)
+{
+    ScriptedUpstream upstream({ "SILENCE" });
+    serve(upstream);
+    {
+        StandIns::RawConnection connection(server.port());
+        connection.send(question);
+        while (upstream.heads().empty())
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        connection.close();
+    }
+    for (int wait = 0; wait < 100 && !upstream.wasLeft(); ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    BOOST_TEST(upstream.wasLeft());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsSentBadInput)
+
+BOOST_AUTO_TEST_CASE(RefusesItAndServesOthers)
+{
+    ScriptedUpstream upstream({ good });
+    serve(upstream);
+    const std::string head = "GET /stock/7 HTTP/1.1\r\nHost: desk.example\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases {
+        { "no HTTP at all\r\n\r\n", "400" },
+        { head + "X: " + std::string(4000, 'x') + "\r\n\r\n", "431" },
+        { "POST /stock/7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 9999\r\n\r\n", "413" },
+        { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "400" },
+        { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", "400" },
+        { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n", "400" },
+        { head + "Broken header line\r\n\r\n", "400" },
+        { "GET /stock/7 HTTP/1.1\r\nHost: desk", "408" },
+    };
+    for (const auto& [bytes, status] : cases) {
+        const auto reply = exchange(bytes);
+        BOOST_TEST(reply.starts_with("HTTP/1.1 " + status), reply.substr(0, 40) << " for " << bytes.substr(0, 60));
+    }
+    BOOST_TEST(upstream.heads().empty());
+    BOOST_TEST(exchange(question).starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(BeforeAPlannedStop)
+
+BOOST_AUTO_TEST_CASE(EndsEachConnectionWithItsAnswer)
+{
+    ScriptedUpstream upstream({ good });
+    serve(upstream);
+    server.startDraining();
+    StandIns::RawConnection connection(server.port());
+    connection.send(question);
+    const auto reply = connection.readToEnd();
+    BOOST_TEST(reply.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(reply.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
