--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 demo: packages build
 	@$(BUILD)/tests/demo/dragonflywinch-demo
+	@$(BUILD)/tests/platform/dragonflywinch-platform-demo
 
 # Checks the protocol models exhaustively, with a larger bound than ctest does.
 model:
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -92,10 +92,9 @@
     m_desk->retries.recordRequest(m_arrivedAt);
     {
         const std::lock_guard lock(m_mutex);
-        m_deadlineTimer = m_environment.scheduler.after(m_deadline - m_arrivedAt, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->onDeadline();
-        });
+        // Keeps the request alive until it has its reply, whatever becomes of its exchanges.
+        m_deadlineTimer = m_environment.scheduler.after(
+            m_deadline - m_arrivedAt, [self = shared_from_this()] { self->onDeadline(); });
     }
     send();
 }
@@ -320,13 +319,16 @@
 auto Passage::finish(ForwardReply reply) -> void
 {
     ForwardCallback callback;
+    // The timer may own the last reference to this request.
+    const auto self = shared_from_this();
+    std::unique_ptr<Ports::Timer> deadlineTimer;
     {
         const std::lock_guard lock(m_mutex);
         if (m_isDone)
             return;
         m_isDone = true;
         callback = std::move(m_callback);
-        m_deadlineTimer.reset();
+        deadlineTimer = std::move(m_deadlineTimer);
         m_slowTimer.reset();
     }
     recordEnd(reply);
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -45,10 +45,10 @@
     Core::Bytes maximumBody { 1024 * 1024 };
     /// Time for which a connection may be idle, or take to send one request.
     Core::Millis idleTimeout { 60'000 };
-    /// Time that a client may take from the first byte of a request to the end of its header; zero for idleTimeout.
-    Core::Millis headerTimeout { 0 };
     /// Connections beyond this are told so and closed.
     std::size_t maximumConnections = 4096;
+    /// Time that a client may take from the first byte of a request to the end of its header; zero for idleTimeout.
+    Core::Millis headerTimeout { 0 };
 };
 
 /// HTTP/1.1 server on one listening socket. The handler must outlive the context's threads.
--- /dev/null
+++ b/tests/auto/forwarding/simulatedsite.cpp
@@ -0,0 +1,324 @@
+#include "simulatedsite.h"
+
+#include <cmath>
+#include <numbers>
+
+namespace ForwardingTest {
+
+namespace {
+
+    constexpr Core::Millis target { 400 };
+    constexpr Core::Millis timeout { 2000 };
+    constexpr int objectsPerRegion = 28;
+    constexpr std::array<const char*, 3> regionNames { "atl", "sav", "mac" };
+    constexpr std::array<int, 3> upstreamsPerRegion { 6, 2, 6 };
+    constexpr std::array<int, 3> entryVmsPerRegion { 4, 3, 3 };
+
+    class Idle : public Ports::Exchange {
+    public:
+        auto cancel() -> void override { }
+    };
+
+    /// Sends each request to one upstream by a simple rule, and waits for it until the timeout.
+    class Baseline : public Placement {
+    public:
+        Baseline(TestSupport::VirtualTime& time, SimulatedExchanges& exchanges,
+            std::vector<Ports::UpstreamTarget> targets, bool isRandom)
+            : m_time(time)
+            , m_exchanges(exchanges)
+            , m_targets(std::move(targets))
+            , m_outstanding(m_targets.size())
+            , m_isRandom(isRandom)
+        {
+        }
+
+        auto send(Forwarding::ForwardRequest request, Forwarding::ForwardCallback callback) -> void override
+        {
+            const auto index = m_isRandom ? m_random() % m_targets.size() : leastOutstanding();
+            ++m_outstanding[index];
+            auto isDone = std::make_shared<bool>(false);
+            m_time.schedule(timeout, [isDone, callback] {
+                if (!std::exchange(*isDone, true))
+                    callback(Forwarding::ForwardRefusal {});
+            });
+            m_exchanges.start({ m_targets[index], request.id, request.message, timeout },
+                [this, index, isDone, callback](const Ports::ExchangeResult& result) {
+                    --m_outstanding[index];
+                    if (std::exchange(*isDone, true))
+                        return;
+                    if (result.outcome == Ports::ExchangeOutcome::Answered)
+                        callback(result.answer);
+                    else
+                        callback(Forwarding::ForwardRefusal {});
+                });
+        }
+
+    private:
+        auto leastOutstanding() -> std::size_t
+        {
+            const auto offset = m_random() % m_targets.size();
+            std::size_t best = offset;
+            for (std::size_t step = 0; step < m_targets.size(); ++step) {
+                const auto index = (offset + step) % m_targets.size();
+                if (m_outstanding[index] < m_outstanding[best])
+                    best = index;
+            }
+            return best;
+        }
+
+        TestSupport::VirtualTime& m_time;
+        SimulatedExchanges& m_exchanges;
+        std::vector<Ports::UpstreamTarget> m_targets;
+        std::vector<int> m_outstanding;
+        bool m_isRandom;
+        std::mt19937_64 m_random { 3 };
+    };
+
+    /// An entry VM with the product's decisions.
+    class ProductVm : public Placement, public Forwarding::EntryVmView {
+    public:
+        ProductVm(
+            TestSupport::VirtualTime& time, SimulatedExchanges& exchanges, const Forwarding::Place& place, int regional)
+            : m_regional(static_cast<std::size_t>(regional))
+            , m_forwarder({ time, time, m_random, exchanges, m_events, m_metrics, { place, *this, {} } })
+        {
+            m_forwarder.setConfiguration(configurationWith({ stockRoute() }));
+            m_forwarder.setRetryAllowance({ 0.1, 4 });
+        }
+
+        auto send(Forwarding::ForwardRequest request, Forwarding::ForwardCallback callback) -> void override
+        {
+            m_forwarder.handle(std::move(request), std::move(callback));
+        }
+
+        auto forwarder() -> Forwarding::Forwarder& { return m_forwarder; }
+        [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry&) const -> bool override { return true; }
+        [[nodiscard]] auto regionalCount() const -> std::size_t override { return m_regional; }
+
+    private:
+        std::size_t m_regional;
+        SeededRandom m_random;
+        EventBook m_events;
+        NoMetrics m_metrics;
+        Forwarding::Forwarder m_forwarder;
+    };
+
+    class Site {
+    public:
+        Site(const LoadPattern& pattern, Policy policy)
+            : m_pattern(pattern)
+        {
+            for (std::size_t region = 0; region < regionNames.size(); ++region)
+                addUpstreams(region);
+            for (std::size_t region = 0; region < regionNames.size(); ++region)
+                addEntryVms(region, policy);
+        }
+
+        auto run() -> Outcomes
+        {
+            m_time.schedule(m_pattern.length / 2, [this] { strike(); });
+            for (std::size_t region = 0; region < regionNames.size(); ++region)
+                scheduleNext(region);
+            m_time.runFor(m_pattern.length + timeout);
+            return m_outcomes;
+        }
+
+    private:
+        auto addUpstreams(std::size_t region) -> void
+        {
+            for (int index = 0; index < upstreamsPerRegion.at(region); ++index) {
+                const std::string name = regionNames.at(region);
+                auto entry = upstream(name + std::to_string(index), name + (index % 2 == 0 ? "-a" : "-b"), name);
+                m_exchanges.add(entry.target.id, {});
+                m_entries[entry.target.id] = entry;
+                m_targets.push_back(entry.target);
+            }
+        }
+
+        auto addEntryVms(std::size_t region, Policy policy) -> void
+        {
+            const std::string name = regionNames.at(region);
+            for (int index = 0; index < entryVmsPerRegion.at(region); ++index) {
+                if (policy != Policy::Product) {
+                    m_vms[region].push_back(
+                        std::make_unique<Baseline>(m_time, m_exchanges, m_targets, policy == Policy::RandomUpstream));
+                    continue;
+                }
+                const Forwarding::Place place { Core::FailureDomainId(name + (index % 2 == 0 ? "-a" : "-b")),
+                    Core::RegionId(name) };
+                auto vm = std::make_unique<ProductVm>(m_time, m_exchanges, place, entryVmsPerRegion.at(region));
+                vm->forwarder().setUpstreams(m_entries, {});
+                m_products.push_back(vm.get());
+                m_vms[region].push_back(std::move(vm));
+            }
+        }
+
+        [[nodiscard]] auto rate(std::size_t region) const -> double
+        {
+            const auto at = m_time.now() - m_start;
+            const double phase = static_cast<double>(at.count()) / 36e6 + static_cast<double>(region) / 3;
+            double rate = m_pattern.perSecond / 3 * (1 + m_pattern.swing * std::sin(2 * std::numbers::pi * phase));
+            if (at >= m_pattern.burstFrom && at < m_pattern.burstUntil)
+                rate *= m_pattern.burstFactor;
+            return rate;
+        }
+
+        auto scheduleNext(std::size_t region) -> void
+        {
+            const auto gap = std::exponential_distribution<double>(rate(region))(m_arrivals);
+            m_time.schedule(Core::Duration(static_cast<Core::Duration::rep>(gap * 1e6)), [this, region] {
+                if (m_time.now() - m_start >= m_pattern.length)
+                    return;
+                ask(region);
+                scheduleNext(region);
+            });
+        }
+
+        auto ask(std::size_t region) -> void
+        {
+            Forwarding::ForwardRequest request;
+            request.id = Core::RequestId("r" + std::to_string(m_nextId++));
+            request.host = "desk.example";
+            request.path = "/stock/7";
+            request.object = Forwarding::ObjectKey(
+                std::string(regionNames.at(region)) + std::to_string(m_arrivals() % objectsPerRegion));
+            request.patience = Core::Millis(3000);
+            request.message = std::make_shared<TextMessage>(request.object.value());
+            ++m_outcomes.asked;
+            auto& vms = m_vms[region];
+            const auto askedAt = m_time.now();
+            vms[m_arrivals() % vms.size()]->send(
+                std::move(request), [this, askedAt](const Forwarding::ForwardReply& reply) {
+                    if (std::holds_alternative<Forwarding::ForwardRefusal>(reply))
+                        ++m_outcomes.refused;
+                    else if (m_time.now() - askedAt <= target)
+                        ++m_outcomes.inTarget;
+                    else
+                        ++m_outcomes.late;
+                });
+        }
+
+        /// What the pattern says goes wrong; vanished upstreams leave the list after some seconds.
+        auto strike() -> void
+        {
+            for (int index = 0; index < m_pattern.slowing; ++index)
+                m_exchanges.at(m_targets[static_cast<std::size_t>(index) * 3].id).setSlowness(5);
+            for (int index = 0; index < m_pattern.vanishing; ++index) {
+                const auto id = m_targets[static_cast<std::size_t>(index) * 3].id;
+                m_exchanges.at(id).vanish();
+                m_entries.erase(id);
+            }
+            m_time.schedule(Core::Millis(4500), [this] {
+                for (auto* vm : m_products)
+                    vm->forwarder().setUpstreams(m_entries, {});
+            });
+        }
+
+        const LoadPattern m_pattern;
+        TestSupport::VirtualTime m_time;
+        const Core::Instant m_start = m_time.now();
+        SimulatedExchanges m_exchanges { m_time };
+        Forwarding::UpstreamEntries m_entries;
+        std::vector<Ports::UpstreamTarget> m_targets;
+        std::array<std::vector<std::unique_ptr<Placement>>, 3> m_vms;
+        std::vector<ProductVm*> m_products;
+        std::mt19937_64 m_arrivals { 11 };
+        std::uint64_t m_nextId = 0;
+        Outcomes m_outcomes;
+    };
+
+} // namespace
+
+SimulatedUpstream::SimulatedUpstream(TestSupport::VirtualTime& time, UpstreamNature nature)
+    : m_time(time)
+    , m_nature(nature)
+{
+}
+
+auto SimulatedUpstream::offer(const std::string& object, Done done) -> void
+{
+    if (m_isGone)
+        return;
+    if (m_running < static_cast<std::uint32_t>(m_nature.slots)) {
+        start({ object, std::move(done) });
+        return;
+    }
+    if (m_waiting.size() < m_nature.queue) {
+        m_waiting.push_back({ object, std::move(done) });
+        return;
+    }
+    Ports::ExchangeResult refused;
+    refused.outcome = Ports::ExchangeOutcome::NotRun;
+    refused.load = load();
+    done(refused);
+}
+
+auto SimulatedUpstream::start(Work work) -> void
+{
+    ++m_running;
+    const auto time = workTime(work.object);
+    m_time.schedule(time, [this, work = std::move(work)] { finish(work); });
+}
+
+auto SimulatedUpstream::workTime(const std::string& object) -> Core::Duration
+{
+    const bool isKnown = std::find(m_memory.begin(), m_memory.end(), object) != m_memory.end();
+    const Core::Duration mean = isKnown ? m_nature.warmWork : m_nature.coldWork;
+    const double spread = std::normal_distribution<double>(1, 0.15)(m_random);
+    return Core::Duration(static_cast<Core::Duration::rep>(
+        static_cast<double>(mean.count()) * std::max(0.3, spread) * m_nature.slowness));
+}
+
+auto SimulatedUpstream::finish(const Work& work) -> void
+{
+    if (m_isGone)
+        return;
+    remember(work.object);
+    Ports::ExchangeResult answered;
+    answered.outcome = Ports::ExchangeOutcome::Answered;
+    answered.answer = std::make_shared<TextMessage>("answer");
+    answered.load = load();
+    --m_running;
+    if (!m_waiting.empty()) {
+        auto next = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        start(std::move(next));
+    }
+    work.done(answered);
+}
+
+auto SimulatedUpstream::remember(const std::string& object) -> void
+{
+    m_memory.remove(object);
+    m_memory.push_front(object);
+    if (m_memory.size() > m_nature.remembers)
+        m_memory.pop_back();
+}
+
+auto SimulatedUpstream::load() const -> Ports::ReportedLoad
+{
+    return { m_running, static_cast<std::uint32_t>(m_waiting.size()),
+        Core::SlotCount(static_cast<std::uint32_t>(m_nature.slots)) };
+}
+
+auto SimulatedExchanges::add(const Core::UpstreamId& id, UpstreamNature nature) -> void
+{
+    m_upstreams[id] = std::make_unique<SimulatedUpstream>(m_time, nature);
+}
+
+auto SimulatedExchanges::start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange>
+{
+    const auto& object = static_cast<const TextMessage&>(*call.request).text;
+    m_upstreams.at(call.target.id)->offer(object, std::move(callback));
+    return std::make_shared<Idle>();
+}
+
+auto SimulatedExchanges::askHealth(const Ports::UpstreamTarget& target, const std::string&, HealthCallback callback)
+    -> void
+{
+    callback(Ports::HealthReport { target.id, true, {}, std::nullopt });
+}
+
+auto play(const LoadPattern& pattern, Policy policy) -> Outcomes { return Site(pattern, policy).run(); }
+
+} // namespace ForwardingTest
--- /dev/null
+++ b/tests/platform/objectstandin.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "httpserver/httpserver.h"
+#include "ports/scheduler.h"
+
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace PlatformTest {
+
+/// Stand-in for the platform's object API: kinds, pages, watches with a history that can be dropped, conditional
+/// writes.
+class ObjectStandIn : public HttpServer::HttpHandler {
+public:
+    explicit ObjectStandIn(Ports::Scheduler& scheduler);
+
+    /// Writes as the operator or an upstream would.
+    auto put(const std::string& kind, const std::string& name, nlohmann::json spec, nlohmann::json status = nullptr)
+        -> void;
+    auto remove(const std::string& kind, const std::string& name) -> void;
+    /// Watches from before now get 410.
+    auto dropHistory() -> void;
+    /// Every call is answered 503 while this is set; waiting watches are cut.
+    auto setAway(bool isAway) -> void;
+    auto setPageSize(std::size_t size) -> void;
+    [[nodiscard]] auto names(const std::string& kind) -> std::vector<std::string>;
+
+    auto handle(HttpServer::HttpRequest request, Respond respond) -> void override;
+    auto malformed(boost::beast::http::status status, const std::string& detail) -> HttpServer::HttpResponse override;
+
+private:
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        nlohmann::json object;
+        bool isDeleted = false;
+    };
+    struct Watch {
+        std::string kind;
+        std::uint64_t after = 0;
+        Respond respond;
+        std::unique_ptr<Ports::Timer> timer;
+    };
+
+    auto write(const std::string& kind, const std::string& name, nlohmann::json spec, nlohmann::json status)
+        -> nlohmann::json;
+    auto list(const std::string& kind, const std::string& after) -> nlohmann::json;
+    auto watch(const std::string& kind, std::uint64_t after, std::int64_t waitMs, Respond respond) -> void;
+    auto eventsAfter(const std::string& kind, std::uint64_t after) -> nlohmann::json;
+    auto wakeWatches() -> void;
+    auto expire(std::uint64_t id) -> void;
+
+    Ports::Scheduler& m_scheduler;
+    std::mutex m_mutex;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_oldestKnown = 0;
+    std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    std::vector<Change> m_changes;
+    std::map<std::uint64_t, Watch> m_watches;
+    std::uint64_t m_nextWatch = 0;
+    std::size_t m_pageSize = 500;
+    bool m_isAway = false;
+};
+
+} // namespace PlatformTest
--- /dev/null
+++ b/tests/platform/platformsite.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "platform/objectstandin.h"
+#include "platform/upstreamstandin.h"
+#include "runtime/asioruntime.h"
+#include "standins/blockingclient.h"
+#include "standins/childprocess.h"
+
+#include <filesystem>
+#include <thread>
+
+namespace PlatformTest {
+
+/// A small site in one failure domain: the platform's store and upstreams in this process, entry VMs as processes.
+class PlatformSite {
+public:
+    struct Shape {
+        int entryVms = 2;
+        int upstreams = 3;
+        Core::Millis work { 20 };
+    };
+
+    PlatformSite(std::string binary, Shape shape);
+    ~PlatformSite();
+    PlatformSite(const PlatformSite&) = delete;
+    auto operator=(const PlatformSite&) -> PlatformSite& = delete;
+
+    /// Writes a configuration whose one route, /stock/, goes to the upstreams.
+    auto configure(std::uint64_t version, const std::string& prefix = "/stock/") -> void;
+    auto startEntryVm(int index) -> void;
+    auto waitUntilReady(int index) -> void;
+    auto process(int index) -> StandIns::ChildProcess& { return *m_processes.at(index); }
+    auto objects() -> ObjectStandIn& { return m_objects; }
+    auto upstream(int index) -> UpstreamStandIn& { return *m_upstreams.at(index); }
+    auto registerUpstream(int index, const std::string& state = "ready") -> void;
+
+    auto send(int entryVm, const std::string& id, const std::string& target = "/stock/7")
+        -> std::optional<StandIns::HttpReply>;
+    auto lookup(int entryVm) -> std::optional<StandIns::HttpReply>;
+    auto readiness(int entryVm) -> int;
+    auto metrics(int entryVm) -> std::string;
+    /// Runs by request id over all upstreams.
+    auto runs() -> std::map<std::string, int>;
+
+private:
+    auto settings(int index) -> nlohmann::json;
+    auto address(int index, int offset) -> Core::Address;
+    static auto ip(int index) -> std::string { return "127.0.7." + std::to_string(index + 1); }
+
+    const std::string m_binary;
+    const Shape m_shape;
+    const int m_basePort;
+    Runtime::AsioRuntime m_runtime { 4 };
+    ObjectStandIn m_objects { m_runtime };
+    HttpServer::Server m_objectServer { m_runtime.context(), Core::Address("127.0.0.1:0"), m_objects };
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
+    std::vector<std::unique_ptr<HttpServer::Server>> m_upstreamServers;
+    std::map<int, std::unique_ptr<StandIns::ChildProcess>> m_processes;
+    std::filesystem::path m_folder;
+    std::thread m_thread;
+};
+
+} // namespace PlatformTest
--- /dev/null
+++ b/tests/platform/tst_objectapi.cpp
@@ -0,0 +1,152 @@
+#include "platform/objectapi.h"
+
+#include "platform/objectstandin.h"
+#include "runtime/asioruntime.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+
+namespace {
+
+const Ports::CollectionName things { "things" };
+
+struct AStore {
+    AStore()
+        : thread([this] { runtime.run(); })
+    {
+    }
+    ~AStore()
+    {
+        runtime.stop();
+        thread.join();
+    }
+    AStore(const AStore&) = delete;
+    auto operator=(const AStore&) -> AStore& = delete;
+
+    auto list() -> Core::Result<Ports::CollectionList>
+    {
+        std::promise<Core::Result<Ports::CollectionList>> promise;
+        api.list(
+            things, [&promise](Core::Result<Ports::CollectionList> result) { promise.set_value(std::move(result)); });
+        return promise.get_future().get();
+    }
+
+    auto watch(std::uint64_t after) -> Core::Result<Ports::CollectionChanges>
+    {
+        std::promise<Core::Result<Ports::CollectionChanges>> promise;
+        const auto call = api.watch(things, Ports::StoreRevision(after), Core::Millis(300),
+            [&promise](Core::Result<Ports::CollectionChanges> result) { promise.set_value(std::move(result)); });
+        return promise.get_future().get();
+    }
+
+    auto put(const std::string& name, const std::string& text) -> Core::Result<Ports::StoreRevision>
+    {
+        std::promise<Core::Result<Ports::StoreRevision>> promise;
+        api.put(things, { name, {}, text },
+            [&promise](Core::Result<Ports::StoreRevision> result) { promise.set_value(std::move(result)); });
+        return promise.get_future().get();
+    }
+
+    Runtime::AsioRuntime runtime { 2 };
+    PlatformTest::ObjectStandIn objects { runtime };
+    HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), objects };
+    HttpClient::Client client { runtime.context() };
+    Platform::ObjectApi api { client, Core::Address("127.0.0.1:" + std::to_string(server.port())), "things/own" };
+    std::thread thread;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ThePlatformsStore, AStore)
+
+BOOST_AUTO_TEST_CASE(IsListedPageByPage)
+{
+    objects.setPageSize(2);
+    for (const auto* name : { "a", "b", "c", "d", "e" })
+        objects.put("things", name, { { "n", name } });
+    const auto listed = list();
+    BOOST_REQUIRE(listed);
+    BOOST_TEST(listed->items.size() == 5U);
+    BOOST_TEST(listed->items.back().name == "e");
+}
+
+BOOST_AUTO_TEST_CASE(TellsAWatchWhatChanged)
+{
+    objects.put("things", "a", 1);
+    const auto listed = list();
+    BOOST_REQUIRE(listed);
+    objects.remove("things", "a");
+    objects.put("things", "b", 2);
+    const auto changes = watch(listed->revision.value());
+    BOOST_REQUIRE(changes);
+    BOOST_REQUIRE(changes->changes.size() == 2U);
+    BOOST_TEST(changes->changes[0].isDeleted);
+    BOOST_TEST(changes->changes[1].item.name == "b");
+}
+
+BOOST_AUTO_TEST_CASE(EndsAWatchWithoutAChangeAfterItsWait)
+{
+    const auto changes = watch(list()->revision.value());
+    BOOST_REQUIRE(changes);
+    BOOST_TEST(changes->changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SaysWhenItsHistoryIsGone)
+{
+    const auto before = list()->revision.value();
+    objects.put("things", "a", 1);
+    objects.dropHistory();
+    const auto changes = watch(before);
+    BOOST_REQUIRE(!changes);
+    BOOST_TEST((changes.error().kind == Core::ErrorKind::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(TakesAnObjectThatExistsOrDoesNot)
+{
+    BOOST_TEST(put("vm", R"({"start":1})").has_value());
+    BOOST_TEST(put("vm", R"({"start":2})").has_value());
+    BOOST_TEST(objects.names("things").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ThatIsAwayGivesAnErrorWithARemedy)
+{
+    objects.setAway(true);
+    const auto listed = list();
+    BOOST_REQUIRE(!listed);
+    BOOST_TEST((listed.error().kind == Core::ErrorKind::Unavailable));
+    BOOST_TEST(!listed.error().remedy.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ThatAnswersNonsenseGivesAnError)
+{
+    class Nonsense : public HttpServer::HttpHandler {
+    public:
+        auto handle(HttpServer::HttpRequest request, Respond respond) -> void override
+        {
+            HttpServer::HttpResponse response { boost::beast::http::status::ok, 11 };
+            response.body() = request.target().find("watch") == std::string_view::npos ? R"({"items":[7]})" : "[";
+            respond(std::move(response));
+        }
+        auto malformed(boost::beast::http::status status, const std::string&) -> HttpServer::HttpResponse override
+        {
+            return { status, 11 };
+        }
+    };
+    Nonsense nonsense;
+    HttpServer::Server liar(runtime.context(), Core::Address("127.0.0.1:0"), nonsense);
+    Platform::ObjectApi other(client, Core::Address("127.0.0.1:" + std::to_string(liar.port())), "things/own");
+    std::promise<Core::ErrorKind> listed;
+    other.list(things, [&listed](const Core::Result<Ports::CollectionList>& result) {
+        listed.set_value(result ? Core::ErrorKind::Internal : result.error().kind);
+    });
+    BOOST_TEST((listed.get_future().get() == Core::ErrorKind::InvalidMessage));
+    std::promise<Core::ErrorKind> watched;
+    const auto call = other.watch(things, Ports::StoreRevision(1), Core::Millis(100),
+        [&watched](const Core::Result<Ports::CollectionChanges>& result) {
+            watched.set_value(result ? Core::ErrorKind::Internal : result.error().kind);
+        });
+    BOOST_TEST((watched.get_future().get() == Core::ErrorKind::InvalidMessage));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/tst_objectcodec.cpp
@@ -0,0 +1,107 @@
+#include "platform/objectcodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+struct ACodec {
+    static auto item(const std::string& text) -> Ports::CollectionItem
+    {
+        return { "i-1", Ports::StoreRevision(5), text };
+    }
+    static auto upstream(const std::string& info, const std::string& status) -> Ports::CollectionItem
+    {
+        return item(R"({"metadata":{"name":"i-1"},"spec":{"address":"10.0.0.1:80","born":1700,"info":)" + info
+            + R"(},"status":)" + status + "}");
+    }
+
+    const std::string info = R"({"service":"pegs","version":"v1","zone":"atl-a","slots":4})";
+    const std::string status = R"({"state":"ready","seq":4,"cold_left":"1500ms"})";
+    const Core::Instant now { Core::Millis(10'000) };
+    const Platform::ObjectCodec codec { { { Core::FailureDomainId("atl-a"), Core::RegionId("atl") } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnUpstreamsEntry, ACodec)
+
+BOOST_AUTO_TEST_CASE(SaysWhereItIsAndHowLongItStaysCold)
+{
+    const auto entry = codec.decodeUpstream(upstream(info, status), now);
+    BOOST_REQUIRE(entry);
+    BOOST_TEST(entry->target.address.value() == "10.0.0.1:80");
+    BOOST_TEST(entry->target.start.value() == 1700);
+    BOOST_TEST(entry->region.value() == "atl");
+    BOOST_TEST(!entry->isDraining);
+    BOOST_TEST((entry->coldUntil == now + Core::Millis(1500)));
+}
+
+BOOST_AUTO_TEST_CASE(OfAForeignWriterNamesNoUpstream)
+{
+    const std::vector<Ports::CollectionItem> forged { item(""), item("null"), item("[]"), item("{}"), item("\xff\xfe"),
+        item(R"({"spec":null,"status":null})"), upstream("7", status), upstream("{}", status),
+        upstream(info, R"({"state":"resting","seq":1,"cold_left":"0ms"})"),
+        upstream(info, R"({"state":1,"seq":1,"cold_left":"0ms"})"),
+        upstream(info, R"({"state":"ready","cold_left":"soon"})"),
+        upstream(R"({"service":"pegs","zone":"nowhere","slots":4})", status),
+        upstream(R"({"service":"pegs","zone":"atl-a","slots":"many"})", status) };
+    for (const auto& bad : forged) {
+        const auto entry = codec.decodeUpstream(bad, now);
+        BOOST_TEST(!entry, bad.text);
+        BOOST_TEST((entry.error().kind == Core::ErrorKind::InvalidMessage));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AConfiguration, ACodec)
+
+BOOST_AUTO_TEST_CASE(NamesRoutesServicesAndLimits)
+{
+    const auto configuration = codec.decodeConfiguration(item(R"({"metadata":{"name":"main"},"spec":{"version":7,
+      "services":[{"name":"pegs","health_path":"/health","cold_start":"3s","cold_per_s":4.1}],
+      "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout":"3000ms","idle_timeout":"15s"},
+      "hosts":[{"host":"desk.example","paths":[{"name":"r-1","path_prefix":"/stock/","kind":"idempotent",
+        "timeout":"2000ms","target_latency":"400ms","priority":0,"attempts":2,"sticky":true,"home_regions":["atl"],
+        "split":[{"service":"pegs","weight":90},{"service":"new","weight":10}]}]}]}})"));
+    BOOST_REQUIRE(configuration);
+    const auto route = (*configuration)->routes.find("desk.example", "/stock/7");
+    BOOST_REQUIRE(route);
+    BOOST_TEST(route->isIdempotent);
+    BOOST_TEST(route->services.size() == 2U);
+    BOOST_TEST(route->homes.front().value() == "atl");
+    BOOST_TEST((route->timeout == Core::Millis(2000)));
+    BOOST_TEST((*configuration)->services.at(Core::ServiceId("pegs")).coldRate == 4.1);
+}
+
+BOOST_AUTO_TEST_CASE(IsRefusedWholeWhenAPartIsBroken)
+{
+    for (const auto* text :
+        { "{}", R"({"spec":{"version":"seven"}})", R"({"spec":{"version":7,"services":{},"hosts":7}})" })
+        BOOST_TEST(!codec.decodeConfiguration(item(text)), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AnEntryVmsEntry, ACodec)
+
+BOOST_AUTO_TEST_CASE(IsReadAsItWasWritten)
+{
+    EntryFleet::EntryVmEntry entry;
+    entry.id = Core::EntryVmId("front-1");
+    entry.start = Core::StartMark(42);
+    entry.failureDomain = Core::FailureDomainId("atl-a");
+    entry.front = Core::Address("10.0.0.1:80");
+    entry.heartbeats = Core::Address("10.0.0.1:81");
+    entry.peers = Core::Address("10.0.0.1:82");
+    auto written = codec.encodeEntryVm(entry);
+    written.text = R"({"spec":)" + written.text + "}";
+    const auto read = codec.decodeEntryVm(written);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->id.value() == "front-1");
+    BOOST_TEST(read->start.value() == 42);
+    BOOST_TEST(read->region.value() == "atl");
+    BOOST_TEST(read->peers.value() == "10.0.0.1:82");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/tst_process.cpp
@@ -0,0 +1,192 @@
+#include "platform/platformsite.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <future>
+
+namespace {
+
+using PlatformTest::PlatformSite;
+
+/// Waits until the condition holds, for at most the given time.
+template <typename Condition> auto holdsWithin(Core::Millis limit, Condition condition) -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+struct ASite {
+    ASite()
+    {
+        site.configure(3);
+        for (int vm = 0; vm < 2; ++vm)
+            site.startEntryVm(vm);
+        for (int vm = 0; vm < 2; ++vm)
+            site.waitUntilReady(vm);
+    }
+
+    auto statusOf(int vm, const std::string& id, const std::string& target = "/stock/7") -> int
+    {
+        const auto reply = site.send(vm, id, target);
+        return reply ? reply->status : 0;
+    }
+
+    PlatformSite site { DRAGONFLYWINCH_BINARY, {} };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryVmsOnThePlatform, ASite)
+
+BOOST_AUTO_TEST_SUITE(OnACalmDay)
+
+BOOST_AUTO_TEST_CASE(ServeRequestsOnceEach)
+{
+    for (int request = 0; request < 20; ++request) {
+        const auto reply = site.send(request % 2, "r-" + std::to_string(request));
+        BOOST_REQUIRE(reply);
+        BOOST_TEST(reply->status == 200);
+        BOOST_TEST(reply->headers.at("Attempt-Id") == "r-" + std::to_string(request));
+        BOOST_TEST(reply->headers.at("Server-Seal").starts_with("seal-i-"));
+    }
+    for (const auto& [id, count] : site.runs())
+        BOOST_TEST(count == 1, id);
+}
+
+BOOST_AUTO_TEST_CASE(NameEachOtherToCallers)
+{
+    BOOST_TEST(holdsWithin(Core::Millis(3000), [this] {
+        const auto reply = site.lookup(0);
+        return reply && reply->status == 200 && nlohmann::json::parse(reply->body).at("addrs").size() == 2;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(TellTheirMetrics)
+{
+    BOOST_TEST(statusOf(0, "r-1") == 200);
+    const auto text = site.metrics(0);
+    BOOST_TEST(text.find("dragonflywinch_request_duration_seconds_count") != std::string::npos, text);
+    BOOST_TEST(text.find("dragonflywinch_upstream_connections_total") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheConfigurationChanges)
+
+BOOST_AUTO_TEST_CASE(PutItInForceWithinTwoAndAHalfSeconds)
+{
+    BOOST_TEST(statusOf(0, "r-1", "/audit/7") == 404);
+    site.configure(8, "/audit/");
+    for (int vm = 0; vm < 2; ++vm)
+        BOOST_TEST(holdsWithin(Core::Millis(2500), [&] { return statusOf(vm, "r-2", "/audit/7") == 200; }));
+    // An older version that turns up later changes nothing.
+    site.configure(5, "/stock/");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    BOOST_TEST(statusOf(0, "r-3", "/audit/7") == 200);
+}
+
+BOOST_AUTO_TEST_CASE(LearnItAfterTheStoreDroppedItsHistory)
+{
+    site.objects().dropHistory();
+    site.configure(9, "/audit/");
+    BOOST_TEST(holdsWithin(Core::Millis(2500), [&] { return statusOf(0, "r-2", "/audit/7") == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamLeaves)
+
+BOOST_AUTO_TEST_CASE(SendItNothingAfterTwoAndAHalfSeconds)
+{
+    site.registerUpstream(0, "draining");
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    const auto before = site.upstream(0).runs().size();
+    for (int request = 0; request < 10; ++request)
+        BOOST_TEST(statusOf(request % 2, "r-" + std::to_string(request)) == 200);
+    BOOST_TEST(site.upstream(0).runs().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(ServeWithWhatIsLeftWhenItsHeirAnswersInItsPlace)
+{
+    // The id is expected, and another upstream has the address: nothing runs there.
+    site.objects().put("servers", "i-gone",
+        { { "address", "127.0.0.1:9" }, { "born", 1 },
+            { "info", { { "service", "pegs" }, { "version", "v1" }, { "zone", "atl-a" }, { "slots", 4 } } } },
+        { { "state", "ready" }, { "seq", 1 }, { "cold_left", "0ms" } });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    for (int request = 0; request < 10; ++request)
+        BOOST_TEST(statusOf(request % 2, "r-" + std::to_string(request)) == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheStoreIsAway)
+
+BOOST_AUTO_TEST_CASE(GoOnServingAndCatchUpOnItsReturn)
+{
+    site.objects().setAway(true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    BOOST_TEST(statusOf(0, "r-1") == 200);
+    BOOST_TEST(statusOf(1, "r-2") == 200);
+    site.objects().setAway(false);
+    site.configure(9, "/audit/");
+    for (int vm = 0; vm < 2; ++vm)
+        BOOST_TEST(holdsWithin(Core::Millis(2500), [&] { return statusOf(vm, "r-3", "/audit/7") == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenOneIsKilled)
+
+BOOST_AUTO_TEST_CASE(NameItNoMoreAfterAFewSeconds)
+{
+    BOOST_REQUIRE(holdsWithin(Core::Millis(3000), [this] {
+        const auto reply = site.lookup(0);
+        return reply && nlohmann::json::parse(reply->body).at("addrs").size() == 2;
+    }));
+    site.process(1).signal(SIGKILL);
+    site.process(1).wait();
+    BOOST_TEST(holdsWithin(Core::Millis(4000), [this] {
+        const auto reply = site.lookup(0);
+        return reply && nlohmann::json::parse(reply->body).at("addrs").size() == 1;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(ServeAgainFromTheStoreAloneAfterAllWere)
+{
+    for (int vm = 0; vm < 2; ++vm) {
+        site.process(vm).signal(SIGKILL);
+        site.process(vm).wait();
+    }
+    site.startEntryVm(0);
+    site.waitUntilReady(0);
+    BOOST_TEST(holdsWithin(Core::Millis(3000), [this] { return statusOf(0, "r-1") == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenOneIsStopped)
+
+BOOST_AUTO_TEST_CASE(EndsWhatItHasAndIsReadyNoMore)
+{
+    auto open = std::async(std::launch::async, [this] { return statusOf(0, "r-1"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    site.process(0).signal(SIGTERM);
+    BOOST_TEST(open.get() == 200);
+    BOOST_TEST(holdsWithin(Core::Millis(500), [this] { return site.readiness(0) == 503; }));
+    // Callers that hold an old look-up answer are still served, and told to go.
+    const auto late = site.send(0, "r-2");
+    BOOST_REQUIRE(late);
+    BOOST_TEST(late->status == 200);
+    BOOST_TEST(late->headers.at("Connection") == "close");
+    BOOST_TEST(site.process(0).wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/tst_settings.cpp
@@ -0,0 +1,58 @@
+#include "platform/platformsettings.h"
+
+#include "platform/values.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+const std::string valid = R"({"node":"front-1","ip":"10.1.0.1","zone":"atl-a","region":"atl","zones":{"atl-a":"atl"},
+  "internal_port_range":[7540,7555],"seeds":["10.1.0.1:8544"],
+  "listen":{"front":"10.1.0.1:8548","ready":"10.1.0.1:8542","control":"10.1.0.1:8544","directory":"10.1.0.1:8546"},
+  "limits":{"cores":1,"memory_mb":260,"max_fds":4100},
+  "bounds":{"grace":"6s","ttl_max":"5s","retry_budget_ratio":0.2,"retry_slack":60},
+  "platform":{"address":"10.200.1.7:8541"},"something_new":[1,2]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheSettingsOfAProcess)
+
+BOOST_AUTO_TEST_CASE(AreTranslatedToTheProductsOwn)
+{
+    const auto settings = Platform::decodeSettings(valid);
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->host.front.value() == "10.1.0.1:8548");
+    BOOST_TEST(settings->host.heartbeats.value() == "10.1.0.1:7540");
+    BOOST_TEST((settings->host.stopTime == Core::Millis(6000)));
+    BOOST_TEST((settings->host.lookupLifetime == Core::Millis(2000)));
+    BOOST_TEST(settings->regions.at(Core::FailureDomainId("atl-a")).value() == "atl");
+}
+
+BOOST_AUTO_TEST_CASE(AreRefusedWithAllTheirProblemsAtOnce)
+{
+    const auto settings = Platform::decodeSettings(R"({"node":7,"bounds":{"grace":"6 minutes"}})");
+    BOOST_REQUIRE(!settings);
+    const auto text = describe(settings.error());
+    for (const auto* problem : { "/node", "/zone", "/listen/front", "/bounds/grace", "/platform/address", "SIGHUP" })
+        BOOST_TEST(text.find(problem) != std::string::npos, problem << " in " << text);
+}
+
+BOOST_AUTO_TEST_CASE(AreRefusedWhenTheyCannotBeRead)
+{
+    BOOST_TEST(!Platform::decodeSettings("node = 1"));
+    BOOST_TEST(!Platform::readSettings("/no/such/file"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ATime)
+
+BOOST_AUTO_TEST_CASE(HasANumberAndAUnit)
+{
+    BOOST_TEST((*Platform::parseTime("1500ms") == Core::Millis(1500)));
+    BOOST_TEST((*Platform::parseTime("2.5s") == Core::Millis(2500)));
+    for (const auto* text : { "", "ms", "5", "5m", "-1s", "1s ", "nans", "1e400s" })
+        BOOST_TEST(!Platform::parseTime(text), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/upstreamstandin.cpp
@@ -0,0 +1,75 @@
+#include "platform/upstreamstandin.h"
+
+#include "standins/httpanswers.h"
+
+namespace PlatformTest {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr int slots = 4;
+
+} // namespace
+
+UpstreamStandIn::UpstreamStandIn(Ports::Scheduler& scheduler, std::string id, Core::Millis work)
+    : m_scheduler(scheduler)
+    , m_id(std::move(id))
+    , m_work(work)
+{
+}
+
+auto UpstreamStandIn::setRefusing(bool isRefusing) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isRefusing = isRefusing;
+}
+
+auto UpstreamStandIn::runs() -> std::map<std::string, int>
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+auto UpstreamStandIn::handle(HttpServer::HttpRequest request, Respond respond) -> void
+{
+    auto response = StandIns::textResponse(http::status::ok, "done by " + m_id);
+    response.set("Instance-Id", m_id);
+    if (StandIns::pathOf(request) == "/health") {
+        respond(std::move(response));
+        return;
+    }
+    const std::string id(request["Attempt-Id"]);
+    response.set("Attempt-Id", id);
+    response.set("Server-Seal", "seal-" + m_id);
+    if (const std::string expected(request["Expect-Instance"]); expected != m_id) {
+        response.result(http::status::misdirected_request);
+        respond(std::move(response));
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (m_isRefusing) {
+        response.result(http::status::service_unavailable);
+        response.set("Not-Executed", "1");
+        respond(std::move(response));
+        return;
+    }
+    ++m_runs[id];
+    ++m_running;
+    response.set("Server-Load", std::to_string(m_running) + ",0," + std::to_string(slots));
+    auto timer = std::make_shared<std::unique_ptr<Ports::Timer>>();
+    *timer = m_scheduler.after(m_work, [this, respond = std::move(respond), response, timer] {
+        {
+            const std::lock_guard runLock(m_mutex);
+            --m_running;
+        }
+        respond(response);
+    });
+}
+
+auto UpstreamStandIn::malformed(http::status status, const std::string& detail) -> HttpServer::HttpResponse
+{
+    return StandIns::textResponse(status, detail);
+}
+
+} // namespace PlatformTest
