Bound the log lines about requests, and lint platform/ as well

Cause: a flood could write a line for each of thousands of requests a second. 200 lines about requests a second are written now, further ones are counted (log_suppressed_total); lines about what the process believes are never left out.

--- a/src/app/forwarding/hostobservation.cpp
+++ b/src/app/forwarding/hostobservation.cpp
@@ -11,6 +11,8 @@
         -> std::vector<Metrics::Reading>
     {
         readings.push_back({ "log_dropped_total", Metrics::Reading::Type::Counter, [&log] { return log.dropped(); } });
+        readings.push_back(
+            { "log_suppressed_total", Metrics::Reading::Type::Counter, [&log] { return log.suppressed(); } });
         return readings;
     }
 
@@ -20,7 +22,7 @@
     const Core::EntryVmId& id, const Ports::Clock& clock, std::vector<Metrics::Reading> readings)
     : m_causalClock(clock)
     , m_ring(ringCapacity)
-    , m_log(Ports::LogLevel::Info)
+    , m_log(Ports::LogLevel::Info, EventLog::defaultQueueLimit, EventLog::defaultRequestLinesPerSecond)
     , m_recorder(id, { clock, m_causalClock }, { &m_ring, &m_log })
     , m_metrics(withLogReading(std::move(readings), m_log))
     , m_admin({ m_ring, m_log, [this] { return m_metrics.text(); } })
--- a/src/plugins/eventlog/eventlog.cpp
+++ b/src/plugins/eventlog/eventlog.cpp
@@ -43,9 +43,10 @@
 
 } // namespace
 
-EventLog::EventLog(Ports::LogLevel level, std::size_t queueLimit)
+EventLog::EventLog(Ports::LogLevel level, std::size_t queueLimit, std::uint32_t requestLinesPerSecond)
     : m_level(level)
     , m_queueLimit(queueLimit)
+    , m_requestLinesPerSecond(requestLinesPerSecond)
 {
     configureLogger();
     m_writer = std::thread([this] { writeWaiting(); });
@@ -67,6 +68,10 @@
         return;
     {
         const std::lock_guard lock(m_mutex);
+        if (!takeRequestLine(entry)) {
+            ++m_suppressed;
+            return;
+        }
         if (m_queue.size() >= m_queueLimit) {
             ++m_dropped;
             return;
@@ -76,6 +81,19 @@
     m_changed.notify_one();
 }
 
+auto EventLog::takeRequestLine(const Timeline::Entry& entry) -> bool
+{
+    if (entry.event.request.value().empty())
+        return true;
+    // The wall clock may step; a step only begins another second.
+    const auto second = std::chrono::floor<std::chrono::seconds>(entry.wall.time_since_epoch());
+    if (second != m_second) {
+        m_second = second;
+        m_linesInSecond = 0;
+    }
+    return m_linesInSecond++ < m_requestLinesPerSecond;
+}
+
 auto EventLog::writeWaiting() -> void
 {
     while (true) {
--- a/tests/auto/eventlog/tst_eventlog.cpp
+++ b/tests/auto/eventlog/tst_eventlog.cpp
@@ -69,6 +69,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AFloodOfRequestsComes)
+
+BOOST_AUTO_TEST_CASE(ThenTheirLinesAreBoundedAndAllOthersWritten)
+{
+    SlowOutput output;
+    output.open();
+    {
+        EventLog::EventLog log(Ports::LogLevel::Info, EventLog::defaultQueueLimit, 20);
+        for (int index = 0; index < 100; ++index) {
+            log.write(entry("request.refused", "r-" + std::to_string(index)));
+            log.write(entry("upstream.left", ""));
+        }
+        BOOST_TEST(log.suppressed() == 80U);
+        // The next second has an allowance of its own.
+        auto later = entry("request.refused", "r-later");
+        later.wall += std::chrono::seconds(1);
+        log.write(later);
+        BOOST_TEST(log.suppressed() == 80U);
+    }
+    BOOST_TEST(countOf(output.text(), "request.refused") == 21U);
+    BOOST_TEST(countOf(output.text(), "upstream.left") == 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(TheLevelIsChanged)
 
 BOOST_AUTO_TEST_CASE(ThenLessSevereEventsAreLeftOut)
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,7 +11,7 @@
 dependencies=$(mktemp)
 trap 'rm -f "$dependencies"' EXIT
 # A range-based for over a member of a returned shared pointer reads what that temporary has already freed.
-if git grep -nE 'for \([^;]*: [^;]*\(\)->[A-Za-z]+\)' -- 'src/*' 'tests/*'; then
+if git grep -nE 'for \([^;]*: [^;]*\(\)->[A-Za-z]+\)' -- 'src/*' 'platform/*' 'tests/*'; then
     echo "keep the pointer in the loop's init statement: for (const auto list = source.current(); ... : list->items)"
     exit 1
 fi
@@ -36,6 +36,6 @@
     fi
 }
 export -f lint_one
-if [ $# -gt 0 ]; then printf '%s\n' "$@"; else git ls-files -co --exclude-standard 'src/*.cpp' 'tests/*.cpp'; fi |
+if [ $# -gt 0 ]; then printf '%s\n' "$@"; else git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp'; fi |
     xargs -P "${JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
 echo "lint: clean"
