--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -14,8 +14,8 @@
     using Ports::ExchangeOutcome;
 
     /// An upstream that has answered nothing for so many times its usual work is taken to be silent.
-    constexpr int silentWorkTimes = 3;
-    constexpr Core::Millis leastSilence { 1000 };
+    constexpr int silentWorkTimes = 2;
+    constexpr Core::Millis leastSilence { 700 };
     /// Share of the newest report in the mean load of others.
     constexpr double newestLoadShare = 0.1;
 
--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -85,20 +85,26 @@
 
 auto EvacuationListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
 {
-    m_domains.clear();
-    for (const auto& item : items)
-        m_domains.insert(Core::FailureDomainId(item.name));
+    auto ended = m_domains;
+    for (const auto& item : items) {
+        ended.erase(Core::FailureDomainId(item.name));
+        upsert(item);
+    }
+    for (const auto& domain : ended)
+        remove(domain.value());
 }
 
 auto EvacuationListener::upsert(const Ports::CollectionItem& item) -> void
 {
-    m_domains.insert(Core::FailureDomainId(item.name));
+    if (!m_domains.insert(Core::FailureDomainId(item.name)).second)
+        return;
     environment().events.record({ Ports::EventKind("evacuation.started"), {}, { { "failureDomain", item.name } } });
 }
 
 auto EvacuationListener::remove(const std::string& name) -> void
 {
-    m_domains.erase(Core::FailureDomainId(name));
+    if (m_domains.erase(Core::FailureDomainId(name)) == 0)
+        return;
     environment().events.record({ Ports::EventKind("evacuation.ended"), {}, { { "failureDomain", name } } });
 }
 
--- /dev/null
+++ b/tests/auto/forwardinghost/tst_listeners.cpp
@@ -0,0 +1,113 @@
+#include "forwardinghost/listeners.h"
+#include "support/virtualtime.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+class EventBook : public Ports::EventSink {
+public:
+    auto record(Ports::Event event) -> void override { kinds.push_back(event.kind.value()); }
+    [[nodiscard]] auto count(const std::string& kind) const -> std::ptrdiff_t
+    {
+        return std::count(kinds.begin(), kinds.end(), kind);
+    }
+
+    std::vector<std::string> kinds;
+};
+
+/// Reads the version of a configuration from its text; knows nothing else.
+class VersionCodec : public ForwardingHost::PlatformCodec {
+public:
+    [[nodiscard]] auto collections() const -> ForwardingHost::CollectionNames override { return {}; }
+    [[nodiscard]] auto configurationName() const -> std::string override { return "current"; }
+    [[nodiscard]] auto decodeConfiguration(const Ports::CollectionItem& item) const
+        -> Core::Result<std::shared_ptr<const Forwarding::RoutingConfiguration>> override
+    {
+        if (item.text.empty())
+            return Core::fail(Core::ErrorKind::InvalidMessage, "empty", "write it again");
+        auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
+        configuration->version = Core::Version(std::stoull(item.text));
+        return configuration;
+    }
+    [[nodiscard]] auto decodeUpstream(const Ports::CollectionItem&, Core::Instant) const
+        -> Core::Result<Forwarding::UpstreamEntry> override
+    {
+        return Core::fail(Core::ErrorKind::InvalidMessage, "none", "none");
+    }
+    [[nodiscard]] auto decodeEntryVm(const Ports::CollectionItem&) const
+        -> Core::Result<EntryFleet::EntryVmEntry> override
+    {
+        return Core::fail(Core::ErrorKind::InvalidMessage, "none", "none");
+    }
+    [[nodiscard]] auto encodeEntryVm(const EntryFleet::EntryVmEntry&) const -> Ports::CollectionItem override
+    {
+        return {};
+    }
+};
+
+auto item(const std::string& name, const std::string& text = {}) -> Ports::CollectionItem
+{
+    return { name, Ports::StoreRevision(1), text };
+}
+
+struct Host {
+    TestSupport::VirtualTime time;
+    EventBook events;
+    VersionCodec codec;
+    std::uint64_t version = 0;
+    Forwarding::EvacuatedDomains evacuated;
+    ForwardingHost::ConfigurationListener configurations { { codec, time, events },
+        [this](const auto& configuration) { version = configuration->version.value(); } };
+    ForwardingHost::EvacuationListener evacuations { { codec, time, events },
+        [this](const Forwarding::EvacuatedDomains& domains) { evacuated = domains; } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AHost, Host)
+
+BOOST_AUTO_TEST_SUITE(ThatIsToldOfConfigurations)
+
+BOOST_AUTO_TEST_CASE(TakesNewerOnesOnly)
+{
+    configurations.replaceAll({ item("current", "7") });
+    configurations.upsert(item("current", "5"));
+    BOOST_TEST(version == 7U);
+    configurations.upsert(item("another", "9"));
+    BOOST_TEST(version == 7U);
+    configurations.upsert(item("current", "8"));
+    BOOST_TEST(version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatIsInForceWhenOneCannotBeReadOrIsRemoved)
+{
+    configurations.replaceAll({ item("current", "7") });
+    configurations.upsert(item("current"));
+    configurations.remove("current");
+    BOOST_TEST(version == 7U);
+    BOOST_TEST(events.count("store.item-refused") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatIsToldOfEvacuations)
+
+BOOST_AUTO_TEST_CASE(RecordsEachOnceHoweverItLearnsOfIt)
+{
+    evacuations.replaceAll({ item("atl-a") });
+    evacuations.replaceAll({ item("atl-a"), item("atl-b") });
+    evacuations.upsert(item("atl-b"));
+    evacuations.commit();
+    BOOST_TEST(evacuated.size() == 2U);
+    BOOST_TEST(events.count("evacuation.started") == 2);
+    evacuations.replaceAll({});
+    evacuations.commit();
+    BOOST_TEST(evacuated.empty());
+    BOOST_TEST(events.count("evacuation.ended") == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
