--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -8,6 +8,8 @@
 
     /// Share of the descriptors that callers' connections may use; the rest is for upstreams and the store.
     constexpr double callerDescriptorShare = 0.6;
+    /// Part of the memory that callers' bodies may take.
+    constexpr std::uint64_t bodyMemoryDivisor = 4;
     constexpr Core::Millis housekeepingInterval { 100 };
     /// Interval at which connections to other entry VMs that no call used are closed.
     constexpr Core::Millis peerCloseInterval { 5000 };
@@ -38,6 +40,7 @@
     {
         auto limits = storeLimits();
         limits.idleTimeout = Core::Millis(8000);
+        limits.idleConnectionsPerAddress = 16;
         return limits;
     }
 
@@ -47,7 +50,8 @@
         HttpServer::Limits result;
         result.maximumHeader = limits.header;
         // A body is held whole until it is sent; none may take the memory of the process.
-        result.maximumBody = std::min(limits.body, Core::Bytes(settings.memory.value() / 4));
+        result.maximumBody = std::min(limits.body, Core::Bytes(settings.memory.value() / bodyMemoryDivisor));
+        result.maximumBodyTotal = Core::Bytes(settings.memory.value() / bodyMemoryDivisor);
         result.idleTimeout = limits.idleTime;
         result.headerTimeout = limits.headerTime;
         result.maximumConnections
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -225,16 +225,15 @@
 
 auto Passage::onSlow(std::size_t index) -> void
 {
-    const auto now = m_environment.clock.now();
-    std::shared_ptr<Ports::Exchange> exchange;
+    Attempt attempt;
     {
         const std::lock_guard lock(m_mutex);
         if (m_isDone || m_attempts[index].hasEnded)
             return;
-        exchange = m_attempts[index].exchange;
+        attempt = m_attempts[index];
     }
-    if (exchange && m_desk->pool.isSilent(m_attempts[index].choice.target, now))
-        exchange->cancel();
+    if (attempt.exchange && m_desk->pool.isSilent(attempt.choice.target, m_environment.clock.now()))
+        attempt.exchange->cancel();
 }
 
 auto Passage::mayRepeat(Core::Instant now) -> bool
@@ -251,7 +250,9 @@
         send();
         return;
     }
-    if (m_mayHaveRun)
+    if (result.outcome == ExchangeOutcome::TimedOut)
+        refuse(RefusalReason::UpstreamTimeout, "the time has passed", {});
+    else if (m_mayHaveRun)
         refuse(RefusalReason::UpstreamFailed, "the upstream's answer was lost: " + result.detail, {});
     else
         refuse(RefusalReason::Overloaded, "the upstreams took no request: " + result.detail, leastRetryAfter);
@@ -299,8 +300,8 @@
         if (m_isDone)
             return;
         // What an upstream still works on may run to its end.
-        m_mayHaveRun |= std::any_of(
-            m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return !attempt.hasEnded; });
+        if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return !attempt.hasEnded; }))
+            m_mayHaveRun = true;
     }
     refuse(m_mayHaveRun ? RefusalReason::UpstreamTimeout : RefusalReason::DeadlinePassed, "the time has passed", {});
     cancelExchanges();
@@ -322,6 +323,8 @@
     // The timer may own the last reference to this request.
     const auto self = shared_from_this();
     std::unique_ptr<Ports::Timer> deadlineTimer;
+    std::optional<Attempt> last;
+    std::size_t attempts = 0;
     {
         const std::lock_guard lock(m_mutex);
         if (m_isDone)
@@ -330,12 +333,15 @@
         callback = std::move(m_callback);
         deadlineTimer = std::move(m_deadlineTimer);
         m_slowTimer.reset();
+        attempts = m_attempts.size();
+        if (attempts > 0)
+            last = m_attempts.back();
     }
-    recordEnd(reply);
+    recordEnd(reply, last, attempts);
     callback(std::move(reply));
 }
 
-auto Passage::recordEnd(const ForwardReply& reply) -> void
+auto Passage::recordEnd(const ForwardReply& reply, const std::optional<Attempt>& last, std::size_t attempts) -> void
 {
     const auto* refusal = std::get_if<ForwardRefusal>(&reply);
     const auto latency = m_environment.clock.now() - m_arrivedAt;
@@ -348,12 +354,13 @@
     } else {
         event.fields = { { "host", m_request.host }, { "path", m_request.path } };
     }
+    event.fields.push_back({ "object", m_request.object.value() });
     event.fields.push_back({ "tookMs", millis(latency) });
-    if (!m_attempts.empty()) {
-        const auto& choice = m_attempts.back().choice;
+    if (last) {
+        const auto& choice = last->choice;
         event.fields.insert(event.fields.end(),
             { { "upstream", choice.target.id.value() }, { "failureDomain", choice.failureDomain.value() },
-                { "object", m_request.object.value() }, { "attempts", std::to_string(m_attempts.size()) },
+                { "attempts", std::to_string(attempts) },
                 { "warm", choice.familiarity == Familiarity::Warm ? "yes" : "no" },
                 { "occupancy", std::to_string(choice.occupancy).substr(0, 4) },
                 { "predictedMs", millis(choice.predicted) } });
@@ -364,8 +371,12 @@
                 { "detail", refusal->message }, { "retryAfterMs", millis(refusal->retryAfter) } });
     }
     m_environment.events.record(std::move(event));
-    if (!m_desk)
-        return;
+    if (m_desk)
+        recordMetric(refusal, latency);
+}
+
+auto Passage::recordMetric(const ForwardRefusal* refusal, Core::Duration latency) -> void
+{
     Ports::RequestMetric metric { m_service, rankOf(m_route->priority), latency, std::nullopt, RunOutcome::NotRun };
     if (refusal != nullptr) {
         metric.refusal = refusal->reason;
--- a/src/libs/forwarding/passage.h
+++ b/src/libs/forwarding/passage.h
@@ -35,7 +35,9 @@
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const NoChoice& noChoice) -> void;
     auto finish(ForwardReply reply) -> void;
-    auto recordEnd(const ForwardReply& reply) -> void;
+    /// The attempt is the last one; empty when the request was sent nowhere.
+    auto recordEnd(const ForwardReply& reply, const std::optional<Attempt>& last, std::size_t attempts) -> void;
+    auto recordMetric(const ForwardRefusal* refusal, Core::Duration latency) -> void;
     auto cancelExchanges() -> void;
     [[nodiscard]] auto retryAfter(Core::Duration wait) const -> Core::Duration;
 
@@ -55,8 +57,8 @@
     std::vector<Attempt> m_attempts;
     std::vector<Core::UpstreamId> m_tried;
     /// Sends that an upstream may have seen.
-    std::uint32_t m_sends = 0;
-    bool m_mayHaveRun = false;
+    std::atomic<std::uint32_t> m_sends { 0 };
+    std::atomic<bool> m_mayHaveRun { false };
     bool m_isDone = false;
     std::unique_ptr<Ports::Timer> m_deadlineTimer;
     std::unique_ptr<Ports::Timer> m_slowTimer;
--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -70,6 +70,7 @@
 
 auto UpstreamRegistry::commit() -> void
 {
+    const std::lock_guard commitLock(m_commitMutex);
     UpstreamEntries entries;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/libs/forwarding/upstreamregistry.h
+++ b/src/libs/forwarding/upstreamregistry.h
@@ -47,6 +47,8 @@
 
     const Environment m_environment;
     const Changed m_changed;
+    /// Held while the change is told, so that an older list never follows a newer one.
+    std::mutex m_commitMutex;
     std::mutex m_mutex;
     UpstreamEntries m_entries;
     /// Entries that lapsed around an outage of the store.
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -48,6 +48,9 @@
         beast::flat_buffer buffer;
         bool isReused = false;
         bool isCancelled = false;
+        /// Number of the exchange in progress; changes when it ends. Read and written on the strand, or by the only
+        /// owner.
+        std::uint64_t exchangeNumber = 0;
         bool hasUnwrittenInput = false;
         /// A response came that belongs to no request.
         bool hasStrayResponse = false;
@@ -60,12 +63,16 @@
     public:
         explicit PendingExchange(ConnectionPointer connection)
             : m_connection(std::move(connection))
+            , m_number(++m_connection->exchangeNumber)
         {
         }
 
         auto cancel() -> void override
         {
-            asio::post(m_connection->stream.get_executor(), [connection = m_connection] {
+            asio::post(m_connection->stream.get_executor(), [connection = m_connection, number = m_number] {
+                // The connection may serve another exchange by now.
+                if (connection->exchangeNumber != number)
+                    return;
                 connection->isCancelled = true;
                 connection->stream.close();
             });
@@ -73,6 +80,7 @@
 
     private:
         ConnectionPointer m_connection;
+        const std::uint64_t m_number;
     };
 
     struct PoolKey {
@@ -175,6 +183,7 @@
         auto response = co_await self->readFinalResponse(*connection, *call, error);
         if (error)
             co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
+        ++connection->exchangeNumber;
         Exchange result { std::move(response), connection->isReused };
         if (isReusable(*connection, result.response))
             self->keep(*call, connection, idleTimeOf(result.response, self->m_limits.idleTimeout));
--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -135,17 +135,45 @@
         self->m_socket.shutdown(Socket::shutdown_send, ignored);
         self->m_socket.cancel(ignored);
         self->m_timeout.cancel();
+        self->releaseBody();
     }
 
     auto Connection::refuse(std::shared_ptr<Connection> self) -> asio::awaitable<void>
     {
-        auto response = self->m_environment.handler.overloaded();
+        self->m_limits = self->m_environment.server->limits.load();
+        co_await self->writeOverloaded();
+    }
+
+    auto Connection::writeOverloaded() -> asio::awaitable<void>
+    {
+        auto response = m_environment.handler.overloaded();
         response.keep_alive(false);
         response.prepare_payload();
-        (void)co_await self->write(response);
-        co_await self->discardInput();
+        (void)co_await write(response);
+        co_await discardInput();
     }
 
+    auto Connection::reserveBody(Parser& parser) -> bool
+    {
+        if (parser.is_done())
+            return true;
+        // A body of unknown length may become as long as is set aside for it.
+        constexpr std::uint64_t unknownLength = 1024UL * 1024;
+        const auto limit = m_limits->maximumBody.value();
+        const auto wanted = parser.content_length() ? *parser.content_length() : std::min(unknownLength, limit);
+        if (!parser.content_length())
+            parser.body_limit(wanted);
+        auto& used = m_environment.server->bodyBytes;
+        if (used.fetch_add(wanted) + wanted > m_limits->maximumBodyTotal.value()) {
+            used -= wanted;
+            return false;
+        }
+        m_reservedBytes = wanted;
+        return true;
+    }
+
+    auto Connection::releaseBody() -> void { m_environment.server->bodyBytes -= std::exchange(m_reservedBytes, 0U); }
+
     auto Connection::stopWhenIdle() -> void
     {
         asio::post(executor(), [self = shared_from_this()] {
@@ -188,6 +216,10 @@
                 co_await writeMalformed(parser, error);
             co_return false;
         }
+        if (m_isBodyRefused) {
+            co_await writeOverloaded();
+            co_return false;
+        }
         auto request = parser.release();
         const bool keepAlive = request.keep_alive();
         const bool isHead = request.method() == http::verb::head;
@@ -202,6 +234,7 @@
             response.body().clear();
         const bool isWritten = co_await write(response);
         --openRequests;
+        releaseBody();
         co_return isWritten&& response.keep_alive();
     }
 
@@ -217,6 +250,10 @@
             co_return error;
         if (hasUnknownTransferCoding(parser.get()))
             co_return http::make_error_code(http::error::bad_transfer_encoding);
+        if (!reserveBody(parser)) {
+            m_isBodyRefused = true;
+            co_return Error();
+        }
         if (!parser.is_done())
             armTimeout(m_limits->idleTimeout);
         if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue"))
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -25,6 +25,8 @@
         /// The server answers what comes, and ends connections with the answers.
         std::atomic<bool> isDraining { false };
         std::atomic<std::size_t> openRequests { 0 };
+        /// Bytes set aside for bodies that are read or answered.
+        std::atomic<std::uint64_t> bodyBytes { 0 };
         std::atomic<std::shared_ptr<const Limits>> limits;
         std::atomic<bool> isShuttingDown { false };
         /// The server was destroyed; nothing may be posted to its connections.
@@ -71,6 +73,10 @@
         auto waitForRequest() -> boost::asio::awaitable<bool>;
         auto serveOne() -> boost::asio::awaitable<bool>;
         auto readRequest(Parser& parser) -> boost::asio::awaitable<boost::system::error_code>;
+        /// Sets bytes aside for the body that follows; false when too many are in use.
+        auto reserveBody(Parser& parser) -> bool;
+        auto releaseBody() -> void;
+        auto writeOverloaded() -> boost::asio::awaitable<void>;
         auto ask(HttpRequest request) -> boost::asio::awaitable<HttpResponse>;
         auto write(HttpResponse& response) -> boost::asio::awaitable<bool>;
         auto writeContinue() -> boost::asio::awaitable<boost::system::error_code>;
@@ -95,6 +101,8 @@
         bool m_isAnswered = false;
         /// Counts the requests of this connection; a watch of an earlier one does nothing.
         std::uint64_t m_requestNumber = 0;
+        std::uint64_t m_reservedBytes = 0;
+        bool m_isBodyRefused = false;
         std::shared_ptr<const Limits> m_limits;
         std::optional<HttpResponse> m_response;
     };
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -49,6 +49,8 @@
     std::size_t maximumConnections = 4096;
     /// Time that a client may take from the first byte of a request to the end of its header; zero for idleTimeout.
     Core::Millis headerTimeout { 0 };
+    /// Bytes of all bodies that are read or answered at the same time. Further requests are told to come back.
+    Core::Bytes maximumBodyTotal { 256UL * 1024 * 1024 };
 };
 
 /// HTTP/1.1 server on one listening socket. The handler must outlive the context's threads.
--- a/tests/auto/forwarding/tst_passage.cpp
+++ b/tests/auto/forwarding/tst_passage.cpp
@@ -172,6 +172,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(IsToldOfTheTimeoutWhicheverTimerIsFirst)
+{
+    send();
+    exchanges.end(0, ExchangeOutcome::TimedOut);
+    BOOST_TEST((refusal().reason == RefusalReason::UpstreamTimeout));
+    BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(IsToldTheTruthAtItsTimeout)
 {
     send();
--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -16,7 +16,8 @@
 namespace HttpForwardTest {
 
 /// Upstream on a real socket that answers each request head with the next of the given texts, in which ID stands for
-/// the request's id. Keeps what it was sent. An empty text closes the connection.
+/// the request's id. Keeps what it was sent. An empty text closes the connection, "SLOW " before a text
+/// delays it.
 class ScriptedUpstream {
 public:
     explicit ScriptedUpstream(std::vector<std::string> answers)
@@ -85,7 +86,12 @@
             const std::string head(boost::asio::buffers_begin(buffer.data()),
                 boost::asio::buffers_begin(buffer.data()) + static_cast<std::ptrdiff_t>(size));
             buffer.consume(size);
-            const auto answer = take(head);
+            auto answer = take(head);
+            const std::string slowMark = "SLOW ";
+            if (answer.starts_with(slowMark)) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                answer.erase(0, slowMark.size());
+            }
             if (answer == "SILENCE") {
                 awaitLeaving(socket);
                 return;
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -50,10 +50,10 @@
 
     auto exchange(const Core::Address& address, const std::string& id, std::int64_t start = 1) -> Ports::ExchangeResult
     {
-        std::promise<Ports::ExchangeResult> promise;
+        const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
         exchanges.start(call(address, id, start),
-            [&promise](Ports::ExchangeResult result) { promise.set_value(std::move(result)); });
-        return promise.get_future().get();
+            [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
     }
 
     static auto bodyOf(const Ports::ExchangeResult& result) -> std::string
@@ -157,9 +157,9 @@
     ScriptedUpstream upstream({ "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 421 Misdirected\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n" });
-    BOOST_TEST((exchange(upstream.address(), "r1").outcome == ExchangeOutcome::NotRun));
-    BOOST_TEST((exchange(upstream.address(), "r2").outcome == ExchangeOutcome::Misdirected));
-    BOOST_TEST((exchange(upstream.address(), "r3").outcome == ExchangeOutcome::Answered));
+    BOOST_TEST(toString(exchange(upstream.address(), "r1").outcome) == "not-run");
+    BOOST_TEST(toString(exchange(upstream.address(), "r2").outcome) == "misdirected");
+    BOOST_TEST(toString(exchange(upstream.address(), "r3").outcome) == "answered");
 }
 
 BOOST_AUTO_TEST_CASE(WhenNothingListens)
@@ -182,10 +182,10 @@
     ScriptedUpstream upstream({ answer("ID", "one"), answer("ID", "two") });
     exchange(upstream.address(), "r1", 1);
     // The stand-in serves one connection at a time: the old one has to end first.
-    std::promise<Ports::ExchangeResult> promise;
+    const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
     exchanges.start(call(upstream.address(), "r2", 2),
-        [&promise](Ports::ExchangeResult result) { promise.set_value(std::move(result)); });
-    const auto result = promise.get_future().get();
+        [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+    const auto result = promise->get_future().get();
     BOOST_TEST((result.outcome == ExchangeOutcome::TimedOut));
     BOOST_TEST(upstream.heads().size() == 1U);
 }
@@ -194,16 +194,31 @@
 
 BOOST_AUTO_TEST_SUITE(ThatIsGivenUp)
 
+BOOST_AUTO_TEST_CASE(WhenItHasEndedDoesNotDisturbTheNextOnItsConnection)
+{
+    ScriptedUpstream upstream({ answer("ID", "one"), "SLOW " + answer("ID", "two") });
+    const auto first = std::make_shared<std::promise<Ports::ExchangeResult>>();
+    const auto ended = exchanges.start(
+        call(upstream.address(), "r1"), [first](Ports::ExchangeResult result) { first->set_value(std::move(result)); });
+    first->get_future().wait();
+    const auto second = std::make_shared<std::promise<Ports::ExchangeResult>>();
+    exchanges.start(call(upstream.address(), "r2"),
+        [second](Ports::ExchangeResult result) { second->set_value(std::move(result)); });
+    ended->cancel();
+    BOOST_TEST((second->get_future().get().outcome == ExchangeOutcome::Answered));
+    BOOST_TEST(upstream.connections() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(EndsTheUpstreamsWork)
 {
     ScriptedUpstream upstream({ "SILENCE" });
-    std::promise<Ports::ExchangeResult> promise;
+    const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
     const auto open = exchanges.start(call(upstream.address(), "r1"),
-        [&promise](Ports::ExchangeResult result) { promise.set_value(std::move(result)); });
+        [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
     while (upstream.heads().empty())
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     open->cancel();
-    BOOST_TEST((promise.get_future().get().outcome == ExchangeOutcome::Cancelled));
+    BOOST_TEST((promise->get_future().get().outcome == ExchangeOutcome::Cancelled));
     for (int wait = 0; wait < 400 && !upstream.wasLeft(); ++wait)
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     BOOST_TEST(upstream.wasLeft());
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -45,6 +45,7 @@
     limits.headerTimeout = Core::Millis(300);
     limits.idleTimeout = Core::Millis(2000);
     limits.maximumConnections = 16;
+    limits.maximumBodyTotal = Core::Bytes(6000);
     return limits;
 }
 
@@ -188,6 +189,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhoseCallersSendMoreThanItCanHold)
+
+BOOST_AUTO_TEST_CASE(AsksTheLastToComeBackAndServesTheFirst)
+{
+    ScriptedUpstream upstream({ good });
+    serve(upstream);
+    const std::string head = "POST /stock/7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nTime-Left: 2000\r\n"
+                             "Content-Length: 4000\r\n\r\n";
+    StandIns::RawConnection first(server.port());
+    first.send(head + "half");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const auto refused = exchange(head);
+    BOOST_TEST(refused.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(refused.find("Retry-After: 0.") != std::string::npos);
+    first.send(std::string(3996, 'x'));
+    BOOST_TEST(first.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(BeforeAPlannedStop)
 
 BOOST_AUTO_TEST_CASE(EndsEachConnectionWithItsAnswer)
--- a/tests/platform/tst_objectapi.cpp
+++ b/tests/platform/tst_objectapi.cpp
@@ -26,26 +26,26 @@
 
     auto list() -> Core::Result<Ports::CollectionList>
     {
-        std::promise<Core::Result<Ports::CollectionList>> promise;
+        const auto promise = std::make_shared<std::promise<Core::Result<Ports::CollectionList>>>();
         api.list(
-            things, [&promise](Core::Result<Ports::CollectionList> result) { promise.set_value(std::move(result)); });
-        return promise.get_future().get();
+            things, [promise](Core::Result<Ports::CollectionList> result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
     }
 
     auto watch(std::uint64_t after) -> Core::Result<Ports::CollectionChanges>
     {
-        std::promise<Core::Result<Ports::CollectionChanges>> promise;
+        const auto promise = std::make_shared<std::promise<Core::Result<Ports::CollectionChanges>>>();
         const auto call = api.watch(things, Ports::StoreRevision(after), Core::Millis(300),
-            [&promise](Core::Result<Ports::CollectionChanges> result) { promise.set_value(std::move(result)); });
-        return promise.get_future().get();
+            [promise](Core::Result<Ports::CollectionChanges> result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
     }
 
     auto put(const std::string& name, const std::string& text) -> Core::Result<Ports::StoreRevision>
     {
-        std::promise<Core::Result<Ports::StoreRevision>> promise;
+        const auto promise = std::make_shared<std::promise<Core::Result<Ports::StoreRevision>>>();
         api.put(things, { name, {}, text },
-            [&promise](Core::Result<Ports::StoreRevision> result) { promise.set_value(std::move(result)); });
-        return promise.get_future().get();
+            [promise](Core::Result<Ports::StoreRevision> result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
     }
 
     Runtime::AsioRuntime runtime { 2 };
@@ -136,17 +136,17 @@
     Nonsense nonsense;
     HttpServer::Server liar(runtime.context(), Core::Address("127.0.0.1:0"), nonsense);
     Platform::ObjectApi other(client, Core::Address("127.0.0.1:" + std::to_string(liar.port())), "things/own");
-    std::promise<Core::ErrorKind> listed;
-    other.list(things, [&listed](const Core::Result<Ports::CollectionList>& result) {
-        listed.set_value(result ? Core::ErrorKind::Internal : result.error().kind);
+    const auto listed = std::make_shared<std::promise<Core::ErrorKind>>();
+    other.list(things, [listed](const Core::Result<Ports::CollectionList>& result) {
+        listed->set_value(result ? Core::ErrorKind::Internal : result.error().kind);
     });
-    BOOST_TEST((listed.get_future().get() == Core::ErrorKind::InvalidMessage));
-    std::promise<Core::ErrorKind> watched;
+    BOOST_TEST((listed->get_future().get() == Core::ErrorKind::InvalidMessage));
+    const auto watched = std::make_shared<std::promise<Core::ErrorKind>>();
     const auto call = other.watch(things, Ports::StoreRevision(1), Core::Millis(100),
-        [&watched](const Core::Result<Ports::CollectionChanges>& result) {
-            watched.set_value(result ? Core::ErrorKind::Internal : result.error().kind);
+        [watched](const Core::Result<Ports::CollectionChanges>& result) {
+            watched->set_value(result ? Core::ErrorKind::Internal : result.error().kind);
         });
-    BOOST_TEST((watched.get_future().get() == Core::ErrorKind::InvalidMessage));
+    BOOST_TEST((watched->get_future().get() == Core::ErrorKind::InvalidMessage));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
