Let the scripted upstream's connection go before its context

Cause: tst_httpforward hung or failed in 2 of 30 runs beside load (heap corruption reported by the allocator). The thread sanitizer showed the stand-in's last socket destroyed after the context that it belongs to. Ruled out: the product's client and server; the platform, forwarding and process suites ran under the thread sanitizer without a report.

--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -141,11 +141,12 @@
     std::vector<std::string> m_answers;
     std::mutex m_mutex;
     std::vector<std::string> m_heads;
-    std::shared_ptr<Socket> m_current;
     std::atomic<int> m_connections { 0 };
     std::atomic<bool> m_wasLeft { false };
     std::atomic<bool> m_isStopping { false };
     boost::asio::io_context m_context;
+    /// Connection that is served now; must go before the context that it belongs to.
+    std::shared_ptr<Socket> m_current;
     boost::asio::ip::tcp::acceptor m_acceptor { m_context, { boost::asio::ip::address_v4::loopback(), 0 } };
     std::thread m_thread;
 };
