--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -75,7 +75,7 @@
     , m_runtime(m_settings.threads)
     , m_storeClient(m_runtime.context(), storeLimits())
     , m_upstreamClient(m_runtime.context(), upstreamLimits())
-    , m_observation(m_settings.id, m_clock,
+    , m_observation({ m_settings.id }, m_clock,
           { { "upstream_connections_total", Metrics::Reading::Type::Counter,
               [this] { return m_upstreamClient.openedConnections(); } } })
     , m_store(platform.makeStore(m_storeClient))
--- a/src/app/forwarding/hostobservation.h
+++ b/src/app/forwarding/hostobservation.h
@@ -9,13 +9,24 @@
 
 namespace App {
 
-/// Log, time line and metrics of a forwarding process.
+/// How much a process tells of itself.
+struct ObservationSettings {
+    Core::EntryVmId process;
+    Ports::LogLevel logLevel = Ports::LogLevel::Info;
+    /// Events that the process keeps for the time line.
+    std::size_t ringCapacity = 4096;
+    std::uint32_t requestLinesPerSecond = EventLog::defaultRequestLinesPerSecond;
+};
+
+/// Log, time line and metrics of one process, and the paths that serve them.
 class HostObservation {
 public:
-    HostObservation(const Core::EntryVmId& id, const Ports::Clock& clock, std::vector<Metrics::Reading> readings);
+    HostObservation(
+        const ObservationSettings& settings, const Ports::Clock& clock, std::vector<Metrics::Reading> readings);
 
     auto events() -> Ports::EventSink& { return m_recorder; }
     auto metrics() -> Ports::MetricSink& { return m_metrics; }
+    auto causalClock() -> Ports::CausalClock& { return m_causalClock; }
     /// Handler of the operators' paths.
     auto admin() -> HttpServer::HttpHandler& { return m_admin; }
 
--- a/src/app/observation.h
+++ b/src/app/observation.h
@@ -1,15 +1,10 @@
 #pragma once
 
-#include "adminfront/adminfront.h"
+#include "app/forwarding/hostobservation.h"
 #include "app/servesettings.h"
 #include "configuration/steeringconfiguration.h"
-#include "eventlog/eventlog.h"
 #include "httpserver/pathrouter.h"
-#include "metrics/metrics.h"
 #include "peerstream/traffic.h"
-#include "timeline/eventring.h"
-#include "timeline/recorder.h"
-#include "timeline/timelineclock.h"
 
 namespace App {
 
@@ -24,22 +19,15 @@
 
     Observation(const ServeSettings& settings, Collaborators collaborators);
 
-    auto events() -> Ports::EventSink& { return m_recorder; }
-    auto metrics() -> Ports::MetricSink& { return m_metrics; }
-    auto causalClock() -> Ports::CausalClock& { return m_causalClock; }
+    auto events() -> Ports::EventSink& { return m_host.events(); }
+    auto metrics() -> Ports::MetricSink& { return m_host.metrics(); }
+    auto causalClock() -> Ports::CausalClock& { return m_host.causalClock(); }
     /// Handler of the paths alone, for an address of their own.
-    auto admin() -> HttpServer::HttpHandler& { return m_admin; }
+    auto admin() -> HttpServer::HttpHandler& { return m_host.admin(); }
     auto addPaths(HttpServer::PathRouter& paths) -> void;
 
 private:
-    auto readings(Collaborators collaborators) -> std::vector<Metrics::Reading>;
-
-    Timeline::TimelineClock m_causalClock;
-    Timeline::EventRing m_ring;
-    EventLog::EventLog m_log;
-    Timeline::Recorder m_recorder;
-    Metrics::Metrics m_metrics;
-    AdminFront::AdminFront m_admin;
+    HostObservation m_host;
 };
 
 } // namespace App
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -17,34 +17,6 @@
     constexpr std::size_t maximumAttempts = 4;
     constexpr Core::Millis patienceWithoutDeadline { 30'000 };
 
-    auto rankOf(int priority) -> Core::Rank
-    {
-        if (priority <= 0)
-            return Core::Rank::Urgent;
-        return priority == 1 ? Core::Rank::Normal : Core::Rank::Deferrable;
-    }
-
-    auto metricOutcome(ExchangeOutcome outcome) -> Ports::UpstreamOutcome
-    {
-        switch (outcome) {
-        case ExchangeOutcome::Answered:
-            return Ports::UpstreamOutcome::Answered;
-        case ExchangeOutcome::NotRun:
-            return Ports::UpstreamOutcome::Shed;
-        case ExchangeOutcome::Misdirected:
-        case ExchangeOutcome::NotSent:
-            return Ports::UpstreamOutcome::NotSent;
-        case ExchangeOutcome::Lost:
-        case ExchangeOutcome::Cancelled:
-            return Ports::UpstreamOutcome::Lost;
-        case ExchangeOutcome::TimedOut:
-            return Ports::UpstreamOutcome::TimedOut;
-        case ExchangeOutcome::Invalid:
-            break;
-        }
-        return Ports::UpstreamOutcome::Invalid;
-    }
-
     /// The upstream may have run the request.
     auto leavesOutcomeOpen(ExchangeOutcome outcome) -> bool
     {
@@ -58,11 +30,6 @@
             + std::to_string(std::chrono::duration_cast<Core::Millis>(noChoice.wait).count()) + " ms";
     }
 
-    auto millis(Core::Duration duration) -> std::string
-    {
-        return std::to_string(std::chrono::duration_cast<Core::Millis>(duration).count());
-    }
-
 } // namespace
 
 Passage::Passage(Forwarder& forwarder, ForwardRequest request, ForwardCallback callback)
@@ -71,6 +38,7 @@
     , m_request(std::move(request))
     , m_callback(std::move(callback))
     , m_fingerprint(fingerprintOf(m_request))
+    , m_account(m_request, m_environment.events, m_environment.metrics)
     , m_arrivedAt(m_environment.clock.now())
 {
 }
@@ -79,7 +47,7 @@
 {
     if (!findRoute())
         return;
-    m_environment.metrics.requestStarted(m_service);
+    m_account.recordStart(m_route, m_service, m_configuration->version);
     setDeadline(m_arrivedAt);
     if (m_deadline <= m_arrivedAt) {
         refuse(RefusalReason::DeadlinePassed, "no time is left", {});
@@ -209,18 +177,13 @@
     report.duration = now - attempt.startedAt;
     report.familiarity = attempt.choice.familiarity;
     m_desk->pool.end(report, now);
-    m_environment.metrics.upstreamEnded(m_service, metricOutcome(result.outcome));
+    m_account.recordExchange(attempt.choice, result, report.duration);
     if (result.outcome == ExchangeOutcome::Answered) {
         m_forwarder.m_crashGuard.recordAnswer(m_fingerprint);
         return;
     }
     if (result.outcome == ExchangeOutcome::Lost)
         m_forwarder.m_crashGuard.recordLoss(m_fingerprint, attempt.choice.target, m_desk->pool.healthPath());
-    m_environment.events.record({ Ports::EventKind("exchange.failed"), m_request.id,
-        { { "upstream", attempt.choice.target.id.value() }, { "service", m_service.value() },
-            { "outcome", toString(result.outcome) }, { "detail", result.detail },
-            { "reused", result.reusedConnection ? "yes" : "no" }, { "tookMs", millis(report.duration) },
-            { "predictedMs", millis(attempt.choice.predicted) } } });
 }
 
 auto Passage::onSlow(std::size_t index) -> void
@@ -323,7 +286,7 @@
     // The timer may own the last reference to this request.
     const auto self = shared_from_this();
     std::unique_ptr<Ports::Timer> deadlineTimer;
-    std::optional<Attempt> last;
+    std::optional<Choice> last;
     std::size_t attempts = 0;
     {
         const std::lock_guard lock(m_mutex);
@@ -335,56 +298,12 @@
         m_slowTimer.reset();
         attempts = m_attempts.size();
         if (attempts > 0)
-            last = m_attempts.back();
+            last = m_attempts.back().choice;
     }
-    recordEnd(reply, last, attempts);
+    m_account.recordEnd(reply, { last, attempts, m_environment.clock.now() - m_arrivedAt });
     callback(std::move(reply));
 }
 
-auto Passage::recordEnd(const ForwardReply& reply, const std::optional<Attempt>& last, std::size_t attempts) -> void
-{
-    const auto* refusal = std::get_if<ForwardRefusal>(&reply);
-    const auto latency = m_environment.clock.now() - m_arrivedAt;
-    Ports::Event event;
-    event.kind = Ports::EventKind(refusal == nullptr ? "request.forwarded" : "request.refused");
-    event.request = m_request.id;
-    if (m_route) {
-        event.fields = { { "route", m_route->id.value() }, { "service", m_service.value() },
-            { "configuration", std::to_string(m_configuration->version.value()) } };
-    } else {
-        event.fields = { { "host", m_request.host }, { "path", m_request.path } };
-    }
-    event.fields.push_back({ "object", m_request.object.value() });
-    event.fields.push_back({ "tookMs", millis(latency) });
-    if (last) {
-        const auto& choice = last->choice;
-        event.fields.insert(event.fields.end(),
-            { { "upstream", choice.target.id.value() }, { "failureDomain", choice.failureDomain.value() },
-                { "attempts", std::to_string(attempts) },
-                { "warm", choice.familiarity == Familiarity::Warm ? "yes" : "no" },
-                { "occupancy", std::to_string(choice.occupancy).substr(0, 4) },
-                { "predictedMs", millis(choice.predicted) } });
-    }
-    if (refusal != nullptr) {
-        event.fields.insert(event.fields.end(),
-            { { "reason", toString(refusal->reason) }, { "outcome", toString(refusal->outcome) },
-                { "detail", refusal->message }, { "retryAfterMs", millis(refusal->retryAfter) } });
-    }
-    m_environment.events.record(std::move(event));
-    if (m_desk)
-        recordMetric(refusal, latency);
-}
-
-auto Passage::recordMetric(const ForwardRefusal* refusal, Core::Duration latency) -> void
-{
-    Ports::RequestMetric metric { m_service, rankOf(m_route->priority), latency, std::nullopt, RunOutcome::NotRun };
-    if (refusal != nullptr) {
-        metric.refusal = refusal->reason;
-        metric.outcome = refusal->outcome;
-    }
-    m_environment.metrics.requestEnded(metric);
-}
-
 auto Passage::cancelExchanges() -> void
 {
     std::vector<std::shared_ptr<Ports::Exchange>> exchanges;
--- a/src/libs/forwarding/passage.h
+++ b/src/libs/forwarding/passage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "forwarding/requestaccount.h"
 
 namespace Forwarding {
 
@@ -35,9 +36,6 @@
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const NoChoice& noChoice) -> void;
     auto finish(ForwardReply reply) -> void;
-    /// The attempt is the last one; empty when the request was sent nowhere.
-    auto recordEnd(const ForwardReply& reply, const std::optional<Attempt>& last, std::size_t attempts) -> void;
-    auto recordMetric(const ForwardRefusal* refusal, Core::Duration latency) -> void;
     auto cancelExchanges() -> void;
     [[nodiscard]] auto retryAfter(Core::Duration wait) const -> Core::Duration;
 
@@ -46,6 +44,7 @@
     const ForwardRequest m_request;
     ForwardCallback m_callback;
     const Dispatch::RequestFingerprint m_fingerprint;
+    RequestAccount m_account;
     const Core::Instant m_arrivedAt;
     Core::Instant m_deadline;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
--- /dev/null
+++ b/src/libs/forwarding/requestaccount.cpp
@@ -0,0 +1,125 @@
+#include "forwarding/requestaccount.h"
+
+namespace Forwarding {
+
+namespace {
+
+    using Ports::ExchangeOutcome;
+
+    auto rankOf(int priority) -> Core::Rank
+    {
+        if (priority <= 0)
+            return Core::Rank::Urgent;
+        return priority == 1 ? Core::Rank::Normal : Core::Rank::Deferrable;
+    }
+
+    auto metricOutcome(ExchangeOutcome outcome) -> Ports::UpstreamOutcome
+    {
+        switch (outcome) {
+        case ExchangeOutcome::Answered:
+            return Ports::UpstreamOutcome::Answered;
+        case ExchangeOutcome::NotRun:
+            return Ports::UpstreamOutcome::Shed;
+        case ExchangeOutcome::Misdirected:
+        case ExchangeOutcome::NotSent:
+            return Ports::UpstreamOutcome::NotSent;
+        case ExchangeOutcome::Lost:
+        case ExchangeOutcome::Cancelled:
+            return Ports::UpstreamOutcome::Lost;
+        case ExchangeOutcome::TimedOut:
+            return Ports::UpstreamOutcome::TimedOut;
+        case ExchangeOutcome::Invalid:
+            break;
+        }
+        return Ports::UpstreamOutcome::Invalid;
+    }
+
+    auto millis(Core::Duration duration) -> std::string
+    {
+        return std::to_string(std::chrono::duration_cast<Core::Millis>(duration).count());
+    }
+
+    auto append(std::vector<Ports::EventField>& fields, std::vector<Ports::EventField> more) -> void
+    {
+        fields.insert(fields.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    }
+
+} // namespace
+
+RequestAccount::RequestAccount(const ForwardRequest& request, Ports::EventSink& events, Ports::MetricSink& metrics)
+    : m_request(request)
+    , m_events(events)
+    , m_metrics(metrics)
+{
+}
+
+auto RequestAccount::recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration)
+    -> void
+{
+    m_route = std::move(route);
+    m_service = service;
+    m_configuration = configuration;
+    m_metrics.requestStarted(m_service);
+}
+
+auto RequestAccount::recordExchange(const Choice& choice, const Ports::ExchangeResult& result, Core::Duration duration)
+    -> void
+{
+    m_metrics.upstreamEnded(m_service, metricOutcome(result.outcome));
+    if (result.outcome == ExchangeOutcome::Answered)
+        return;
+    m_events.record({ Ports::EventKind("exchange.failed"), m_request.id,
+        { { "upstream", choice.target.id.value() }, { "service", m_service.value() },
+            { "outcome", toString(result.outcome) }, { "detail", result.detail },
+            { "reused", result.reusedConnection ? "yes" : "no" }, { "tookMs", millis(duration) },
+            { "predictedMs", millis(choice.predicted) } } });
+}
+
+auto RequestAccount::fieldsOf(const RequestEnd& end) const -> std::vector<Ports::EventField>
+{
+    std::vector<Ports::EventField> fields;
+    if (m_route) {
+        fields = { { "route", m_route->id.value() }, { "service", m_service.value() },
+            { "configuration", std::to_string(m_configuration.value()) } };
+    } else {
+        fields = { { "host", m_request.host }, { "path", m_request.path } };
+    }
+    append(fields, { { "object", m_request.object.value() }, { "tookMs", millis(end.latency) } });
+    if (!end.last)
+        return fields;
+    append(fields,
+        { { "upstream", end.last->target.id.value() }, { "failureDomain", end.last->failureDomain.value() },
+            { "attempts", std::to_string(end.attempts) },
+            { "warm", end.last->familiarity == Familiarity::Warm ? "yes" : "no" },
+            { "occupancy", std::to_string(end.last->occupancy).substr(0, 4) },
+            { "predictedMs", millis(end.last->predicted) } });
+    return fields;
+}
+
+auto RequestAccount::recordEnd(const ForwardReply& reply, const RequestEnd& end) -> void
+{
+    const auto* refusal = std::get_if<ForwardRefusal>(&reply);
+    auto fields = fieldsOf(end);
+    if (refusal != nullptr) {
+        append(fields,
+            { { "reason", toString(refusal->reason) }, { "outcome", toString(refusal->outcome) },
+                { "detail", refusal->message }, { "retryAfterMs", millis(refusal->retryAfter) } });
+    }
+    const auto* kind = refusal == nullptr ? "request.forwarded" : "request.refused";
+    m_events.record({ Ports::EventKind(kind), m_request.id, std::move(fields) });
+    if (m_route)
+        countEnd(refusal, end.latency);
+}
+
+auto RequestAccount::countEnd(const ForwardRefusal* refusal, Core::Duration latency) -> void
+{
+    Ports::RequestMetric metric { m_service, rankOf(m_route->priority), latency, std::nullopt,
+        Core::RunOutcome::NotRun };
+    if (refusal != nullptr) {
+        metric.refusal = refusal->reason;
+        metric.outcome = refusal->outcome;
+    }
+    m_metrics.requestEnded(metric);
+}
+
+} // namespace Forwarding
