Send what a cold upstream may not take to the next of the object's order

Cause, found when reading the change: the VM that owns a cold upstream refused requests beyond its four a second although other upstreams had room, since only the first of an object's order counted as known. The upstream is no candidate now while its allowance is used up. The test failed first (refused at the second request).

--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -94,7 +94,7 @@
         return false;
     if (!contains(query.homes, entry.region) || wasTried(query, entry.target.id))
         return false;
-    if (state.isCold(now) && !m_environment.entryVms.isOwner(entry))
+    if (state.isCold(now) && (!state.hasColdAllowance(now) || !m_environment.entryVms.isOwner(entry)))
         return false;
     return !isSilent(state, now);
 }
@@ -266,10 +266,10 @@
             continue;
         if (candidate.familiarity == Familiarity::Cold && &candidate != &candidates.front())
             continue;
-        if (state.isCold(now) && !state.takeColdAllowance(m_settings.coldRate, now))
-            continue;
         if (candidate.wait + candidate.work > query.timeLeft)
             return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, candidates.size(), leastWait });
+        if (state.isCold(now))
+            state.takeColdAllowance(m_settings.coldRate, now);
         state.begin(now);
         return Choice { state.entry().target, state.entry().failureDomain, candidate.familiarity, candidate.occupancy,
             candidate.wait + candidate.work };
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -141,14 +141,12 @@
     return m_lastHeard;
 }
 
-auto UpstreamState::takeColdAllowance(double perSecond, Core::Instant now) -> bool
+auto UpstreamState::hasColdAllowance(Core::Instant now) const -> bool { return now >= m_coldAllowanceAt; }
+
+auto UpstreamState::takeColdAllowance(double perSecond, Core::Instant now) -> void
 {
-    if (perSecond <= 0)
-        return true;
-    if (now < m_coldAllowanceAt)
-        return false;
-    m_coldAllowanceAt = now + Core::Duration(static_cast<Core::Duration::rep>(1e6 / perSecond));
-    return true;
+    if (perSecond > 0)
+        m_coldAllowanceAt = now + Core::Duration(static_cast<Core::Duration::rep>(1e6 / perSecond));
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -46,8 +46,10 @@
     [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
     /// Requests are out and nothing has been heard since the instant.
     [[nodiscard]] auto silentSince() const -> std::optional<Core::Instant>;
-    /// Takes one request from the allowance of a cold upstream; false when it is used up.
-    [[nodiscard]] auto takeColdAllowance(double perSecond, Core::Instant now) -> bool;
+    /// The allowance of requests while the upstream is cold has room for one now.
+    [[nodiscard]] auto hasColdAllowance(Core::Instant now) const -> bool;
+    /// Takes one request from the allowance of a cold upstream.
+    auto takeColdAllowance(double perSecond, Core::Instant now) -> void;
 
 private:
     auto forgetOldest() -> void;
--- a/tests/auto/forwarding/tst_servicepool.cpp
+++ b/tests/auto/forwarding/tst_servicepool.cpp
@@ -177,6 +177,20 @@
     BOOST_TEST(taken <= 5);
 }
 
+BOOST_AUTO_TEST_CASE(LeavesTheRestOfItsRequestsToOthers)
+{
+    auto cold = upstream("a1");
+    cold.coldUntil = now + Core::Millis(3000);
+    list({ cold, upstream("a2") });
+    for (int request = 0; request < 40; ++request) {
+        now += Core::Millis(20);
+        const auto object = std::to_string(request % 8);
+        const auto choice = choose(object);
+        BOOST_REQUIRE(choice);
+        end(*choice, object);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(GetsNoneFromOtherEntryVms)
 {
     entryVms.ownsColdUpstreams = false;
