--- a/tests/platform/tst_settings.cpp
+++ b/tests/platform/tst_settings.cpp
@@ -1,5 +1,6 @@
 #include "platform/platformsettings.h"
 
+#include "app/forwarding/placementoptions.h"
 #include "platform/values.h"
 
 #include <boost/test/unit_test.hpp>
@@ -56,3 +57,20 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TheWeightsOfPlacement)
+
+BOOST_AUTO_TEST_CASE(AreRefusedWithAllTheirProblemsAtOnce)
+{
+    Forwarding::PlacementSettings settings;
+    BOOST_TEST(App::checkPlacement(settings).has_value());
+    settings.replicas = 0;
+    settings.replicaPrice = -1;
+    settings.failureCost = Core::Millis(-5);
+    const auto checked = App::checkPlacement(settings);
+    BOOST_REQUIRE(!checked);
+    for (const auto* problem : { "replicas", "replica-price", "costs" })
+        BOOST_TEST(checked.error().message.find(problem) != std::string::npos, problem);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
