Count regional VMs without copying addresses, and work an upstream's load out once

From reading the whole change: each request built the list of the region's addresses only to count it; the test whether another VM takes callers stood three times; the occupancy of each upstream was worked out twice for a request, and its slots in four places. Unused: two accessors, an include. Malformed heartbeats were counted and shown nowhere; heartbeats_malformed_total shows them. Decisions are the same.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -77,7 +77,9 @@
     , m_upstreamClient(m_runtime.context(), upstreamLimits())
     , m_observation({ m_settings.id }, m_clock,
           { { "upstream_connections_total", Metrics::Reading::Type::Counter,
-              [this] { return m_upstreamClient.openedConnections(); } } })
+                [this] { return m_upstreamClient.openedConnections(); } },
+              { "heartbeats_malformed_total", Metrics::Reading::Type::Counter,
+                  [this] { return m_datagrams.malformedCount(); } } })
     , m_store(platform.makeStore(m_storeClient))
     , m_self(selfOf(m_settings, m_clock.wallTime()))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -111,6 +111,11 @@
     return now - member.lastHeard < silenceLimit;
 }
 
+auto EntryFleet::takesCallers(const Member& member, Core::Instant now) const -> bool
+{
+    return isNeighbour(member.entry) && !member.isLeaving && isAlive(member, now);
+}
+
 auto EntryFleet::recordChanges(Core::Instant now) -> void
 {
     for (auto& [id, member] : m_members) {
@@ -132,7 +137,7 @@
     if (!m_isLeaving)
         addresses.push_back(m_self.front);
     for (const auto& [id, member] : m_members) {
-        if (isNeighbour(member.entry) && !member.isLeaving && isAlive(member, now))
+        if (takesCallers(member, now))
             addresses.push_back(member.entry.front);
     }
     return addresses;
@@ -152,7 +157,14 @@
     return near;
 }
 
-auto EntryFleet::regionalCount() const -> std::size_t { return std::max<std::size_t>(1, callerAddresses().size()); }
+auto EntryFleet::regionalCount() const -> std::size_t
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
+    const auto others = std::count_if(
+        m_members.begin(), m_members.end(), [&](const auto& item) { return takesCallers(item.second, now); });
+    return std::max<std::size_t>(1, static_cast<std::size_t>(others) + (m_isLeaving ? 0 : 1));
+}
 
 auto EntryFleet::listedCount() const -> std::size_t
 {
@@ -171,9 +183,7 @@
     const auto& key = upstream.target.id.value();
     const auto own = Fleet::rendezvousScore(key, m_self.id.value());
     return std::none_of(m_members.begin(), m_members.end(), [&](const auto& item) {
-        const auto& member = item.second;
-        return isNeighbour(member.entry) && !member.isLeaving && isAlive(member, now)
-            && Fleet::rendezvousScore(key, item.first.value()) > own;
+        return takesCallers(item.second, now) && Fleet::rendezvousScore(key, item.first.value()) > own;
     });
 }
 
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -57,6 +57,8 @@
     };
 
     [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
+    /// Another entry VM of the region that lives and is not about to stop.
+    [[nodiscard]] auto takesCallers(const Member& member, Core::Instant now) const -> bool;
     [[nodiscard]] auto isNeighbour(const EntryVmEntry& entry) const -> bool;
     auto put(const EntryVmEntry& entry) -> void;
     auto beat() -> void;
--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -25,12 +25,6 @@
 
 auto CollectionFollower::start() -> void { list(); }
 
-auto CollectionFollower::isLoaded() const -> bool
-{
-    const std::lock_guard lock(m_mutex);
-    return m_isLoaded;
-}
-
 auto CollectionFollower::stop() -> void
 {
     std::shared_ptr<Ports::StoreCall> call;
--- a/src/libs/following/collectionfollower.h
+++ b/src/libs/following/collectionfollower.h
@@ -44,8 +44,6 @@
     /// Takes a copy of the collection that another entry VM has, unless it is no newer. Returns whether it was taken.
     auto adopt(const Ports::CollectionList& list) -> bool;
     [[nodiscard]] auto name() const -> const Ports::CollectionName& { return m_name; }
-    /// The collection has been read at least once.
-    [[nodiscard]] auto isLoaded() const -> bool;
 
 private:
     auto list() -> void;
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -112,8 +112,7 @@
 
 auto ServicePool::occupancy(const UpstreamState& state, Core::Instant now) const -> double
 {
-    const double slots = std::max(1U, state.entry().slots.value());
-    return state.occupancy(m_othersPerSlot * slots, now);
+    return state.occupancy(m_othersPerSlot * state.slots(), now);
 }
 
 auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates
@@ -207,14 +206,11 @@
 
 auto ServicePool::hasRoom(const Candidate& candidate) const -> bool
 {
-    const double slots = std::max(1U, candidate.state->entry().slots.value());
-    return candidate.occupancy < slots * (1 + m_environment.settings.waitingPerSlot);
+    return candidate.occupancy < candidate.state->slots() * (1 + m_environment.settings.waitingPerSlot);
 }
 
-auto ServicePool::waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration
+auto ServicePool::waitAt(double occupancy, double slots) const -> Core::Duration
 {
-    const double slots = std::max(1U, state.entry().slots.value());
-    const double occupancy = this->occupancy(state, now);
     // A free slot may be gone on arrival, the more likely the fewer there are.
     constexpr double freeSlotDoubt = 0.05;
     const double queued = std::max(0.0, occupancy - slots + 1);
@@ -235,7 +231,7 @@
 {
     const auto& state = *candidate.state;
     candidate.occupancy = occupancy(state, now);
-    candidate.wait = waitAt(state, now);
+    candidate.wait = waitAt(candidate.occupancy, state.slots());
     // What this entry VM does not know to be warm may have been warmed by another.
     candidate.work
         = candidate.familiarity == Familiarity::Plain ? m_workTime.mean(Familiarity::Plain) : m_workTime.warm();
@@ -290,10 +286,8 @@
     if (state == nullptr)
         return;
     state->end(report.load, now);
-    if (report.load) {
-        const double slots = std::max(1U, state->entry().slots.value());
-        m_othersPerSlot += newestLoadShare * (state->othersLoad() / slots - m_othersPerSlot);
-    }
+    if (report.load)
+        m_othersPerSlot += newestLoadShare * (state->othersLoad() / state->slots() - m_othersPerSlot);
     if (const auto health = healthOf(report))
         state->recordHealth(*health, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -141,7 +141,7 @@
     [[nodiscard]] auto isSilent(const UpstreamState& state, Core::Instant now) const -> bool;
     [[nodiscard]] auto silenceLimitLocked() const -> Core::Duration;
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
-    [[nodiscard]] auto waitAt(const UpstreamState& state, Core::Instant now) const -> Core::Duration;
+    [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
     [[nodiscard]] auto stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*;
 
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -3,6 +3,7 @@
 #include "forwarding/objectkey.h"
 #include "forwarding/upstreamlist.h"
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 
@@ -43,7 +44,8 @@
     [[nodiscard]] auto occupancy(double meanOfOthers, Core::Instant now) const -> double;
     /// Requests of other entry VMs by the last report.
     [[nodiscard]] auto othersLoad() const -> double { return m_othersLoad; }
-    [[nodiscard]] auto inFlight() const -> std::uint32_t { return m_inFlight; }
+    /// Slots of the upstream; at least 1.
+    [[nodiscard]] auto slots() const -> double { return std::max(1U, m_entry.slots.value()); }
     /// Requests are out and nothing has been heard since the instant.
     [[nodiscard]] auto silentSince() const -> std::optional<Core::Instant>;
     /// The allowance of requests while the upstream is cold has room for one now.
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -6,7 +6,6 @@
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
