--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -10,17 +10,11 @@
     constexpr double callerDescriptorShare = 0.6;
     /// Part of the memory that callers' bodies may take.
     constexpr std::uint64_t bodyMemoryDivisor = 4;
-    constexpr Core::Millis housekeepingInterval { 100 };
     /// Interval at which connections to other entry VMs that no call used are closed.
     constexpr Core::Millis peerCloseInterval { 5000 };
-    /// Entry VMs that are told of a request that crashes upstreams.
-    constexpr std::size_t announcementTargets = 32;
-    constexpr Core::Millis registrationRetry { 500 };
     /// A connection whose other end acknowledges nothing for so long is broken.
     constexpr Core::Millis silenceTimeout { 2000 };
     constexpr Core::Millis connectTimeout { 700 };
-    /// Part of the fleet's allowance of repeats that is used: views of the fleet's size differ for a while.
-    constexpr double usedAllowanceShare = 0.7;
     /// Callers that hold an old look-up answer come for this time after the process began to stop.
     constexpr Core::Millis leavingTime { 2500 };
     /// Left at the end of the time to stop for answers to be written and the process to end.
@@ -59,18 +53,11 @@
         return result;
     }
 
-    auto selfOf(const ForwardingHost::HostSettings& settings, Core::WallTime now) -> EntryFleet::EntryVmEntry
-    {
-        return { settings.id, Core::StartMark(now.time_since_epoch().count()), settings.failureDomain, settings.region,
-            settings.front, settings.heartbeats, settings.peers };
-    }
-
 } // namespace
 
 ForwardingProcess::ForwardingProcess(ForwardingHost::HostSettings settings,
     const Forwarding::PlacementSettings& placement, const PlatformAdapter& platform, ReadSettings reload)
     : m_settings(std::move(settings))
-    , m_platform(platform)
     , m_reload(std::move(reload))
     , m_runtime(m_settings.threads)
     , m_storeClient(m_runtime.context(), storeLimits())
@@ -81,34 +68,20 @@
               { "heartbeats_malformed_total", Metrics::Reading::Type::Counter,
                   [this] { return m_datagrams.malformedCount(); } } })
     , m_store(platform.makeStore(m_storeClient))
-    , m_self(selfOf(m_settings, m_clock.wallTime()))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
     , m_peers(m_runtime.context(), m_peerTraffic)
     , m_mirrorPeer(m_peers)
     , m_suspicionPeer(m_peers)
-    , m_fleet(m_self, { m_clock, m_runtime, m_observation.events(), m_datagrams })
+    , m_noticePeer(m_peers)
     , m_exchanges(m_upstreamClient, platform.headerNames())
-    , m_forwarder({ m_clock, m_runtime, m_random, m_exchanges, m_observation.events(), m_observation.metrics(),
-          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement } })
-    , m_registry({ m_clock, m_runtime, m_observation.events() },
-          [this](const Forwarding::UpstreamEntries& entries) {
-              const std::lock_guard lock(m_listMutex);
-              m_upstreams = entries;
-              m_forwarder.setUpstreams(m_upstreams, m_evacuated);
-          })
-    , m_configurationListener({ platform.codec(), m_clock, m_observation.events() },
-          [this](const auto& configuration) { applyConfiguration(configuration); })
-    , m_upstreamListener({ platform.codec(), m_clock, m_observation.events() }, m_registry)
-    , m_evacuationListener({ platform.codec(), m_clock, m_observation.events() },
-          [this](const Forwarding::EvacuatedDomains& domains) {
-              const std::lock_guard lock(m_listMutex);
-              m_evacuated = domains;
-              m_forwarder.setUpstreams(m_upstreams, m_evacuated);
-          })
-    , m_entryVmListener(
-          { platform.codec(), m_clock, m_observation.events() }, m_fleet, [this] { applyRetryAllowance(); })
-    , m_front(m_forwarder, platform.headerNames())
-    , m_readiness(platform.makeReadinessHandler([this] { return isReady(); }))
+    , m_entryVm(m_settings, placement,
+          { m_clock, m_runtime, m_random, m_observation.events(), m_observation.metrics(), platform.codec(), *m_store,
+              m_exchanges, m_datagrams, m_mirrorPeer, m_suspicionPeer, m_noticePeer,
+              [this](const Forwarding::CallerLimits& limits) {
+                  m_frontServer.setLimits(callerLimits(m_settings, limits));
+              } })
+    , m_front(m_entryVm.forwarder(), platform.headerNames())
+    , m_readiness(platform.makeReadinessHandler([this] { return m_entryVm.takesCallers(); }))
     , m_lookup(platform.makeLookupHandler([this] { return directions(); }))
     , m_frontServer(m_runtime.context(), m_settings.front, m_front, callerLimits(m_settings, {}))
     , m_readinessServer(m_runtime.context(), m_settings.readiness, *m_readiness)
@@ -123,126 +96,35 @@
 
 auto ForwardingProcess::run() -> void
 {
-    recordLifecycle("process.started", "listens at " + m_settings.front.value());
+    m_entryVm.recordLifecycle("process.started", "listens at " + m_settings.front.value());
     awaitSignal();
     registerPeerHandlers();
-    m_datagrams.start([this](const EntryFleet::Heartbeat& heartbeat) { m_fleet.receive(heartbeat); });
-    applyRetryAllowance();
-    startFollowing();
-    registerSelf();
-    m_fleet.start();
-    scheduleHousekeeping();
+    m_datagrams.start([this](const EntryFleet::Heartbeat& heartbeat) { m_entryVm.fleet().receive(heartbeat); });
+    m_entryVm.start();
+    schedulePeerClosing();
     m_runtime.run();
 }
 
-auto ForwardingProcess::startFollowing() -> void
-{
-    const Following::CollectionFollower::Environment environment { *m_store, m_runtime, m_random,
-        m_observation.events(), m_mirror };
-    const auto names = m_platform.codec().collections();
-    const auto follow = [&](const Ports::CollectionName& name, Following::CollectionListener& listener) {
-        m_followers.push_back(std::make_shared<Following::CollectionFollower>(name, listener, environment));
-    };
-    follow(names.configuration, m_configurationListener);
-    follow(names.upstreams, m_upstreamListener);
-    follow(names.evacuations, m_evacuationListener);
-    follow(names.entryVms, m_entryVmListener);
-    m_watchdog = std::make_shared<Following::StoreWatchdog>(environment, *this);
-    m_peerRefresh = std::make_shared<Following::PeerRefresh>(Following::PeerRefresh::Environment {
-        environment, m_mirrorPeer, m_mirror, [this] { return peersToAsk(); }, [this] { m_registry.storeRegained(); } });
-    for (const auto& follower : m_followers) {
-        m_watchdog->add(follower);
-        m_peerRefresh->add(follower->name(), follower);
-        follower->start();
-    }
-    m_watchdog->start();
-}
-
-auto ForwardingProcess::registerSelf() -> void
-{
-    const auto names = m_platform.codec().collections();
-    m_store->put(names.entryVms, m_platform.codec().encodeEntryVm(m_self),
-        [this](const Core::Result<Ports::StoreRevision>& result) {
-            if (result)
-                return;
-            recordLifecycle("registration.failed", describe(result.error()));
-            m_registration = m_runtime.after(registrationRetry, [this] { registerSelf(); });
-        });
-}
-
 auto ForwardingProcess::registerPeerHandlers() -> void
 {
-    MirrorPeer::registerMirrorHandler(m_peerHandlers, m_mirror, [this] { return m_watchdog->isAnswering(); });
-    auto& guard = m_forwarder.crashGuard();
-    SuspicionPeer::registerSuspicionHandler(
-        m_peerHandlers, [&guard](const Dispatch::CrashSuspicion& suspicion) { guard.accept(suspicion); });
-    guard.setAnnounce([this](const Dispatch::CrashSuspicion& suspicion) { announceSuspicion(suspicion); });
-}
-
-auto ForwardingProcess::peersToAsk() const -> std::vector<Core::Address>
-{
-    auto peers = m_fleet.peerAddresses();
-    return peers.empty() ? m_settings.seeds : peers;
-}
-
-auto ForwardingProcess::announceSuspicion(const Dispatch::CrashSuspicion& suspicion) -> void
-{
-    auto targets = m_fleet.peerAddresses();
-    targets.resize(std::min(targets.size(), announcementTargets));
-    for (const auto& address : targets) {
-        Fleet::EntryVm target;
-        target.peerAddress = address;
-        m_suspicionPeer.send(target, suspicion, [] {});
-    }
+    MirrorPeer::registerMirrorHandler(
+        m_peerHandlers, m_entryVm.mirror(), [this] { return m_entryVm.isStoreAnswering(); });
+    SuspicionPeer::registerSuspicionHandler(m_peerHandlers,
+        [this](const Dispatch::CrashSuspicion& suspicion) { m_entryVm.forwarder().crashGuard().accept(suspicion); });
+    NoticePeer::registerNoticeHandler(
+        m_peerHandlers, [this](const Forwarding::UpstreamNotice& notice) { m_entryVm.forwarder().accept(notice); });
 }
 
-auto ForwardingProcess::applyConfiguration(const std::shared_ptr<const Forwarding::RoutingConfiguration>& configuration)
-    -> void
-{
-    m_forwarder.setConfiguration(configuration);
-    m_frontServer.setLimits(callerLimits(m_settings, configuration->limits));
-}
-
-auto ForwardingProcess::applyRetryAllowance() -> void
-{
-    const auto entryVms = static_cast<double>(m_fleet.listedCount());
-    m_forwarder.setRetryAllowance(
-        { m_settings.retryRatio * usedAllowanceShare, m_settings.retrySlack * usedAllowanceShare / entryVms });
-}
-
-auto ForwardingProcess::isReady() const -> bool { return !m_isStopping && m_forwarder.configuration() != nullptr; }
-
 auto ForwardingProcess::directions() const -> CallerDirections
 {
-    if (!m_forwarder.configuration())
-        return {};
-    return { m_fleet.callerAddresses(), m_settings.lookupLifetime };
-}
-
-auto ForwardingProcess::storeLost() -> void
-{
-    recordLifecycle("store.unanswered", "what is known of the store stays in force");
-    m_registry.storeLost();
-    m_peerRefresh->start();
-}
-
-auto ForwardingProcess::storeRegained() -> void
-{
-    recordLifecycle("store.answers", "the store answers again");
-    m_peerRefresh->stop();
-    m_registry.storeRegained();
+    return { m_entryVm.callerAddresses(), m_settings.lookupLifetime };
 }
 
-auto ForwardingProcess::scheduleHousekeeping() -> void
+auto ForwardingProcess::schedulePeerClosing() -> void
 {
-    m_housekeeping = m_runtime.after(housekeepingInterval, [this] {
-        m_forwarder.runProbes();
-        const auto now = m_clock.now();
-        if (now - m_peersClosedAt >= peerCloseInterval) {
-            m_peersClosedAt = now;
-            m_peers.closeIdleConnections();
-        }
-        scheduleHousekeeping();
+    m_peerCloseTimer = m_runtime.after(peerCloseInterval, [this] {
+        m_peers.closeIdleConnections();
+        schedulePeerClosing();
     });
 }
 
@@ -263,22 +145,21 @@
 {
     const auto settings = m_reload();
     if (!settings)
-        recordLifecycle("settings.refused", describe(settings.error()));
+        m_entryVm.recordLifecycle("settings.refused", describe(settings.error()));
     else
-        recordLifecycle("settings.reloaded", "addresses and limits apply from the next start");
+        m_entryVm.recordLifecycle("settings.reloaded", "addresses and limits apply from the next start");
 }
 
 auto ForwardingProcess::startStop() -> void
 {
-    if (m_isStopping.exchange(true))
+    if (std::exchange(m_isStopping, true))
         return;
     const auto now = m_clock.now();
     m_stopAt = now + leavingTime;
     m_stopLatest = now + m_settings.stopTime - stopMargin;
-    recordLifecycle("process.stopping", std::to_string(m_frontServer.openRequests()) + " requests are open");
-    m_forwarder.setEnd(m_stopLatest);
+    m_entryVm.recordLifecycle("process.stopping", std::to_string(m_frontServer.openRequests()) + " requests are open");
+    m_entryVm.leave(m_stopLatest);
     m_frontServer.startDraining();
-    m_fleet.leave();
     continueStop();
 }
 
@@ -291,20 +172,14 @@
         return;
     }
     m_frontServer.shutDown([this] {
-        recordLifecycle("process.stopped", "all callers have their answers");
+        m_entryVm.recordLifecycle("process.stopped", "all callers have their answers");
         m_runtime.stop();
     });
     m_stopTimer = m_runtime.after(stopMargin / 2, [this] {
-        recordLifecycle("process.stopped", std::to_string(m_frontServer.openRequests()) + " requests were cut");
+        m_entryVm.recordLifecycle(
+            "process.stopped", std::to_string(m_frontServer.openRequests()) + " requests were cut");
         m_runtime.stop();
     });
 }
 
-auto ForwardingProcess::recordLifecycle(const char* kind, const std::string& detail) -> void
-{
-    m_observation.events().record({ Ports::EventKind(kind), {},
-        { { "detail", detail }, { "failureDomain", m_settings.failureDomain.value() },
-            { "start", std::to_string(m_self.start.value()) } } });
-}
-
 } // namespace App
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -68,7 +68,8 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_ownsFrom = m_environment.clock.now() + 2 * heartbeatInterval;
+        m_lastBeat = m_environment.clock.now();
+        m_ownsFrom = m_lastBeat + 2 * heartbeatInterval;
     }
     beat();
 }
@@ -76,9 +77,35 @@
 auto EntryFleet::beat() -> void
 {
     sendToNeighbours();
-    const std::lock_guard lock(m_mutex);
-    recordChanges(m_environment.clock.now());
-    m_timer = m_environment.scheduler.after(heartbeatInterval, [this] { beat(); });
+    bool wasHeldUp = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = m_environment.clock.now();
+        wasHeldUp = noteHoldUp(now);
+        m_lastBeat = now;
+        recordChanges(now);
+        m_timer = m_environment.scheduler.after(heartbeatInterval, [this] { beat(); });
+    }
+    if (wasHeldUp)
+        m_environment.heldUp();
+}
+
+auto EntryFleet::noteHoldUp(Core::Instant now) -> bool
+{
+    const auto gap = now - m_lastBeat;
+    if (gap <= longestBeatGap)
+        return false;
+    for (auto& [id, member] : m_members)
+        member.lastHeard = std::min(now, member.lastHeard + gap);
+    m_ownsFrom = now + 2 * heartbeatInterval;
+    m_environment.events.record({ Ports::EventKind("process.held-up"), {},
+        { { "heldUpMs", std::to_string(std::chrono::duration_cast<Core::Millis>(gap).count()) } } });
+    return true;
+}
+
+auto EntryFleet::listenedUntil(Core::Instant now) const -> Core::Instant
+{
+    return std::min(now, m_lastBeat + longestBeatGap);
 }
 
 auto EntryFleet::sendToNeighbours() -> void
@@ -108,7 +135,7 @@
 
 auto EntryFleet::isAlive(const Member& member, Core::Instant now) const -> bool
 {
-    return now - member.lastHeard < silenceLimit;
+    return listenedUntil(now) - member.lastHeard < silenceLimit;
 }
 
 auto EntryFleet::takesCallers(const Member& member, Core::Instant now) const -> bool
@@ -178,7 +205,7 @@
         return false;
     const std::lock_guard lock(m_mutex);
     const auto now = m_environment.clock.now();
-    if (now < m_ownsFrom || m_isLeaving)
+    if (now < m_ownsFrom || now - m_lastBeat > longestBeatGap || m_isLeaving)
         return false;
     const auto& key = upstream.target.id.value();
     const auto own = Fleet::rendezvousScore(key, m_self.id.value());
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -6,6 +6,7 @@
 #include "ports/eventsink.h"
 #include "ports/scheduler.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -20,12 +21,17 @@
     static constexpr Core::Millis heartbeatInterval { 700 };
     /// An entry VM that was silent for longer is left out of look-up answers.
     static constexpr Core::Millis silenceLimit { 2300 };
+    /// Longest time between two own heartbeats of a process that runs. After a longer one it was held up, and has
+    /// missed those of the others.
+    static constexpr Core::Millis longestBeatGap { 2 * heartbeatInterval };
 
     struct Environment {
         const Ports::Clock& clock;
         Ports::Scheduler& scheduler;
         Ports::EventSink& events;
         HeartbeatPort& heartbeats;
+        /// Called when this process goes on after it was held up for so long that it missed what others told it.
+        std::function<void()> heldUp = [] {};
     };
 
     EntryFleet(EntryVmEntry self, Environment environment);
@@ -62,6 +68,10 @@
     [[nodiscard]] auto isNeighbour(const EntryVmEntry& entry) const -> bool;
     auto put(const EntryVmEntry& entry) -> void;
     auto beat() -> void;
+    /// Does not count the time in which this process was held up as silence of the others.
+    [[nodiscard]] auto noteHoldUp(Core::Instant now) -> bool;
+    /// Until when this process was there to hear the others.
+    [[nodiscard]] auto listenedUntil(Core::Instant now) const -> Core::Instant;
     auto sendToNeighbours() -> void;
     auto recordChanges(Core::Instant now) -> void;
 
@@ -70,6 +80,7 @@
     mutable std::mutex m_mutex;
     std::map<Core::EntryVmId, Member> m_members;
     bool m_isLeaving = false;
+    Core::Instant m_lastBeat;
     /// Before, the others may not have been heard yet.
     Core::Instant m_ownsFrom = Core::Instant::max();
     std::unique_ptr<Ports::Timer> m_timer;
--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -51,9 +51,14 @@
 
 auto CollectionFollower::list() -> void
 {
-    m_environment.store.list(m_name, [weak = weak_from_this()](const Core::Result<Ports::CollectionList>& result) {
-        if (const auto self = weak.lock())
-            self->onList(result);
+    const auto askedAt = m_environment.clock.now();
+    m_environment.store.list(m_name, [weak = weak_from_this(), askedAt](Core::Result<Ports::CollectionList> result) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        if (result)
+            result->age = self->m_environment.clock.now() - askedAt;
+        self->onList(result);
     });
 }
 
@@ -68,6 +73,7 @@
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
             { "revision", std::to_string(result->revision.value()) } } });
     recordRecovery();
+    m_environment.storeAnswered();
     watch();
 }
 
@@ -75,7 +81,7 @@
 {
     const std::lock_guard listenerLock(m_listenerMutex);
     m_environment.mirror.replaceAll(m_name, list);
-    m_listener.replaceAll(list.items);
+    m_listener.replaceAll(list);
     m_listener.commit();
     const std::lock_guard lock(m_mutex);
     m_revision = list.revision;
@@ -180,6 +186,7 @@
     if (failures == 0) {
         m_environment.events.record({ Ports::EventKind("store.lost"), {},
             { { "collection", m_name.value() }, { "detail", describe(error) } } });
+        m_environment.storeFailed();
     }
     const auto delay = std::min<Core::Duration>(longestRetryDelay, firstRetryDelay * (1U << std::min(failures, 4U)));
     // Entry VMs that lost the store together must not come back together.
--- a/src/libs/following/collectionfollower.h
+++ b/src/libs/following/collectionfollower.h
@@ -16,7 +16,7 @@
 public:
     virtual ~CollectionListener() = default;
     /// The collection as it is now; what is not in it is gone.
-    virtual auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void = 0;
+    virtual auto replaceAll(const Ports::CollectionList& list) -> void = 0;
     virtual auto upsert(const Ports::CollectionItem& item) -> void = 0;
     virtual auto remove(const std::string& name) -> void = 0;
     /// All changes of one answer have been told.
@@ -28,11 +28,16 @@
 class CollectionFollower : public std::enable_shared_from_this<CollectionFollower> {
 public:
     struct Environment {
+        const Ports::Clock& clock;
         Ports::CollectionStore& store;
         Ports::Scheduler& scheduler;
         Ports::RandomSource& random;
         Ports::EventSink& events;
         CollectionMirror& mirror;
+        /// Called after each list that the store itself has given.
+        std::function<void()> storeAnswered = [] {};
+        /// Called with the first call of several that fails: what happens from then on is not told.
+        std::function<void()> storeFailed = [] {};
     };
 
     CollectionFollower(Ports::CollectionName name, CollectionListener& listener, Environment environment);
--- a/src/libs/following/storewatchdog.cpp
+++ b/src/libs/following/storewatchdog.cpp
@@ -44,27 +44,44 @@
 
 auto StoreWatchdog::ping() -> void
 {
-    m_environment.store.ping([weak = weak_from_this()](const Core::Result<Ports::StoreRevision>& result) {
+    const auto askedAt = m_environment.clock.now();
+    m_environment.store.ping([weak = weak_from_this(), askedAt](const Core::Result<Ports::StoreRevision>& result) {
         if (const auto self = weak.lock())
-            self->onPing(result.has_value());
+            self->onPing(result.has_value(), askedAt);
     });
 }
 
-auto StoreWatchdog::onPing(bool isAnswered) -> void
+auto StoreWatchdog::onPing(bool isAnswered, Core::Instant askedAt) -> void
+{
+    if (isAnswered)
+        noteAnswer();
+    else
+        noteSilence(askedAt);
+    schedule();
+}
+
+auto StoreWatchdog::noteSilence(Core::Instant askedAt) -> void
 {
-    bool wasLost = false;
     {
         const std::lock_guard lock(m_mutex);
-        wasLost = std::exchange(m_isLost, !isAnswered);
+        // The store has answered another call since.
+        if (m_lastAnswer > askedAt || std::exchange(m_isLost, true))
+            return;
     }
-    if (!isAnswered && !wasLost)
-        m_listener.storeLost();
-    if (isAnswered && wasLost) {
-        m_listener.storeRegained();
-        for (const auto& follower : m_followers)
-            follower->refresh();
+    m_listener.storeLost();
+}
+
+auto StoreWatchdog::noteAnswer() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lastAnswer = m_environment.clock.now();
+        if (!std::exchange(m_isLost, false))
+            return;
     }
-    schedule();
+    m_listener.storeRegained();
+    for (const auto& follower : m_followers)
+        follower->refresh();
 }
 
 } // namespace Following
--- a/src/libs/following/storewatchdog.h
+++ b/src/libs/following/storewatchdog.h
@@ -21,11 +21,14 @@
     auto add(std::shared_ptr<CollectionFollower> follower) -> void { m_followers.push_back(std::move(follower)); }
     auto start() -> void;
     auto stop() -> void;
+    /// The store has answered another call.
+    auto noteAnswer() -> void;
     [[nodiscard]] auto isAnswering() const -> bool;
 
 private:
     auto ping() -> void;
-    auto onPing(bool isAnswered) -> void;
+    auto onPing(bool isAnswered, Core::Instant askedAt) -> void;
+    auto noteSilence(Core::Instant askedAt) -> void;
     auto schedule() -> void;
 
     const CollectionFollower::Environment m_environment;
@@ -33,6 +36,7 @@
     std::vector<std::shared_ptr<CollectionFollower>> m_followers;
     mutable std::mutex m_mutex;
     bool m_isLost = false;
+    Core::Instant m_lastAnswer;
     bool m_isStopped = false;
     std::unique_ptr<Ports::Timer> m_timer;
 };
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -57,6 +57,7 @@
         if (!desk)
             desk = std::make_shared<detail::ServiceDesk>(id, m_environment.pool);
         desk->pool.update(entries, m_evacuated, now);
+        desk->pool.setListStale(m_isListStale);
         if (configuration && configuration->services.contains(id))
             desk->pool.setSettings(configuration->services.at(id));
     }
@@ -84,18 +85,55 @@
     for (const auto& [id, desk] : *desks) {
         for (const auto& target : desk->pool.takeDueProbes(m_environment.clock.now())) {
             m_environment.exchanges.askHealth(target, desk->pool.healthPath(),
-                [this, desk = desk, target](const Core::Result<Ports::HealthReport>& report) {
-                    desk->pool.recordProbe(target, report, m_environment.clock.now());
-                    m_environment.events.record({ Ports::EventKind("upstream.probed"), {},
-                        { { "upstream", target.id.value() }, { "service", desk->pool.service().value() },
-                            { "healthy", report && report->isHealthy ? "yes" : "no" },
-                            { "coldMs", report ? std::to_string(report->coldLeft.count() / 1000) : "unknown" },
-                            { "detail", report ? "" : describe(report.error()) } } });
-                });
+                [this, desk = desk, target](
+                    const Core::Result<Ports::HealthReport>& report) { recordProbe(desk, target, report); });
         }
     }
 }
 
+auto Forwarder::setListStale(bool isStale) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isListStale = isStale;
+    for (const auto& [id, desk] : *m_desks.load())
+        desk->pool.setListStale(isStale);
+}
+
+auto Forwarder::doubtUpstreams() -> void
+{
+    const auto desks = m_desks.load();
+    for (const auto& [id, desk] : *desks)
+        desk->pool.doubtAll();
+}
+
+auto Forwarder::recordProbe(const std::shared_ptr<detail::ServiceDesk>& desk, const Ports::UpstreamTarget& target,
+    const Core::Result<Ports::HealthReport>& report) -> void
+{
+    const bool isNews = desk->pool.recordProbe(target, report, m_environment.clock.now());
+    m_environment.events.record({ Ports::EventKind("upstream.probed"), {},
+        { { "upstream", target.id.value() }, { "service", desk->pool.service().value() },
+            { "healthy", report && report->isHealthy ? "yes" : "no" },
+            { "coldMs", report ? std::to_string(report->coldLeft.count() / 1000) : "unknown" },
+            { "detail", report ? "" : describe(report.error()) } } });
+    if (!isNews)
+        return;
+    const bool isHealthy = report && report->isHealthy && report->id == target.id;
+    m_announceNotice({ desk->pool.service(), target.id, isHealthy, isHealthy ? report->coldLeft : Core::Duration(0) });
+}
+
+auto Forwarder::accept(const UpstreamNotice& notice) -> void
+{
+    const auto desks = m_desks.load();
+    const auto found = desks->find(notice.service);
+    if (found == desks->end())
+        return;
+    found->second->pool.learn(notice, m_environment.clock.now());
+    m_environment.events.record({ Ports::EventKind("upstream.told"), {},
+        { { "upstream", notice.upstream.value() }, { "service", notice.service.value() },
+            { "healthy", notice.isHealthy ? "yes" : "no" },
+            { "coldMs", std::to_string(notice.coldLeft.count() / 1000) } } });
+}
+
 auto Forwarder::configuration() const -> std::shared_ptr<const RoutingConfiguration> { return m_configuration.load(); }
 
 auto Forwarder::deskOf(const Core::ServiceId& service) const -> std::shared_ptr<detail::ServiceDesk>
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -5,6 +5,7 @@
 #include "forwarding/rollingretrybudget.h"
 #include "forwarding/routingconfiguration.h"
 #include "forwarding/servicepool.h"
+#include "forwarding/upstreamnotice.h"
 #include "forwarding/weightedturns.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
@@ -59,6 +60,14 @@
     auto handle(ForwardRequest request, ForwardCallback callback) -> std::shared_ptr<OpenRequest>;
     /// Asks ejected upstreams for their health; called at short intervals.
     auto runProbes() -> void;
+    /// Whether the list of upstreams may miss what happens to them now.
+    auto setListStale(bool isStale) -> void;
+    /// Any upstream may have started again unnoticed: asks them all.
+    auto doubtUpstreams() -> void;
+    /// Called with what is found by asking upstreams, for the other entry VMs.
+    auto setNoticeAnnounce(UpstreamNoticeReceiver announce) -> void { m_announceNotice = std::move(announce); }
+    /// Takes what another entry VM found.
+    auto accept(const UpstreamNotice& notice) -> void;
     auto crashGuard() -> CrashGuard& { return m_crashGuard; }
     [[nodiscard]] auto configuration() const -> std::shared_ptr<const RoutingConfiguration>;
 
@@ -70,6 +79,7 @@
     const Environment m_environment;
     WeightedTurns m_turns;
     CrashGuard m_crashGuard;
+    UpstreamNoticeReceiver m_announceNotice = [](const UpstreamNotice&) {};
     std::atomic<std::shared_ptr<const RoutingConfiguration>> m_configuration;
     std::atomic<std::shared_ptr<const detail::ServiceDesks>> m_desks;
     std::atomic<double> m_retryRatio { RetryAllowance().ratio };
@@ -79,7 +89,10 @@
     std::mutex m_mutex;
     UpstreamEntries m_entries;
     EvacuatedDomains m_evacuated;
+    bool m_isListStale = false;
 
+    auto recordProbe(const std::shared_ptr<detail::ServiceDesk>& desk, const Ports::UpstreamTarget& target,
+        const Core::Result<Ports::HealthReport>& report) -> void;
     [[nodiscard]] auto retryAllowance() const -> RetryAllowance { return { m_retryRatio, m_retrySlack }; }
     auto applyLists(const std::lock_guard<std::mutex>& lock) -> void;
 };
--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -120,8 +120,10 @@
         ++m_sends;
     }
     const auto self = shared_from_this();
-    auto exchange = m_environment.exchanges.start({ choice.target, m_request.id, m_request.message, m_deadline - now },
-        [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
+    Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
+        [desk = m_desk, target = choice.target] { desk->pool.recordEndedConnection(target); } };
+    auto exchange = m_environment.exchanges.start(
+        std::move(call), [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
     bool isDone = false;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -70,8 +70,12 @@
     const std::lock_guard lock(m_mutex);
     for (auto& [target, state] : m_states)
         state.leave();
-    for (const auto& entry : entries)
-        m_states.try_emplace(entry.target, entry).first->second.update(entry);
+    for (const auto& entry : entries) {
+        const auto [found, isFirst] = m_states.try_emplace(entry.target, entry);
+        found->second.update(entry);
+        if (isFirst && entry.mayBeOutdated)
+            found->second.doubt();
+    }
     std::erase_if(m_states, [](const auto& item) { return item.second.isForgettable(); });
     for (auto& [target, state] : m_states) {
         const auto& domain = state.entry().failureDomain;
@@ -96,6 +100,8 @@
         return false;
     if (state.isCold(now) && (!state.hasColdAllowance(now) || !m_environment.entryVms.isOwner(entry)))
         return false;
+    if (state.isBusy() && isDoubtful(state, now))
+        return false;
     return !isSilent(state, now);
 }
 
@@ -266,6 +272,8 @@
             return tl::unexpected(NoChoice { NoChoiceReason::DeadlineUnreachable, candidates.size(), leastWait });
         if (state.isCold(now))
             state.takeColdAllowance(m_settings.coldRate, now);
+        if (isDoubtful(state, now))
+            state.wantProbe();
         state.begin(now);
         return Choice { state.entry().target, state.entry().failureDomain, candidate.familiarity, candidate.occupancy,
             candidate.wait + candidate.work };
@@ -292,6 +300,8 @@
         state->recordHealth(*health, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
         state->eject(now);
+    if (report.outcome == ExchangeOutcome::Lost || report.outcome == ExchangeOutcome::NotSent)
+        checkAfterLoss(*state);
     if (report.outcome == ExchangeOutcome::Answered && !report.isUpstreamError) {
         m_workTime.record(report.duration, report.familiarity);
         if (!report.object.value().empty())
@@ -301,6 +311,20 @@
         m_states.erase(report.target);
 }
 
+auto ServicePool::isDoubtful(const UpstreamState& state, Core::Instant now) const -> bool
+{
+    return state.isDoubtful() || (m_isListStale && state.mayHaveRestarted(now));
+}
+
+auto ServicePool::checkAfterLoss(UpstreamState& state) const -> void
+{
+    // The list tells of a new start soon; a stale one does not, and the upstream may be cold.
+    if (m_isListStale)
+        state.doubt();
+    else
+        state.wantProbe();
+}
+
 auto ServicePool::takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>
 {
     const std::lock_guard lock(m_mutex);
@@ -308,18 +332,47 @@
     for (auto& [target, state] : m_states) {
         if (!state.isProbeDue(now) || m_evacuated.contains(state.entry().failureDomain))
             continue;
-        state.beginProbe();
+        state.beginProbe(now);
         due.push_back(target);
     }
     return due;
 }
 
 auto ServicePool::recordProbe(
-    const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> void
+    const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    auto* state = stateOf(target);
+    return state != nullptr && state->recordProbe(report, now);
+}
+
+auto ServicePool::learn(const UpstreamNotice& notice, Core::Instant now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [target, state] : m_states) {
+        if (target.id == notice.upstream)
+            state.learn(notice.isHealthy, notice.coldLeft, now);
+    }
+}
+
+auto ServicePool::setListStale(bool isStale) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isListStale = isStale;
+}
+
+auto ServicePool::recordEndedConnection(const Ports::UpstreamTarget& target) -> void
 {
     const std::lock_guard lock(m_mutex);
     if (auto* state = stateOf(target))
-        state->recordProbe(report, now);
+        state->doubt();
+}
+
+auto ServicePool::doubtAll() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [target, state] : m_states)
+        state.doubt();
 }
 
 auto ServicePool::healthPath() const -> std::string
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -3,6 +3,7 @@
 #include "forwarding/placementsettings.h"
 #include "forwarding/replicaplanner.h"
 #include "forwarding/routingconfiguration.h"
+#include "forwarding/upstreamnotice.h"
 #include "forwarding/upstreamstate.h"
 #include "forwarding/worktime.h"
 
@@ -101,8 +102,18 @@
     auto end(const ExchangeReport& report, Core::Instant now) -> void;
     /// Upstreams whose health is to be asked now; each needs a recordProbe().
     auto takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>;
+    /// Returns whether the answer is news for other entry VMs.
     auto recordProbe(const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report,
-        Core::Instant now) -> void;
+        Core::Instant now) -> bool;
+    /// Takes what another entry VM found by asking an upstream.
+    auto learn(const UpstreamNotice& notice, Core::Instant now) -> void;
+    /// While the list is stale, upstreams that were not heard for a while get one request at a time until they were
+    /// asked: they may have started again.
+    auto setListStale(bool isStale) -> void;
+    /// A connection to the upstream ended without a request on it.
+    auto recordEndedConnection(const Ports::UpstreamTarget& target) -> void;
+    /// Any upstream may have started again unnoticed.
+    auto doubtAll() -> void;
     [[nodiscard]] auto healthPath() const -> std::string;
     [[nodiscard]] auto service() const -> const Core::ServiceId& { return m_service; }
     /// The upstream has answered nothing for much longer than its work takes.
@@ -143,6 +154,10 @@
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
+    /// Asks an upstream whose connection ended: its process may have ended, and another may have its place.
+    auto checkAfterLoss(UpstreamState& state) const -> void;
+    /// Whether the upstream may have started again unnoticed.
+    [[nodiscard]] auto isDoubtful(const UpstreamState& state, Core::Instant now) const -> bool;
     [[nodiscard]] auto stateOf(const Ports::UpstreamTarget& target) -> UpstreamState*;
 
     const Core::ServiceId m_service;
@@ -150,6 +165,7 @@
     mutable std::mutex m_mutex;
     ServiceSettings m_settings;
     EvacuatedDomains m_evacuated;
+    bool m_isListStale = false;
     /// Upstreams that left stay until their last exchange ends.
     std::map<Ports::UpstreamTarget, UpstreamState> m_states;
     WorkTime m_workTime;
--- a/src/libs/forwarding/upstreamlist.h
+++ b/src/libs/forwarding/upstreamlist.h
@@ -20,6 +20,8 @@
     bool isDraining = false;
     /// Until when it said that it stays cold.
     Core::Instant coldUntil;
+    /// The list may be older than the upstream's present start.
+    bool mayBeOutdated = false;
 };
 
 using UpstreamEntries = std::map<Core::UpstreamId, UpstreamEntry>;
--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -8,14 +8,14 @@
 {
 }
 
-auto UpstreamRegistry::replaceAll(const std::vector<UpstreamEntry>& entries) -> void
+auto UpstreamRegistry::replaceAll(const std::vector<UpstreamEntry>& entries, bool mayBeStale) -> void
 {
     const std::lock_guard lock(m_mutex);
     const auto now = m_environment.clock.now();
     std::set<Core::UpstreamId> listed;
     for (const auto& entry : entries) {
         listed.insert(entry.target.id);
-        put(entry);
+        put(entry, mayBeStale || mayBeOutdated(now));
     }
     std::vector<Core::UpstreamId> left;
     for (const auto& [id, entry] : m_entries) {
@@ -29,7 +29,7 @@
 auto UpstreamRegistry::upsert(const UpstreamEntry& entry) -> void
 {
     const std::lock_guard lock(m_mutex);
-    put(entry);
+    put(entry, mayBeOutdated(m_environment.clock.now()));
 }
 
 auto UpstreamRegistry::remove(const Core::UpstreamId& id) -> void
@@ -38,13 +38,15 @@
     drop(id, m_environment.clock.now());
 }
 
-auto UpstreamRegistry::put(const UpstreamEntry& entry) -> void
+auto UpstreamRegistry::put(const UpstreamEntry& entry, bool mayBeStale) -> void
 {
     m_missing.erase(entry.target.id);
     const auto found = m_entries.find(entry.target.id);
-    const bool isNew = found == m_entries.end() || found->second.target != entry.target
-        || found->second.isDraining != entry.isDraining;
-    m_entries[entry.target.id] = entry;
+    const bool isFirst = found == m_entries.end();
+    const bool isNew = isFirst || found->second.target != entry.target || found->second.isDraining != entry.isDraining;
+    auto& kept = m_entries[entry.target.id];
+    kept = entry;
+    kept.mayBeOutdated = isFirst && mayBeStale;
     if (isNew)
         record(entry.isDraining ? "upstream.draining" : "upstream.listed", entry);
 }
@@ -63,6 +65,17 @@
     m_entries.erase(found);
 }
 
+auto UpstreamRegistry::mayBeOutdated(Core::Instant now) const -> bool
+{
+    return isGraceTime(now) || now < m_outdatedUntil;
+}
+
+auto UpstreamRegistry::expectOutdatedEntries() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_outdatedUntil = m_environment.clock.now() + returnTime;
+}
+
 auto UpstreamRegistry::isGraceTime(Core::Instant now) const -> bool
 {
     return m_isStoreLost || (m_graceUntil && now < *m_graceUntil);
--- a/src/libs/forwarding/upstreamregistry.h
+++ b/src/libs/forwarding/upstreamregistry.h
@@ -28,19 +28,23 @@
 
     UpstreamRegistry(Environment environment, Changed changed);
 
-    /// The whole list; what is not in it has left.
-    auto replaceAll(const std::vector<UpstreamEntry>& entries) -> void;
+    /// The whole list; what is not in it has left. Upstreams that were not known before are doubted when the list
+    /// may be stale.
+    auto replaceAll(const std::vector<UpstreamEntry>& entries, bool mayBeStale = false) -> void;
     auto upsert(const UpstreamEntry& entry) -> void;
     auto remove(const Core::UpstreamId& id) -> void;
     /// All changes that came together have been told.
     auto commit() -> void;
+    /// For a while entries may be older than what they tell of: the process began, or was held up.
+    auto expectOutdatedEntries() -> void;
     auto storeLost() -> void;
     /// The store answers again, this VM or another that passes on what it learns.
     auto storeRegained() -> void;
 
 private:
+    [[nodiscard]] auto mayBeOutdated(Core::Instant now) const -> bool;
     [[nodiscard]] auto isGraceTime(Core::Instant now) const -> bool;
-    auto put(const UpstreamEntry& entry) -> void;
+    auto put(const UpstreamEntry& entry, bool mayBeStale) -> void;
     auto drop(const Core::UpstreamId& id, Core::Instant now) -> void;
     auto dropMissing() -> void;
     auto record(const char* kind, const UpstreamEntry& entry) -> void;
@@ -55,6 +59,7 @@
     std::set<Core::UpstreamId> m_missing;
     bool m_isStoreLost = false;
     std::optional<Core::Instant> m_graceUntil;
+    Core::Instant m_outdatedUntil;
     std::unique_ptr<Ports::Timer> m_graceTimer;
 };
 
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Forwarding {
 
@@ -12,6 +13,10 @@
     constexpr Core::Millis firstProbeDelay { 400 };
     constexpr Core::Millis longestProbeDelay { 3000 };
     constexpr Core::Millis refusalPause { 60 };
+    /// No upstream is down and up again in less.
+    constexpr Core::Millis shortestRestart { 2000 };
+    /// No probe takes longer while this process runs.
+    constexpr Core::Millis longestProbe { 1500 };
     /// Share of the newest outcome in the failure share.
     constexpr double newestOutcomeShare = 0.15;
     /// Time after which a reported load counts half.
@@ -49,6 +54,7 @@
 {
     if (load) {
         m_lastHeard = now;
+        m_lastAnswer = now;
         // The report counts the request that it answers.
         m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
         m_reportedAt = now;
@@ -80,25 +86,89 @@
     m_probeAt = now + firstProbeDelay;
 }
 
-auto UpstreamState::recordProbe(const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> void
+auto UpstreamState::beginProbe(Core::Instant now) -> void
+{
+    m_isProbing = true;
+    m_probeStartedAt = now;
+}
+
+auto UpstreamState::recordProbe(const Core::Result<Ports::HealthReport>& report, Core::Instant now) -> bool
 {
     m_isProbing = false;
-    if (!report || !report->isHealthy || report->id != m_entry.target.id) {
-        ++m_failedProbes;
-        m_probeAt = now + probeDelay(m_failedProbes);
-        return;
+    if (now - m_probeStartedAt >= longestProbe) {
+        // The answer waited while this process was held up.
+        m_probeAt = now;
+        return false;
     }
+    if (!report)
+        return recordFailedProbe(report.error().kind, now);
+    if (report->coldLeft.count() > 0)
+        setCold(now + report->coldLeft);
+    if (report->isHealthy && report->id == m_entry.target.id)
+        return recordGoodProbe(*report, now);
+    if (!report->isHealthy && !m_isEjected) {
+        // It leaves or is full, and has not started again.
+        endDoubt(now);
+        return false;
+    }
+    return recordFailedProbe(Core::ErrorKind::Unavailable, now);
+}
+
+auto UpstreamState::recordGoodProbe(const Ports::HealthReport& report, Core::Instant now) -> bool
+{
+    const bool wasDown = std::exchange(m_isKnownDown, false);
+    endDoubt(now);
     m_isEjected = false;
+    m_failedProbes = 0;
     m_consecutiveBad = 0;
     m_failureShare /= 2;
-    m_coldUntil = std::max(m_coldUntil, now + report->coldLeft);
-    if (report->coldLeft.count() > 0)
-        m_objects.clear();
+    return wasDown || report.coldLeft.count() > 0;
 }
 
-auto UpstreamState::requireProbe(Core::Instant now) -> void
+auto UpstreamState::doubt() -> void
+{
+    m_isDoubtful = true;
+    m_isProbeWanted = true;
+}
+
+auto UpstreamState::endDoubt(Core::Instant now) -> void
 {
+    m_isDoubtful = false;
+    m_isProbeWanted = false;
+    m_lastAnswer = now;
+}
+
+auto UpstreamState::recordFailedProbe(Core::ErrorKind kind, Core::Instant now) -> bool
+{
+    ++m_failedProbes;
+    m_probeAt = now + probeDelay(m_failedProbes);
+    // A full upstream answers late.
+    if (kind == Core::ErrorKind::Timeout)
+        return false;
     m_isEjected = true;
+    return kind == Core::ErrorKind::Unreachable && !std::exchange(m_isKnownDown, true);
+}
+
+auto UpstreamState::learn(bool isHealthy, Core::Duration coldLeft, Core::Instant now) -> void
+{
+    if (coldLeft.count() > 0)
+        setCold(now + coldLeft);
+    if (isHealthy && m_isEjected)
+        m_probeAt = now;
+    if (!isHealthy && !std::exchange(m_isEjected, true))
+        m_probeAt = now + firstProbeDelay;
+}
+
+auto UpstreamState::setCold(Core::Instant until) -> void
+{
+    m_coldUntil = std::max(m_coldUntil, until);
+    m_objects.clear();
+}
+
+auto UpstreamState::requireProbe(Core::Instant now) -> void
+{
+    if (std::exchange(m_isEjected, true))
+        return;
     m_failedProbes = 0;
     m_probeAt = now;
 }
@@ -124,9 +194,11 @@
 
 auto UpstreamState::isProbeDue(Core::Instant now) const -> bool
 {
-    return m_isListed && m_isEjected && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
+    return m_isListed && (m_isEjected || m_isProbeWanted) && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
 }
 
+auto UpstreamState::mayHaveRestarted(Core::Instant now) const -> bool { return now - m_lastAnswer >= shortestRestart; }
+
 auto UpstreamState::occupancy(double meanOfOthers, Core::Instant now) const -> double
 {
     const double halfLives = static_cast<double>((now - m_reportedAt).count())
--- /dev/null
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -0,0 +1,219 @@
+#include "forwardinghost/entryvm.h"
+
+namespace ForwardingHost {
+
+namespace {
+
+    /// Interval at which upstreams that need it are asked for their health.
+    constexpr Core::Millis probeInterval { 100 };
+    constexpr Core::Millis registrationRetry { 500 };
+    /// Entry VMs that are told of the health of an upstream, or of a request that crashes upstreams.
+    constexpr std::size_t announcementTargets = 32;
+    /// Part of the fleet's allowance of repeats that is used: views of the fleet's size differ for a while.
+    constexpr double usedAllowanceShare = 0.7;
+
+    auto selfOf(const HostSettings& settings, Core::WallTime now) -> EntryFleet::EntryVmEntry
+    {
+        return { settings.id, Core::StartMark(now.time_since_epoch().count()), settings.failureDomain, settings.region,
+            settings.front, settings.heartbeats, settings.peers };
+    }
+
+} // namespace
+
+EntryVm::EntryVm(const HostSettings& settings, const Forwarding::PlacementSettings& placement, Environment environment)
+    : m_settings(settings)
+    , m_environment(std::move(environment))
+    , m_self(selfOf(m_settings, m_environment.clock.wallTime()))
+    , m_fleet(m_self,
+          { m_environment.clock, m_environment.scheduler, m_environment.events, m_environment.heartbeats,
+              [this] { continueAfterHoldUp(); } })
+    , m_forwarder({ m_environment.clock, m_environment.scheduler, m_environment.random, m_environment.exchanges,
+          m_environment.events, m_environment.metrics,
+          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement } })
+    , m_registry({ m_environment.clock, m_environment.scheduler, m_environment.events },
+          [this](const Forwarding::UpstreamEntries& entries) { setUpstreams(entries); })
+    , m_configurationListener({ m_environment.codec, m_environment.clock, m_environment.events },
+          [this](const auto& configuration) { applyConfiguration(configuration); })
+    , m_upstreamListener({ m_environment.codec, m_environment.clock, m_environment.events }, m_registry)
+    , m_evacuationListener({ m_environment.codec, m_environment.clock, m_environment.events },
+          [this](const Forwarding::EvacuatedDomains& domains) { setEvacuated(domains); })
+    , m_entryVmListener({ m_environment.codec, m_environment.clock, m_environment.events }, m_fleet,
+          [this] { applyRetryAllowance(); })
+    , m_watchdog(std::make_shared<Following::StoreWatchdog>(followerEnvironment(), *this))
+    , m_peerRefresh(std::make_shared<Following::PeerRefresh>(
+          Following::PeerRefresh::Environment { followerEnvironment(), m_environment.mirrorPort, m_mirror,
+              [this] { return peersToAsk(); }, [this] { m_registry.storeRegained(); } }))
+{
+    m_forwarder.crashGuard().setAnnounce([this](const Dispatch::CrashSuspicion& suspicion) { announce(suspicion); });
+    m_forwarder.setNoticeAnnounce([this](const Forwarding::UpstreamNotice& notice) { announce(notice); });
+}
+
+EntryVm::~EntryVm() = default;
+
+auto EntryVm::start() -> void
+{
+    applyRetryAllowance();
+    m_registry.expectOutdatedEntries();
+    startFollowing();
+    registerSelf();
+    m_fleet.start();
+    scheduleProbes();
+}
+
+auto EntryVm::followerEnvironment() -> Following::CollectionFollower::Environment
+{
+    return { m_environment.clock, m_environment.store, m_environment.scheduler, m_environment.random,
+        m_environment.events, m_mirror };
+}
+
+auto EntryVm::startFollowing() -> void
+{
+    const auto names = m_environment.codec.collections();
+    follow(names.configuration, m_configurationListener);
+    follow(names.upstreams, m_upstreamListener);
+    follow(names.evacuations, m_evacuationListener);
+    follow(names.entryVms, m_entryVmListener);
+    m_watchdog->start();
+}
+
+auto EntryVm::follow(const Ports::CollectionName& name, Following::CollectionListener& listener) -> void
+{
+    auto environment = followerEnvironment();
+    const bool isOfUpstreams = name == m_environment.codec.collections().upstreams;
+    environment.storeAnswered = [this, isOfUpstreams] {
+        m_watchdog->noteAnswer();
+        if (isOfUpstreams)
+            m_forwarder.setListStale(false);
+    };
+    if (isOfUpstreams)
+        environment.storeFailed = [this] { m_forwarder.setListStale(true); };
+    const auto follower = std::make_shared<Following::CollectionFollower>(name, listener, std::move(environment));
+    m_followers.push_back(follower);
+    m_watchdog->add(follower);
+    m_peerRefresh->add(name, follower);
+    follower->start();
+}
+
+auto EntryVm::registerSelf() -> void
+{
+    const auto name = m_environment.codec.collections().entryVms;
+    m_environment.store.put(
+        name, m_environment.codec.encodeEntryVm(m_self), [this](const Core::Result<Ports::StoreRevision>& result) {
+            if (result)
+                return;
+            recordLifecycle("registration.failed", describe(result.error()));
+            m_registrationTimer = m_environment.scheduler.after(registrationRetry, [this] { registerSelf(); });
+        });
+}
+
+auto EntryVm::scheduleProbes() -> void
+{
+    m_probeTimer = m_environment.scheduler.after(probeInterval, [this] {
+        m_forwarder.runProbes();
+        scheduleProbes();
+    });
+}
+
+auto EntryVm::leave(Core::Instant end) -> void
+{
+    m_isLeaving = true;
+    m_forwarder.setEnd(end);
+    m_fleet.leave();
+}
+
+auto EntryVm::isStoreAnswering() const -> bool { return m_watchdog->isAnswering(); }
+
+auto EntryVm::takesCallers() const -> bool { return !m_isLeaving && m_forwarder.configuration() != nullptr; }
+
+auto EntryVm::callerAddresses() const -> std::vector<Core::Address>
+{
+    if (!m_forwarder.configuration())
+        return {};
+    return m_fleet.callerAddresses();
+}
+
+auto EntryVm::peersToAsk() const -> std::vector<Core::Address>
+{
+    auto peers = m_fleet.peerAddresses();
+    return peers.empty() ? m_settings.seeds : peers;
+}
+
+auto EntryVm::peersToTell() const -> std::vector<Core::Address>
+{
+    auto peers = m_fleet.peerAddresses();
+    peers.resize(std::min(peers.size(), announcementTargets));
+    return peers;
+}
+
+auto EntryVm::announce(const Dispatch::CrashSuspicion& suspicion) -> void
+{
+    for (const auto& address : peersToTell()) {
+        Fleet::EntryVm target;
+        target.peerAddress = address;
+        m_environment.suspicions.send(target, suspicion, [] {});
+    }
+}
+
+auto EntryVm::announce(const Forwarding::UpstreamNotice& notice) -> void
+{
+    for (const auto& address : peersToTell())
+        m_environment.notices.send(address, notice);
+}
+
+auto EntryVm::applyConfiguration(const std::shared_ptr<const Forwarding::RoutingConfiguration>& configuration) -> void
+{
+    m_forwarder.setConfiguration(configuration);
+    m_environment.limitsChanged(configuration->limits);
+}
+
+auto EntryVm::applyRetryAllowance() -> void
+{
+    const auto entryVms = static_cast<double>(m_fleet.listedCount());
+    m_forwarder.setRetryAllowance(
+        { m_settings.retryRatio * usedAllowanceShare, m_settings.retrySlack * usedAllowanceShare / entryVms });
+}
+
+auto EntryVm::setUpstreams(const Forwarding::UpstreamEntries& entries) -> void
+{
+    const std::lock_guard lock(m_listMutex);
+    m_upstreams = entries;
+    m_forwarder.setUpstreams(m_upstreams, m_evacuated);
+}
+
+auto EntryVm::setEvacuated(const Forwarding::EvacuatedDomains& domains) -> void
+{
+    const std::lock_guard lock(m_listMutex);
+    m_evacuated = domains;
+    m_forwarder.setUpstreams(m_upstreams, m_evacuated);
+}
+
+auto EntryVm::continueAfterHoldUp() -> void
+{
+    m_registry.expectOutdatedEntries();
+    m_forwarder.doubtUpstreams();
+}
+
+auto EntryVm::storeLost() -> void
+{
+    recordLifecycle("store.unanswered", "what is known of the store stays in force");
+    m_registry.storeLost();
+    m_forwarder.setListStale(true);
+    m_peerRefresh->start();
+}
+
+auto EntryVm::storeRegained() -> void
+{
+    recordLifecycle("store.answers", "the store answers again");
+    m_peerRefresh->stop();
+    m_forwarder.setListStale(false);
+    m_registry.storeRegained();
+}
+
+auto EntryVm::recordLifecycle(const char* kind, const std::string& detail) -> void
+{
+    m_environment.events.record({ Ports::EventKind(kind), {},
+        { { "detail", detail }, { "failureDomain", m_settings.failureDomain.value() },
+            { "start", std::to_string(m_self.start.value()) } } });
+}
+
+} // namespace ForwardingHost
--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -2,6 +2,13 @@
 
 namespace ForwardingHost {
 
+namespace {
+
+    /// Upstreams that start again while an older list is on its way may be in it with their earlier start.
+    constexpr Core::Millis freshListAge { 100 };
+
+} // namespace
+
 auto DecodingListener::recordUnreadable(const Ports::CollectionItem& item, const Core::Error& error) -> void
 {
     m_environment.events.record({ Ports::EventKind("store.item-refused"), {},
@@ -15,9 +22,9 @@
 {
 }
 
-auto ConfigurationListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+auto ConfigurationListener::replaceAll(const Ports::CollectionList& list) -> void
 {
-    for (const auto& item : items)
+    for (const auto& item : list.items)
         upsert(item);
 }
 
@@ -51,17 +58,17 @@
 {
 }
 
-auto UpstreamListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+auto UpstreamListener::replaceAll(const Ports::CollectionList& list) -> void
 {
     std::vector<Forwarding::UpstreamEntry> entries;
-    for (const auto& item : items) {
+    for (const auto& item : list.items) {
         const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
         if (entry)
             entries.push_back(*entry);
         else
             recordUnreadable(item, entry.error());
     }
-    m_registry.replaceAll(entries);
+    m_registry.replaceAll(entries, list.age > freshListAge);
 }
 
 auto UpstreamListener::upsert(const Ports::CollectionItem& item) -> void
@@ -83,10 +90,10 @@
 {
 }
 
-auto EvacuationListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+auto EvacuationListener::replaceAll(const Ports::CollectionList& list) -> void
 {
     auto ended = m_domains;
-    for (const auto& item : items) {
+    for (const auto& item : list.items) {
         ended.erase(Core::FailureDomainId(item.name));
         upsert(item);
     }
@@ -117,10 +124,10 @@
 {
 }
 
-auto EntryVmListener::replaceAll(const std::vector<Ports::CollectionItem>& items) -> void
+auto EntryVmListener::replaceAll(const Ports::CollectionList& list) -> void
 {
     std::vector<EntryFleet::EntryVmEntry> entries;
-    for (const auto& item : items) {
+    for (const auto& item : list.items) {
         const auto entry = environment().codec.decodeEntryVm(item);
         if (entry)
             entries.push_back(*entry);
--- a/src/libs/forwardinghost/listeners.h
+++ b/src/libs/forwardinghost/listeners.h
@@ -39,7 +39,7 @@
 
     ConfigurationListener(ListenerEnvironment environment, Changed changed);
 
-    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override;
+    auto replaceAll(const Ports::CollectionList& list) -> void override;
     auto upsert(const Ports::CollectionItem& item) -> void override;
     auto remove(const std::string& name) -> void override;
 
@@ -53,7 +53,7 @@
 public:
     UpstreamListener(ListenerEnvironment environment, Forwarding::UpstreamRegistry& registry);
 
-    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override;
+    auto replaceAll(const Ports::CollectionList& list) -> void override;
     auto upsert(const Ports::CollectionItem& item) -> void override;
     auto remove(const std::string& name) -> void override;
     auto commit() -> void override;
@@ -69,7 +69,7 @@
 
     EvacuationListener(ListenerEnvironment environment, Changed changed);
 
-    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override;
+    auto replaceAll(const Ports::CollectionList& list) -> void override;
     auto upsert(const Ports::CollectionItem& item) -> void override;
     auto remove(const std::string& name) -> void override;
     auto commit() -> void override;
@@ -86,7 +86,7 @@
 
     EntryVmListener(ListenerEnvironment environment, EntryFleet::EntryFleet& fleet, Changed changed);
 
-    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override;
+    auto replaceAll(const Ports::CollectionList& list) -> void override;
     auto upsert(const Ports::CollectionItem& item) -> void override;
     auto remove(const std::string& name) -> void override;
     auto commit() -> void override;
--- a/src/libs/ports/collectionstore.h
+++ b/src/libs/ports/collectionstore.h
@@ -27,6 +27,8 @@
 struct CollectionList {
     std::vector<CollectionItem> items;
     StoreRevision revision;
+    /// Time since the store was asked, in which more may have changed.
+    Core::Duration age {};
 };
 
 struct CollectionChange {
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -41,6 +41,8 @@
     MessagePointer request;
     /// The upstream is told to give up after this time.
     Core::Duration timeLeft {};
+    /// Called when the upstream has closed a kept connection before its time: its process may have ended since.
+    std::function<void()> connectionEnded;
 };
 
 enum class ExchangeOutcome : std::uint8_t {
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -137,7 +137,7 @@
 
     auto send(Call call, Callback callback) -> std::shared_ptr<PendingCall>
     {
-        auto connection = takeIdle(keyOf(call));
+        auto connection = takeIdle(call);
         if (!connection)
             connection = std::make_shared<Connection>(m_context);
         auto executor = connection->stream.get_executor();
@@ -254,24 +254,34 @@
         return { stage, connection.isReused, error.message() };
     }
 
-    auto takeIdle(const PoolKey& key) -> ConnectionPointer
+    auto takeIdle(const Call& call) -> ConnectionPointer
     {
-        return m_idle.with(key.address, [&](Pool& pool) -> ConnectionPointer {
-            const auto found = pool.find(key);
-            if (found == pool.end())
-                return nullptr;
-            auto& connections = found->second;
-            while (!connections.empty()) {
-                auto connection = std::move(connections.back());
-                connections.pop_back();
-                const bool isFresh = connection->usableUntil > std::chrono::steady_clock::now();
-                if (isFresh && isStillOpen(*connection)) {
-                    connection->isReused = true;
-                    return connection;
-                }
-            }
+        bool hasOneEnded = false;
+        auto connection
+            = m_idle.with(call.address, [&](Pool& pool) { return takeIdle(pool, keyOf(call), hasOneEnded); });
+        if (!connection && hasOneEnded && call.idleConnectionEnded)
+            call.idleConnectionEnded();
+        return connection;
+    }
+
+    static auto takeIdle(Pool& pool, const PoolKey& key, bool& hasOneEnded) -> ConnectionPointer
+    {
+        const auto found = pool.find(key);
+        if (found == pool.end())
             return nullptr;
-        });
+        auto& connections = found->second;
+        while (!connections.empty()) {
+            auto connection = std::move(connections.back());
+            connections.pop_back();
+            if (connection->usableUntil <= std::chrono::steady_clock::now())
+                continue;
+            if (isStillOpen(*connection)) {
+                connection->isReused = true;
+                return connection;
+            }
+            hasOneEnded = true;
+        }
+        return nullptr;
     }
 
     auto keep(const Call& call, const ConnectionPointer& connection, Core::Duration idleTime) -> void
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -51,6 +51,8 @@
     /// Whether a response belongs to this request. Others are skipped, and the connection is closed afterwards. Empty
     /// takes the first response.
     std::function<bool(const HttpResponse&)> isOwnResponse;
+    /// Called before the call goes out over a new connection when the server has closed an idle one before its time.
+    std::function<void()> idleConnectionEnded;
 };
 
 /// Exchange that was started; may be given up. Dropping it leaves the exchange running.
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -44,6 +44,12 @@
         return ExchangeOutcome::Cancelled;
     }
 
+    auto errorKindOf(const HttpClient::Failure& failure) -> Core::ErrorKind
+    {
+        const bool isTimeout = failure.stage == HttpClient::FailureStage::TimedOut;
+        return isTimeout ? Core::ErrorKind::Timeout : Core::ErrorKind::Unreachable;
+    }
+
     auto parseNumber(std::string_view text) -> std::optional<std::uint32_t>
     {
         std::uint32_t number = 0;
@@ -90,6 +96,7 @@
         const auto echoed = response.find(m_names.requestId);
         return echoed == response.end() || echoed->value() == id;
     };
+    httpCall.idleConnectionEnded = std::move(call.connectionEnded);
     auto pending = m_client.send(std::move(httpCall),
         [this, callback = std::move(callback)](tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
             if (result) {
@@ -160,7 +167,7 @@
             if (result)
                 callback(decodeHealth(result->response));
             else
-                callback(Core::fail(Core::ErrorKind::Unreachable, result.error().detail, "ask again later"));
+                callback(Core::fail(errorKindOf(result.error()), result.error().detail, "ask again later"));
         });
 }
 
--- a/tests/auto/entryfleet/tst_entryfleet.cpp
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -1,5 +1,6 @@
 #include "datagrampeer/datagrampeer.h"
 #include "entryfleet/entryfleet.h"
+#include "fakes/virtualworld.h"
 #include "support/virtualtime.h"
 
 #include <boost/test/unit_test.hpp>
@@ -64,6 +65,53 @@
     EntryFleet::EntryFleet other { entryVm("sav-1", "sav"), { time, time, events, wire } };
 };
 
+/// Heartbeats that reach the process at an address, later when it is paused.
+class WorldWire : public EntryFleet::HeartbeatPort {
+public:
+    explicit WorldWire(Fakes::VirtualWorld& world)
+        : m_world(world)
+    {
+    }
+
+    auto send(const Core::Address& to, const EntryFleet::Heartbeat& heartbeat) -> void override
+    {
+        m_world.post(to, Core::Millis(1), [this, to, heartbeat] { receivers.at(to)->receive(heartbeat); });
+    }
+
+    std::map<Core::Address, EntryFleet::EntryFleet*> receivers;
+
+private:
+    Fakes::VirtualWorld& m_world;
+};
+
+/// Two entry VMs of one region, of which the first can be paused.
+struct TwoEntryVmsInAWorld {
+    TwoEntryVmsInAWorld()
+    {
+        wire.receivers = { { Core::Address("atl-1:81"), &one }, { Core::Address("atl-2:81"), &two } };
+        for (auto* fleet : { &one, &two }) {
+            fleet->replaceAll({ entryVm("atl-1", "atl"), entryVm("atl-2", "atl") });
+            fleet->start();
+        }
+        world.runFor(Core::Millis(3000));
+    }
+
+    auto freeze(Core::Duration time) -> void
+    {
+        world.pause(Core::Address("atl-1:81"));
+        world.runFor(time);
+        world.resume(Core::Address("atl-1:81"));
+    }
+
+    IgnoredEvents events;
+    Fakes::VirtualWorld world { 1 };
+    WorldWire wire { world };
+    Fakes::VirtualNode firstNode { world, Core::Address("atl-1:81") };
+    Fakes::VirtualNode secondNode { world, Core::Address("atl-2:81") };
+    EntryFleet::EntryFleet one { entryVm("atl-1", "atl"), { world, firstNode, events, wire } };
+    EntryFleet::EntryFleet two { entryVm("atl-2", "atl"), { world, secondNode, events, wire } };
+};
+
 auto coldUpstream(const std::string& id) -> Forwarding::UpstreamEntry
 {
     Forwarding::UpstreamEntry entry;
@@ -159,6 +207,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AnEntryVmThatWasFrozen, TwoEntryVmsInAWorld)
+
+BOOST_AUTO_TEST_CASE(NamesTheOthersToCallersAsBefore)
+{
+    freeze(Core::Millis(6000));
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+    world.runFor(Core::Millis(2));
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(OwnsNoColdUpstreamUntilItHasHeardTheOthers)
+{
+    freeze(Core::Millis(6000));
+    for (int upstream = 0; upstream < 40; ++upstream)
+        BOOST_TEST(!one.isOwner(coldUpstream("u" + std::to_string(upstream))));
+    world.runFor(Core::Millis(2));
+    for (int upstream = 0; upstream < 40; ++upstream)
+        BOOST_TEST(!one.isOwner(coldUpstream("u" + std::to_string(upstream))));
+    world.runFor(Core::Millis(3000));
+    for (int upstream = 0; upstream < 40; ++upstream) {
+        const auto entry = coldUpstream("u" + std::to_string(upstream));
+        BOOST_TEST(one.isOwner(entry) != two.isOwner(entry));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(FindsOutWhoDiedMeanwhile)
+{
+    world.crash(Core::Address("atl-2:81"));
+    freeze(Core::Millis(6000));
+    world.runFor(EntryFleet::EntryFleet::silenceLimit + EntryFleet::EntryFleet::heartbeatInterval);
+    BOOST_TEST((one.callerAddresses() == std::vector { Core::Address("atl-1:80") }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AHeartbeat)
 
 BOOST_AUTO_TEST_CASE(IsReadAsItWasWritten)
--- a/tests/auto/following/fakes.h
+++ b/tests/auto/following/fakes.h
@@ -79,10 +79,10 @@
 /// Keeps the names that it is told of.
 class NameListener : public Following::CollectionListener {
 public:
-    auto replaceAll(const std::vector<Ports::CollectionItem>& items) -> void override
+    auto replaceAll(const Ports::CollectionList& list) -> void override
     {
         names.clear();
-        for (const auto& item : items)
+        for (const auto& item : list.items)
             names.insert(item.name);
     }
     auto upsert(const Ports::CollectionItem& item) -> void override { names.insert(item.name); }
--- a/tests/auto/following/tst_collectionfollower.cpp
+++ b/tests/auto/following/tst_collectionfollower.cpp
@@ -27,7 +27,7 @@
     NameListener listener;
     Ports::CollectionName name { "upstreams" };
     std::shared_ptr<Following::CollectionFollower> follower = std::make_shared<Following::CollectionFollower>(
-        name, listener, Following::CollectionFollower::Environment { store, time, random, events, mirror });
+        name, listener, Following::CollectionFollower::Environment { time, store, time, random, events, mirror });
 };
 
 } // namespace
--- a/tests/auto/following/tst_peerrefresh.cpp
+++ b/tests/auto/following/tst_peerrefresh.cpp
@@ -53,7 +53,7 @@
     bool isLost = false;
     int refreshes = 0;
     Ports::CollectionName name { "evacuations" };
-    Following::CollectionFollower::Environment environment { store, time, random, events, mirror };
+    Following::CollectionFollower::Environment environment { time, store, time, random, events, mirror };
     std::shared_ptr<Following::CollectionFollower> follower
         = std::make_shared<Following::CollectionFollower>(name, listener, environment);
     std::shared_ptr<Following::StoreWatchdog> watchdog = std::make_shared<Following::StoreWatchdog>(environment, *this);
--- /dev/null
+++ b/tests/auto/following/tst_storewatchdog.cpp
@@ -0,0 +1,83 @@
+#include "fakes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace FollowingTest;
+
+namespace {
+
+/// Store whose pings a test answers by hand.
+class PingedStore : public ScriptedStore {
+public:
+    auto ping(DoneCallback callback) -> void override { pings.push_back(std::move(callback)); }
+
+    std::vector<DoneCallback> pings;
+};
+
+class OutageBook : public Following::StoreListener {
+public:
+    auto storeLost() -> void override { ++lost; }
+    auto storeRegained() -> void override { ++regained; }
+
+    int lost = 0;
+    int regained = 0;
+};
+
+struct AWatchedStore {
+    AWatchedStore()
+    {
+        watchdog->start();
+        time.runFor(Core::Millis(1000));
+    }
+
+    auto answerLast(const Core::Result<Ports::StoreRevision>& result) -> void { store.pings.back()(result); }
+
+    TestSupport::VirtualTime time;
+    SeededRandom random;
+    IgnoredEvents events;
+    PingedStore store;
+    Following::CollectionMirror mirror;
+    OutageBook outages;
+    std::shared_ptr<Following::StoreWatchdog> watchdog = std::make_shared<Following::StoreWatchdog>(
+        Following::CollectionFollower::Environment { time, store, time, random, events, mirror }, outages);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AWatchdog, AWatchedStore)
+
+BOOST_AUTO_TEST_SUITE(OfAStoreThatFallsSilent)
+
+BOOST_AUTO_TEST_CASE(TellsOfTheOutageOnce)
+{
+    answerLast(ScriptedStore::away());
+    time.runFor(Core::Millis(300));
+    answerLast(ScriptedStore::away());
+    BOOST_TEST(outages.lost == 1);
+    BOOST_TEST(!watchdog->isAnswering());
+}
+
+BOOST_AUTO_TEST_CASE(TellsOfTheReturnWithTheFirstAnswerToAnyCall)
+{
+    answerLast(ScriptedStore::away());
+    watchdog->noteAnswer();
+    BOOST_TEST(outages.regained == 1);
+    BOOST_TEST(watchdog->isAnswering());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhosePingIsLost)
+
+BOOST_AUTO_TEST_CASE(TakesNoOutageFromItWhenAnotherCallWasAnsweredLater)
+{
+    time.runFor(Core::Millis(500));
+    watchdog->noteAnswer();
+    answerLast(ScriptedStore::away());
+    BOOST_TEST(outages.lost == 0);
+    BOOST_TEST(watchdog->isAnswering());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/forwarding/tst_servicepool.cpp
+++ b/tests/auto/forwarding/tst_servicepool.cpp
@@ -237,7 +237,7 @@
     for (int failure = 0; failure < 2; ++failure) {
         const auto choice = choose("1");
         BOOST_REQUIRE(choice);
-        end(*choice, "1", Ports::ExchangeOutcome::NotSent);
+        end(*choice, "1", Ports::ExchangeOutcome::TimedOut);
     }
     BOOST_TEST(!choose("1"));
     now += Core::Millis(400);
@@ -247,6 +247,91 @@
     BOOST_TEST(choose("1").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(IsAskedWhenAConnectionEndedSinceItMayHaveStartedAgain)
+{
+    list({ upstream("a1") });
+    end(*choose("1"), "1", Ports::ExchangeOutcome::Lost);
+    BOOST_TEST(choose("1").has_value());
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, Core::Millis(3000), {} }, now);
+    entryVms.ownsColdUpstreams = false;
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_CASE(GetsOneRequestAtATimeUntilItIsAskedWhenTheListIsStale)
+{
+    for (const auto outcome : { Ports::ExchangeOutcome::Lost, Ports::ExchangeOutcome::NotSent }) {
+        list({});
+        list({ upstream("a1") });
+        const auto first = choose("1");
+        const auto second = choose("1");
+        pool.setListStale(true);
+        end(*first, "1", outcome);
+        BOOST_TEST(!choose("1"));
+        end(*second, "1");
+        const auto due = pool.takeDueProbes(now);
+        BOOST_REQUIRE(due.size() == 1U);
+        pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+        BOOST_TEST(choose("1").has_value());
+        BOOST_TEST(choose("1").has_value());
+        pool.setListStale(false);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsAskedWhenAStaleListHasNotBeenConfirmedByAnAnswer)
+{
+    list({ upstream("a1") });
+    pool.setListStale(true);
+    BOOST_TEST(choose("1").has_value());
+    BOOST_TEST(!choose("1"));
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    // A full or leaving upstream answers that it is not well: it has not started again.
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, false, {}, {} }, now);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsAskedAgainWhenTheAnswerIsOld)
+{
+    list({ upstream("a1") });
+    pool.doubtAll();
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    now += Core::Millis(5000);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsLeftAloneWhenAnotherEntryVmFoundItDown)
+{
+    list({ upstream("a1") });
+    pool.learn({ stock, Core::UpstreamId("a1"), false, {} }, now);
+    BOOST_TEST(!choose("1"));
+    BOOST_TEST(pool.takeDueProbes(now).empty());
+    pool.learn({ stock, Core::UpstreamId("a1"), true, Core::Millis(3000) }, now);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsNewsForOthersOnceWhenItIsDownAndOnceWhenItIsBack)
+{
+    list({ upstream("a1") });
+    const auto ask = [this](const Core::Result<Ports::HealthReport>& report) {
+        const auto due = pool.takeDueProbes(now);
+        return due.size() == 1U && pool.recordProbe(due.front(), report, now);
+    };
+    const Core::Result<Ports::HealthReport> down = Core::fail(Core::ErrorKind::Unreachable, "refused", "ask again");
+    const Ports::HealthReport well { Core::UpstreamId("a1"), true, {}, {} };
+    pool.doubtAll();
+    BOOST_TEST(ask(down));
+    now += Core::Millis(3000);
+    BOOST_TEST(!ask(down));
+    now += Core::Millis(3000);
+    BOOST_TEST(ask(well));
+    pool.doubtAll();
+    BOOST_TEST(!ask(well));
+}
+
 BOOST_AUTO_TEST_CASE(IsNotTakenForWellWhenAnotherHasItsAddress)
 {
     list({ upstream("a1") });
--- a/tests/auto/forwarding/tst_upstreamregistry.cpp
+++ b/tests/auto/forwarding/tst_upstreamregistry.cpp
@@ -88,4 +88,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ThatIsNewToTheProcess)
+
+BOOST_AUTO_TEST_CASE(IsTakenAsItIsFromAFreshList) { BOOST_TEST(!known.at(Core::UpstreamId("a1")).mayBeOutdated); }
+
+BOOST_AUTO_TEST_CASE(IsCheckedFirstWhenTheListMayBeStale)
+{
+    registry.replaceAll({ upstream("a1"), upstream("a2") }, true);
+    registry.commit();
+    BOOST_TEST(!known.at(Core::UpstreamId("a1")).mayBeOutdated);
+    BOOST_TEST(known.at(Core::UpstreamId("a2")).mayBeOutdated);
+}
+
+BOOST_AUTO_TEST_CASE(IsCheckedFirstWhileTheStoreIsAwayAndRightAfterItsReturn)
+{
+    registry.storeLost();
+    registry.upsert(upstream("a2"));
+    registry.storeRegained();
+    registry.upsert(upstream("a3"));
+    registry.commit();
+    BOOST_TEST(known.at(Core::UpstreamId("a2")).mayBeOutdated);
+    BOOST_TEST(known.at(Core::UpstreamId("a3")).mayBeOutdated);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/forwardinghost/tst_listeners.cpp
+++ b/tests/auto/forwardinghost/tst_listeners.cpp
@@ -52,6 +52,11 @@
     return { name, Ports::StoreRevision(1), text };
 }
 
+auto listOf(std::vector<Ports::CollectionItem> items) -> Ports::CollectionList
+{
+    return { std::move(items), Ports::StoreRevision(1) };
+}
+
 struct Host {
     TestSupport::VirtualTime time;
     EventBook events;
@@ -72,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(TakesNewerOnesOnly)
 {
-    configurations.replaceAll({ item("current", "7") });
+    configurations.replaceAll(listOf({ item("current", "7") }));
     configurations.upsert(item("current", "5"));
     BOOST_TEST(version == 7U);
     configurations.upsert(item("another", "9"));
@@ -83,7 +88,7 @@
 
 BOOST_AUTO_TEST_CASE(KeepsWhatIsInForceWhenOneCannotBeReadOrIsRemoved)
 {
-    configurations.replaceAll({ item("current", "7") });
+    configurations.replaceAll(listOf({ item("current", "7") }));
     configurations.upsert(item("current"));
     configurations.remove("current");
     BOOST_TEST(version == 7U);
@@ -96,13 +101,13 @@
 
 BOOST_AUTO_TEST_CASE(RecordsEachOnceHoweverItLearnsOfIt)
 {
-    evacuations.replaceAll({ item("atl-a") });
-    evacuations.replaceAll({ item("atl-a"), item("atl-b") });
+    evacuations.replaceAll(listOf({ item("atl-a") }));
+    evacuations.replaceAll(listOf({ item("atl-a"), item("atl-b") }));
     evacuations.upsert(item("atl-b"));
     evacuations.commit();
     BOOST_TEST(evacuated.size() == 2U);
     BOOST_TEST(events.count("evacuation.started") == 2);
-    evacuations.replaceAll({});
+    evacuations.replaceAll(listOf({}));
     evacuations.commit();
     BOOST_TEST(evacuated.empty());
     BOOST_TEST(events.count("evacuation.ended") == 2);
--- /dev/null
+++ b/tests/auto/forwardingsoak/forwardingchaos.cpp
@@ -0,0 +1,358 @@
+#include "forwardingchaos.h"
+
+#include <algorithm>
+
+namespace {
+
+using Fakes::ForwardingSite;
+
+constexpr Core::Duration longestStep = Core::Millis(20);
+constexpr std::size_t upstreamCount = 12;
+constexpr Core::Millis coldTime { 3000 };
+/// Time after which the entry of a crashed upstream lapses.
+constexpr Core::Millis entryLifetime { 4500 };
+/// Time after which another upstream may have the address of one that ended.
+constexpr Core::Millis addressReuseTime { 2000 };
+/// Time for which an upstream that crashed is down; it is back after some seconds.
+constexpr Core::Millis shortestRestart { 2000 };
+constexpr Core::Millis longestRestart { 8000 };
+constexpr Core::Millis upstreamHeartbeat { 1500 };
+constexpr Core::Millis storeReturnTime { 1900 };
+constexpr Core::Millis healingTime { 15'000 };
+constexpr Core::Millis longestPatience { 3000 };
+constexpr double usualSendChance = 0.8;
+constexpr std::array domains { "atl-a", "atl-b", "sav-a", "sav-b" };
+constexpr std::array services { "stock", "holds" };
+constexpr std::size_t objects = 40;
+
+auto routeOf(const std::string& service, bool isIdempotent) -> Forwarding::Route
+{
+    Forwarding::Route route;
+    route.id = Forwarding::RouteId(service);
+    route.host = "desk.example";
+    route.pathPrefix = "/" + service + "/";
+    route.services = { { Core::ServiceId(service), 1 } };
+    route.isIdempotent = isIdempotent;
+    route.keepsObjects = isIdempotent;
+    route.attempts = 2;
+    route.timeout = Core::Millis(2500);
+    route.targetLatency = Core::Millis(300);
+    return route;
+}
+
+} // namespace
+
+ForwardingChaos::ForwardingChaos(std::uint64_t seed)
+    : m_site(seed)
+{
+    configure();
+    for (std::size_t index = 0; index < upstreamCount; ++index)
+        addUpstream(Core::Address("10.0.0." + std::to_string(index) + ":80"));
+    for (std::size_t index = 0; index < ForwardingSite::size; ++index)
+        m_site.startVm(index);
+    m_site.world.runFor(Core::Millis(4000));
+}
+
+auto ForwardingChaos::run(Core::Duration duration) -> void
+{
+    const auto end = m_site.world.now() + duration;
+    while (m_site.world.now() < end && m_site.book.violations().empty())
+        step();
+}
+
+auto ForwardingChaos::step() -> void
+{
+    auto& world = m_site.world;
+    if (world.chance(m_sendChance))
+        sendRequest();
+    if (world.chance(0.02))
+        abandonRequest();
+    if (world.chance(0.003))
+        configure();
+    if (world.chance(0.002))
+        evacuate();
+    if (world.chance(0.004))
+        disturbVms();
+    if (world.chance(0.003))
+        disturbNetwork();
+    if (world.chance(0.003))
+        disturbStore();
+    if (world.chance(0.006))
+        disturbUpstreams();
+    if (world.chance(0.004))
+        setFieldFaults();
+    if (world.chance(0.004))
+        m_sendChance = m_sendChance < 1 && world.chance(0.5) ? 4 : usualSendChance;
+    world.runFor(world.between(Core::Duration(100), m_sendChance > 1 ? longestStep / 4 : longestStep));
+    m_site.checkBeliefs();
+}
+
+auto ForwardingChaos::sendRequest() -> void
+{
+    auto& world = m_site.world;
+    const auto index = anyVm();
+    if (!m_site.isRunning(index))
+        return;
+    const std::size_t service = world.chance(0.6) ? 0 : 1;
+    Forwarding::ForwardRequest request;
+    request.id = Core::RequestId("r" + std::to_string(m_nextRequest++));
+    request.host = "desk.example";
+    request.path = "/" + std::string(services.at(service)) + "/7";
+    request.object = Forwarding::ObjectKey(std::to_string(world.below(objects)));
+    request.patience = world.between(Core::Millis(1), longestPatience);
+    auto& open = m_open.at(index);
+    open.push_back(m_site.send(index, std::move(request), service == 0));
+    std::erase_if(open, [](const auto& one) { return one.use_count() == 1; });
+}
+
+auto ForwardingChaos::abandonRequest() -> void
+{
+    const auto vm = anyVm();
+    auto& open = m_open.at(vm);
+    if (open.empty() || !m_site.isRunning(vm))
+        return;
+    const auto index = m_site.world.below(open.size());
+    open.at(index)->abandon();
+    open.erase(open.begin() + static_cast<OpenRequests::difference_type>(index));
+}
+
+auto ForwardingChaos::configure() -> void
+{
+    if (!isStoreWell())
+        return;
+    auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
+    m_version += 1 + m_site.world.below(5);
+    configuration->version = Core::Version(m_version);
+    for (std::size_t index = 0; index < services.size(); ++index) {
+        configuration->routes.add(routeOf(services.at(index), index == 0));
+        configuration->services[Core::ServiceId(services.at(index))]
+            = { "/health", coldTime, m_site.field.bounds().coldRate };
+    }
+    m_site.configure(std::move(configuration));
+}
+
+auto ForwardingChaos::evacuate() -> void
+{
+    if (!isStoreWell())
+        return;
+    const Core::FailureDomainId domain(domains.at(m_site.world.below(domains.size())));
+    const bool isEvacuated = m_evacuated.empty();
+    if (isEvacuated)
+        m_evacuated.insert(domain);
+    for (const auto& one : m_evacuated)
+        m_site.setEvacuated(one, isEvacuated);
+    if (!isEvacuated)
+        m_evacuated.clear();
+}
+
+auto ForwardingChaos::disturbVms() -> void
+{
+    const auto index = anyVm();
+    if (m_site.vm(index) == nullptr)
+        m_site.startVm(index);
+    else if (!m_site.isRunning(index))
+        m_site.resumeVm(index);
+    else if (m_site.world.chance(0.5))
+        m_site.pauseVm(index);
+    else
+        crashVm(index);
+}
+
+auto ForwardingChaos::crashVm(std::size_t index) -> void
+{
+    m_open.at(index).clear();
+    m_site.crashVm(index);
+}
+
+auto ForwardingChaos::disturbNetwork() -> void
+{
+    auto& world = m_site.world;
+    if (world.chance(0.5))
+        world.setFaults({});
+    else
+        world.setFaults({ 0.3, 0.1, Core::Millis(1), Core::Millis(60) });
+}
+
+auto ForwardingChaos::disturbStore() -> void
+{
+    if (m_isStoreDisturbed || m_isHealing)
+        return;
+    m_isStoreDisturbed = true;
+    auto& world = m_site.world;
+    const auto away = world.between(Core::Millis(500), Core::Millis(8000));
+    switch (world.below(5)) {
+    case 0:
+        m_site.setStoreFaults({ true, false, Core::Millis(4) });
+        lapseEntries(away);
+        break;
+    case 1:
+        m_site.setStoreFaults({ false, true, Core::Millis(4) });
+        break;
+    case 2:
+        m_site.setStoreFaults({ false, false, Core::Millis(400) });
+        break;
+    case 3:
+        m_site.turnAway(anyVm());
+        m_site.turnAway(anyVm());
+        break;
+    default:
+        m_site.dropHistory();
+        break;
+    }
+    later(away, [this] { endStoreTrouble(); });
+}
+
+auto ForwardingChaos::endStoreTrouble() -> void
+{
+    m_isStoreDisturbed = false;
+    m_site.healStore();
+}
+
+auto ForwardingChaos::lapseEntries(Core::Duration away) -> void
+{
+    auto& world = m_site.world;
+    for (const auto& id : m_upstreams) {
+        if (m_leaving.contains(id) || !world.chance(0.5))
+            continue;
+        m_site.unlistUpstream(id);
+        later(away + world.between(Core::Millis(1), storeReturnTime), [this, id] { listWhenStoreTakesIt(id); });
+    }
+}
+
+auto ForwardingChaos::isStoreWell() const -> bool { return !m_isStoreDisturbed; }
+
+auto ForwardingChaos::later(Core::Duration delay, Ports::Scheduler::Task task) -> void
+{
+    m_site.world.post(Fakes::NodeId("operator"), delay, std::move(task));
+}
+
+auto ForwardingChaos::setFieldFaults() -> void
+{
+    auto& world = m_site.world;
+    if (m_isHealing || world.chance(0.4))
+        m_site.field.setFaults({});
+    else
+        m_site.field.setFaults({ 0.1, 0.05, 0.05, 0.03, 0.03 });
+}
+
+auto ForwardingChaos::anyUpstream() -> std::optional<Core::UpstreamId>
+{
+    std::vector<Core::UpstreamId> candidates;
+    for (const auto& id : m_upstreams) {
+        if (!m_leaving.contains(id))
+            candidates.push_back(id);
+    }
+    if (candidates.size() < upstreamCount / 2)
+        return std::nullopt;
+    return candidates.at(m_site.world.below(candidates.size()));
+}
+
+auto ForwardingChaos::disturbUpstreams() -> void
+{
+    const auto id = anyUpstream();
+    if (!id || m_isHealing)
+        return;
+    if (m_site.world.chance(0.5))
+        crash(*id);
+    else if (isStoreWell())
+        drain(*id, m_site.world.chance(0.7));
+}
+
+auto ForwardingChaos::drain(const Core::UpstreamId& id, bool isAnnounced) -> void
+{
+    m_leaving.insert(id);
+    m_site.field.retire(id);
+    if (isAnnounced)
+        m_site.listUpstream(id, true);
+    else
+        m_site.unlistUpstream(id);
+    const auto stay = m_site.field.bounds().drain + m_site.world.between(Core::Millis(100), Core::Millis(6000));
+    later(stay, [this, id] {
+        const auto address = m_site.field.entry(id).target.address;
+        m_site.field.end(id);
+        m_site.unlistUpstream(id);
+        m_upstreams.erase(id);
+        later(addressReuseTime, [this, address] { addUpstream(address); });
+    });
+}
+
+auto ForwardingChaos::crash(const Core::UpstreamId& id) -> void
+{
+    const auto entry = m_site.field.entry(id);
+    m_site.tell("crash of upstream=" + id.value());
+    m_leaving.insert(id);
+    m_site.field.end(id);
+    later(m_site.world.between(shortestRestart, longestRestart), [this, entry] { restart(entry); });
+    later(entryLifetime, [this, id] {
+        if (!m_site.field.isUp(id))
+            m_site.unlistUpstream(id);
+    });
+}
+
+auto ForwardingChaos::restart(const Forwarding::UpstreamEntry& ended) -> void
+{
+    auto entry = ended;
+    entry.target.start = Core::StartMark(m_nextStart++);
+    m_leaving.erase(ended.target.id);
+    m_site.field.add(entry, coldTime);
+    m_site.tell("restart of upstream=" + entry.target.id.value());
+    listWhenStoreTakesIt(entry.target.id);
+}
+
+auto ForwardingChaos::listWhenStoreTakesIt(const Core::UpstreamId& id) -> void
+{
+    if (!m_site.field.isUp(id) || m_leaving.contains(id))
+        return;
+    if (m_site.store.faults().isAway)
+        later(upstreamHeartbeat, [this, id] { listWhenStoreTakesIt(id); });
+    else
+        m_site.listUpstream(id, false);
+}
+
+auto ForwardingChaos::makeEntry(const Core::UpstreamId& id, const Core::Address& address) -> Forwarding::UpstreamEntry
+{
+    const auto number = m_nextUpstream;
+    const std::string domain = domains.at(number % domains.size());
+    Forwarding::UpstreamEntry entry;
+    entry.target = { id, Core::StartMark(m_nextStart++), address };
+    entry.service = Core::ServiceId(services.at((number / domains.size()) % services.size()));
+    entry.failureDomain = Core::FailureDomainId(domain);
+    entry.region = Core::RegionId(domain.substr(0, 3));
+    entry.slots = Core::SlotCount(4);
+    return entry;
+}
+
+auto ForwardingChaos::addUpstream(const Core::Address& address) -> void
+{
+    const Core::UpstreamId id("u" + std::to_string(m_nextUpstream));
+    const auto isFirst = m_upstreams.size() < upstreamCount && m_nextUpstream < upstreamCount;
+    m_site.addUpstream(makeEntry(id, address), isFirst ? Core::Duration(0) : Core::Duration(coldTime));
+    m_upstreams.insert(id);
+    ++m_nextUpstream;
+}
+
+auto ForwardingChaos::servedShareAfterHealing() -> double
+{
+    m_isHealing = true;
+    endStoreTrouble();
+    m_site.world.setFaults({});
+    m_site.field.setFaults({});
+    m_sendChance = usualSendChance;
+    if (!m_evacuated.empty())
+        evacuate();
+    for (std::size_t index = 0; index < ForwardingSite::size; ++index) {
+        if (m_site.vm(index) == nullptr)
+            m_site.startVm(index);
+        else if (!m_site.isRunning(index))
+            m_site.resumeVm(index);
+    }
+    m_site.world.runFor(healingTime);
+    const auto answersBefore = m_site.answers;
+    constexpr int requests = 300;
+    for (int index = 0; index < requests; ++index) {
+        sendRequest();
+        m_site.world.runFor(longestStep);
+    }
+    m_site.world.runFor(longestPatience);
+    return static_cast<double>(m_site.answers - answersBefore) / requests;
+}
--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -55,6 +55,15 @@
     /// The peer closed a connection while its request was not answered.
     [[nodiscard]] auto wasLeft() const -> bool { return m_wasLeft; }
 
+    /// Ends the connection that is served now.
+    auto endConnection() -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        boost::system::error_code ignored;
+        if (m_current)
+            m_current->shutdown(Socket::shutdown_both, ignored);
+    }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
@@ -104,15 +113,6 @@
         }
     }
 
-    /// Ends the wait for more requests on a connection that the other end keeps.
-    auto endConnection() -> void
-    {
-        const std::lock_guard lock(m_mutex);
-        boost::system::error_code ignored;
-        if (m_current)
-            m_current->shutdown(Socket::shutdown_both, ignored);
-    }
-
     auto awaitLeaving(Socket& socket) -> void
     {
         char byte = 0;
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -192,6 +192,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AfterTheUpstreamClosedAKeptConnection)
+
+BOOST_AUTO_TEST_CASE(TellsThatItsProcessMayHaveEnded)
+{
+    ScriptedUpstream upstream({ answer("ID", "one"), answer("ID", "two") });
+    exchange(upstream.address(), "r1");
+    upstream.endConnection();
+    int ended = 0;
+    auto second = call(upstream.address(), "r2");
+    second.connectionEnded = [&ended] { ++ended; };
+    const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
+    exchanges.start(
+        std::move(second), [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+    BOOST_TEST((promise->get_future().get().outcome == ExchangeOutcome::Answered));
+    BOOST_TEST(ended == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TellsNothingOfTheFirstConnection)
+{
+    ScriptedUpstream upstream({ answer("ID", "one") });
+    int ended = 0;
+    auto first = call(upstream.address(), "r1");
+    first.connectionEnded = [&ended] { ++ended; };
+    const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
+    exchanges.start(
+        std::move(first), [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+    promise->get_future().wait();
+    BOOST_TEST(ended == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatIsGivenUp)
 
 BOOST_AUTO_TEST_CASE(WhenItHasEndedDoesNotDisturbTheNextOnItsConnection)
--- a/tests/auto/ledgersoak/tst_ledgersoak.cpp
+++ b/tests/auto/ledgersoak/tst_ledgersoak.cpp
@@ -1,12 +1,12 @@
 #include "bookingchaos.h"
 
 #include "core/invariant.h"
+#include "support/testarguments.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -53,18 +53,6 @@
     return held;
 }
 
-/// Value of "NAME=VALUE" among the arguments after "--".
-auto argument(const std::string& name) -> std::optional<std::uint64_t>
-{
-    const auto& master = boost::unit_test::framework::master_test_suite();
-    for (auto index = 1; index < master.argc; ++index) {
-        const std::string text = master.argv[index];
-        if (text.rfind(name + "=", 0) == 0)
-            return std::strtoull(text.c_str() + name.size() + 1, nullptr, 10);
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(BookingsUnderRandomFaults)
@@ -77,8 +65,9 @@
 /// Runs seed after seed for the given time: tst_ledgersoak --run_test=*/Soak -- SECONDS=60 SEED=1
 BOOST_AUTO_TEST_CASE(Soak, *boost::unit_test::disabled())
 {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(argument("SECONDS").value_or(10));
-    for (auto seed = argument("SEED").value_or(1); std::chrono::steady_clock::now() < end; ++seed)
+    const auto end
+        = std::chrono::steady_clock::now() + std::chrono::seconds(TestSupport::argument("SECONDS").value_or(10));
+    for (auto seed = TestSupport::argument("SEED").value_or(1); std::chrono::steady_clock::now() < end; ++seed)
         BOOST_REQUIRE(runWithSeed(seed));
 }
 
--- /dev/null
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -0,0 +1,294 @@
+#include "fakes/forwarding/forwardingsite.h"
+
+#include "mirrorpeer/mirrorpeer.h"
+#include "noticepeer/noticepeer.h"
+#include "suspicionpeer/suspicionpeer.h"
+
+namespace Fakes {
+
+namespace {
+
+    /// Time in which a VM in touch must have a new configuration in force.
+    constexpr Core::Millis configurationBound { 2500 };
+
+    class NoMetrics : public Ports::MetricSink {
+    public:
+        auto requestStarted(const Core::ServiceId&) -> void override { }
+        auto requestEnded(const Ports::RequestMetric&) -> void override { }
+        auto upstreamEnded(const Core::ServiceId&, Ports::UpstreamOutcome) -> void override { }
+    };
+
+    class WorldRandom : public Ports::RandomSource {
+    public:
+        explicit WorldRandom(VirtualWorld& world)
+            : m_world(world)
+        {
+        }
+        auto next() -> std::uint64_t override { return m_world.below(std::numeric_limits<std::size_t>::max()); }
+
+    private:
+        VirtualWorld& m_world;
+    };
+
+} // namespace
+
+/// Notes what a VM says of all but single requests.
+class ForwardingSite::Story : public Ports::EventSink {
+public:
+    Story(ForwardingSite& site, std::size_t index)
+        : m_site(site)
+        , m_index(index)
+    {
+    }
+
+    auto record(Ports::Event event) -> void override
+    {
+        if (!event.request.value().empty())
+            return;
+        auto line = event.kind.value();
+        for (const auto& [name, value] : event.fields)
+            line += " " + name + "=" + value;
+        m_site.tell(nodeOf(m_index).value() + " " + line);
+    }
+
+private:
+    ForwardingSite& m_site;
+    const std::size_t m_index;
+};
+
+/// One start of an entry VM.
+struct ForwardingSite::Process : EntryFleet::HeartbeatPort {
+    Process(ForwardingSite& owner, std::size_t index)
+        : site(owner)
+        , address(nodeOf(index))
+        , node(owner.world, nodeOf(index))
+        , random(owner.world)
+        , events(owner, index)
+        , collections(owner.store, nodeOf(index))
+        , exchanges(owner.field, nodeOf(index))
+        , entryVm(settingsOf(index), {},
+              { owner.world, node, random, events, metrics, owner.codec, collections, exchanges, *this, mirrorPeer,
+                  suspicionPeer, noticePeer, [](const Forwarding::CallerLimits&) {} })
+    {
+        MirrorPeer::registerMirrorHandler(node, entryVm.mirror(), [this] { return entryVm.isStoreAnswering(); });
+        SuspicionPeer::registerSuspicionHandler(node,
+            [this](const Dispatch::CrashSuspicion& suspicion) { entryVm.forwarder().crashGuard().accept(suspicion); });
+        NoticePeer::registerNoticeHandler(
+            node, [this](const Forwarding::UpstreamNotice& notice) { entryVm.forwarder().accept(notice); });
+        entryVm.start();
+    }
+
+    auto send(const Core::Address& to, const EntryFleet::Heartbeat& heartbeat) -> void override
+    {
+        site.world.post(to, Core::Millis(1), [&owner = site, to, heartbeat] {
+            for (const auto& process : owner.m_processes) {
+                if (process && process->address == to)
+                    process->entryVm.fleet().receive(heartbeat);
+            }
+        });
+    }
+
+    ForwardingSite& site;
+    const Core::Address address;
+    VirtualNode node;
+    WorldRandom random;
+    Story events;
+    NoMetrics metrics;
+    CollectionClient collections;
+    FieldClient exchanges;
+    MirrorPeer::MirrorPeer mirrorPeer { node };
+    SuspicionPeer::SuspicionPeer suspicionPeer { node };
+    NoticePeer::NoticePeer noticePeer { node };
+    ForwardingHost::EntryVm entryVm;
+};
+
+ForwardingSite::ForwardingSite(std::uint64_t seed)
+    : world(seed)
+    , field(world, book, [this](const NodeId& vm) { return isInTouch(vm); })
+{
+}
+
+ForwardingSite::~ForwardingSite() = default;
+
+auto ForwardingSite::nodeOf(std::size_t index) -> NodeId { return NodeId("vm-" + std::to_string(index)); }
+
+auto ForwardingSite::settingsOf(std::size_t index) -> ForwardingHost::HostSettings
+{
+    static constexpr std::array domains { "atl-a", "atl-b", "sav-a", "sav-b" };
+    const std::string domain = domains.at(index % domains.size());
+    ForwardingHost::HostSettings settings;
+    const auto& address = nodeOf(index);
+    settings.id = Core::EntryVmId(address.value());
+    settings.failureDomain = Core::FailureDomainId(domain);
+    settings.region = Core::RegionId(domain.substr(0, 3));
+    settings.front = address;
+    settings.heartbeats = address;
+    settings.peers = address;
+    settings.seeds = { nodeOf(0), nodeOf(1), nodeOf(2) };
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 60;
+    return settings;
+}
+
+auto ForwardingSite::tell(const std::string& line) -> void
+{
+    const auto millis = std::chrono::duration_cast<Core::Millis>(world.now().time_since_epoch());
+    m_story.push_back(std::to_string(millis.count()) + " ms " + line);
+}
+
+auto ForwardingSite::startVm(std::size_t index) -> void
+{
+    tell("start of " + nodeOf(index).value());
+    disturb(index);
+    m_versions.at(index) = {};
+    m_processes.at(index) = std::make_unique<Process>(*this, index);
+}
+
+auto ForwardingSite::crashVm(std::size_t index) -> void
+{
+    tell("crash of " + nodeOf(index).value());
+    disturb(index);
+    world.crash(nodeOf(index));
+    m_processes.at(index).reset();
+}
+
+auto ForwardingSite::pauseVm(std::size_t index) -> void
+{
+    tell("pause of " + nodeOf(index).value());
+    disturb(index);
+    world.pause(nodeOf(index));
+}
+
+auto ForwardingSite::resumeVm(std::size_t index) -> void
+{
+    tell("resumption of " + nodeOf(index).value());
+    disturb(index);
+    world.resume(nodeOf(index));
+}
+
+auto ForwardingSite::isRunning(std::size_t index) const -> bool
+{
+    return m_processes.at(index) && !world.isPaused(nodeOf(index));
+}
+
+auto ForwardingSite::vm(std::size_t index) -> ForwardingHost::EntryVm*
+{
+    return m_processes.at(index) ? &m_processes.at(index)->entryVm : nullptr;
+}
+
+auto ForwardingSite::disturb(std::size_t index) -> void { m_disturbedAt[nodeOf(index)] = world.now(); }
+
+auto ForwardingSite::disturbAll() -> void
+{
+    for (std::size_t index = 0; index < size; ++index)
+        disturb(index);
+}
+
+auto ForwardingSite::isInTouch(const NodeId& vm) const -> bool
+{
+    if (world.isPaused(vm) || !store.isReachable(vm) || store.faults().isTroubled())
+        return false;
+    const auto found = m_disturbedAt.find(vm);
+    return found == m_disturbedAt.end() || world.now() - found->second > stabilityTime;
+}
+
+auto ForwardingSite::turnAway(std::size_t index) -> void
+{
+    tell("store turns away " + nodeOf(index).value());
+    store.refuse(nodeOf(index));
+}
+
+auto ForwardingSite::setStoreFaults(CollectionFaults faults) -> void
+{
+    tell(std::string("store ") + (faults.isAway ? "away" : faults.losesAnswers ? "loses answers" : "slow"));
+    disturbAll();
+    store.setFaults(faults);
+}
+
+auto ForwardingSite::healStore() -> void
+{
+    tell("store well");
+    disturbAll();
+    store.setFaults({});
+    store.acceptAll();
+}
+
+auto ForwardingSite::dropHistory() -> void
+{
+    tell("store drops its history");
+    disturbAll();
+    store.dropHistory();
+}
+
+auto ForwardingSite::configure(std::shared_ptr<Forwarding::RoutingConfiguration> configuration) -> void
+{
+    m_configuration = std::move(configuration);
+    m_configuredAt = world.now();
+    store.put(codec.collections().configuration, codec.configurationName(), codec.keep(m_configuration));
+}
+
+auto ForwardingSite::addUpstream(const Forwarding::UpstreamEntry& entry, Core::Duration coldTime) -> void
+{
+    field.add(entry, coldTime);
+    listUpstream(entry.target.id, false);
+}
+
+auto ForwardingSite::listUpstream(const Core::UpstreamId& id, bool isDraining) -> void
+{
+    auto entry = field.entry(id);
+    entry.isDraining = isDraining;
+    store.put(
+        codec.collections().upstreams, id.value(), codec.keep(TypedItems::ColdEntry { entry, field.coldLeft(id) }));
+}
+
+auto ForwardingSite::unlistUpstream(const Core::UpstreamId& id) -> void
+{
+    store.remove(codec.collections().upstreams, id.value());
+}
+
+auto ForwardingSite::setEvacuated(const Core::FailureDomainId& domain, bool isEvacuated) -> void
+{
+    field.setEvacuated(domain, isEvacuated);
+    const auto collection = codec.collections().evacuations;
+    if (isEvacuated)
+        store.put(collection, domain.value(), "");
+    else
+        store.remove(collection, domain.value());
+}
+
+auto ForwardingSite::send(std::size_t index, Forwarding::ForwardRequest request, bool isIdempotent)
+    -> std::shared_ptr<Forwarding::OpenRequest>
+{
+    const auto id = request.id;
+    book.sent(id, isIdempotent, world.now());
+    return m_processes.at(index)->entryVm.forwarder().handle(
+        std::move(request), [this, id](const Forwarding::ForwardReply& reply) { noteReply(id, reply); });
+}
+
+auto ForwardingSite::noteReply(const Core::RequestId& id, const Forwarding::ForwardReply& reply) -> void
+{
+    book.replied(id);
+    const auto* refusal = std::get_if<Forwarding::ForwardRefusal>(&reply);
+    answers += refusal == nullptr ? 1 : 0;
+    refusals += refusal == nullptr ? 0 : 1;
+    if (refusal != nullptr && refusal->outcome == Core::RunOutcome::NotRun)
+        book.refusedNotRun(id);
+}
+
+auto ForwardingSite::checkBeliefs() -> void
+{
+    for (std::size_t index = 0; index < size; ++index) {
+        if (!m_processes.at(index) || !m_configuration)
+            continue;
+        const auto known = m_processes.at(index)->entryVm.forwarder().configuration();
+        const auto version = known ? known->version : Core::Version();
+        if (version < m_versions.at(index))
+            book.violate("configuration went back at " + nodeOf(index).value());
+        m_versions.at(index) = version;
+        if (world.now() - m_configuredAt > configurationBound && isInTouch(nodeOf(index))
+            && version != m_configuration->version)
+            book.violate("configuration too old at " + nodeOf(index).value());
+    }
+}
+
+} // namespace Fakes
--- /dev/null
+++ b/tests/fakes/forwarding/upstreamfield.cpp
@@ -0,0 +1,271 @@
+#include "fakes/forwarding/upstreamfield.h"
+
+#include <algorithm>
+
+namespace Fakes {
+
+namespace {
+
+    using Ports::ExchangeOutcome;
+
+    const NodeId fieldNode { "upstreams" };
+    constexpr Core::Millis shortestTravel { 1 };
+    constexpr Core::Millis longestTravel { 20 };
+    constexpr Core::Millis shortestWork { 20 };
+    constexpr Core::Millis longestWork { 120 };
+    /// Requests that wait at an upstream for each of its slots.
+    constexpr std::size_t queuePerSlot = 2;
+    constexpr Core::Millis healthTimeout { 700 };
+    constexpr Core::Millis keptConnectionTime { 8000 };
+    constexpr Core::Millis coldWindow { 1000 };
+
+    auto resultOf(ExchangeOutcome outcome) -> Ports::ExchangeResult
+    {
+        Ports::ExchangeResult result;
+        result.outcome = outcome;
+        return result;
+    }
+
+    class Answer : public Ports::Message { };
+
+} // namespace
+
+/// One request on its way to an upstream and back.
+struct UpstreamField::Job : Ports::Exchange {
+    Job(NodeId sender, std::weak_ptr<bool> senderLife, Ports::ExchangeCall exchangeCall,
+        Ports::ExchangeClient::ResultCallback onResult)
+        : vm(std::move(sender))
+        , life(std::move(senderLife))
+        , call(std::move(exchangeCall))
+        , callback(std::move(onResult))
+    {
+    }
+
+    auto cancel() -> void override
+    {
+        isCancelled = true;
+        finish(resultOf(ExchangeOutcome::Cancelled));
+    }
+
+    auto finish(const Ports::ExchangeResult& result) -> void
+    {
+        if (!std::exchange(isFinished, true) && !life.expired())
+            callback(result);
+    }
+
+    const NodeId vm;
+    const std::weak_ptr<bool> life;
+    const Ports::ExchangeCall call;
+    Ports::ExchangeClient::ResultCallback callback;
+    bool isCancelled = false;
+    bool isFinished = false;
+};
+
+UpstreamField::UpstreamField(VirtualWorld& world, RequestBook& book, IsInTouch isInTouch)
+    : m_world(world)
+    , m_book(book)
+    , m_isInTouch(std::move(isInTouch))
+{
+}
+
+auto UpstreamField::add(const Forwarding::UpstreamEntry& entry, Core::Duration coldTime) -> void
+{
+    Upstream upstream;
+    upstream.entry = entry;
+    upstream.coldUntil = m_world.now() + coldTime;
+    m_upstreams.insert_or_assign(entry.target.id, std::move(upstream));
+}
+
+auto UpstreamField::end(const Core::UpstreamId& id) -> void
+{
+    auto ended = m_upstreams.extract(id);
+    if (ended.empty())
+        return;
+    for (const auto& job : ended.mapped().jobs)
+        reply(job, resultOf(ExchangeOutcome::Lost));
+}
+
+auto UpstreamField::retire(const Core::UpstreamId& id) -> void
+{
+    if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.retiredAt = m_world.now();
+}
+
+auto UpstreamField::setEvacuated(const Core::FailureDomainId& domain, bool isEvacuated) -> void
+{
+    if (isEvacuated)
+        m_evacuatedAt.try_emplace(domain, m_world.now());
+    else
+        m_evacuatedAt.erase(domain);
+}
+
+auto UpstreamField::entry(const Core::UpstreamId& id) const -> const Forwarding::UpstreamEntry&
+{
+    return m_upstreams.at(id).entry;
+}
+
+auto UpstreamField::coldLeft(const Core::UpstreamId& id) const -> Core::Duration
+{
+    return std::max(Core::Duration(0), m_upstreams.at(id).coldUntil - m_world.now());
+}
+
+auto UpstreamField::at(const Core::Address& address) -> Upstream*
+{
+    const auto found = std::find_if(m_upstreams.begin(), m_upstreams.end(),
+        [&](const auto& item) { return item.second.entry.target.address == address; });
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+auto UpstreamField::loadOf(const Upstream& upstream) const -> Ports::ReportedLoad
+{
+    const auto slots = upstream.entry.slots;
+    const auto jobs = static_cast<std::uint32_t>(upstream.jobs.size());
+    const auto running = std::min(jobs, slots.value());
+    return { running, jobs - running, slots };
+}
+
+auto UpstreamField::reply(const JobPointer& job, Ports::ExchangeResult result) -> void
+{
+    m_world.post(fieldNode, m_world.between(shortestTravel, longestTravel), [this, job, result = std::move(result)] {
+        if (!job->life.expired())
+            m_world.post(job->vm, {}, [job, result] { job->finish(result); });
+    });
+}
+
+auto UpstreamField::arrive(const JobPointer& job) -> void
+{
+    if (job->isCancelled)
+        return;
+    auto* upstream = at(job->call.target.address);
+    if (upstream == nullptr) {
+        if (m_world.chance(0.5))
+            reply(job, resultOf(ExchangeOutcome::NotSent));
+        return;
+    }
+    if (upstream->entry.target.id != job->call.target.id) {
+        reply(job, resultOf(ExchangeOutcome::Misdirected));
+        return;
+    }
+    m_book.arrived(job->call.id, upstream->entry.service, m_world.now());
+    checkArrival(*upstream, *job);
+    const auto room = upstream->entry.slots.value() * (1 + queuePerSlot);
+    if (upstream->jobs.size() >= room || m_world.chance(m_faults.refused)) {
+        auto refused = resultOf(ExchangeOutcome::NotRun);
+        refused.load = loadOf(*upstream);
+        reply(job, refused);
+    } else if (m_world.chance(m_faults.lostBeforeRun)) {
+        reply(job, resultOf(ExchangeOutcome::Lost));
+    } else {
+        run(*upstream, job);
+    }
+}
+
+auto UpstreamField::checkArrival(Upstream& upstream, const Job& job) -> void
+{
+    const auto now = m_world.now();
+    const auto place = job.call.id.value() + " at " + upstream.entry.target.id.value() + " from " + job.vm.value();
+    if (now < upstream.coldUntil)
+        checkCold(upstream, job);
+    if (!m_isInTouch(job.vm))
+        return;
+    if (upstream.retiredAt && now - *upstream.retiredAt > m_bounds.drain)
+        m_book.violate("sent to an upstream that has left: " + place);
+    const auto evacuated = m_evacuatedAt.find(upstream.entry.failureDomain);
+    if (evacuated != m_evacuatedAt.end() && now - evacuated->second > m_bounds.evacuation)
+        m_book.violate("sent to an evacuated failure domain: " + place);
+}
+
+auto UpstreamField::checkCold(Upstream& upstream, const Job& job) -> void
+{
+    const auto now = m_world.now();
+    auto& arrivals = upstream.coldArrivals;
+    arrivals.push_back({ now, job.vm });
+    while (now - arrivals.front().at >= coldWindow)
+        arrivals.pop_front();
+    const auto most = m_bounds.coldRate * m_bounds.coldOvershoot + m_bounds.coldSlack;
+    if (static_cast<double>(arrivals.size()) <= most)
+        return;
+    std::map<NodeId, int> senders;
+    for (const auto& arrival : arrivals)
+        ++senders[arrival.vm];
+    auto story = "too many requests at the cold upstream " + upstream.entry.target.id.value() + ", last for start "
+        + std::to_string(job.call.target.start.value()) + " of " + std::to_string(upstream.entry.target.start.value());
+    for (const auto& [vm, count] : senders)
+        story += ", " + std::to_string(count) + " from " + vm.value() + (m_isInTouch(vm) ? "" : " (not in touch)");
+    m_book.violate(story);
+}
+
+auto UpstreamField::run(Upstream& upstream, const JobPointer& job) -> void
+{
+    m_book.ran(job->call.id);
+    upstream.jobs.push_back(job);
+    const auto load = std::max<std::size_t>(1, upstream.jobs.size() / upstream.entry.slots.value());
+    const auto time = m_world.between(shortestWork, longestWork) * static_cast<int>(load);
+    m_world.post(fieldNode, time, [this, id = upstream.entry.target.id, job] { finishRun(id, job); });
+}
+
+auto UpstreamField::finishRun(const Core::UpstreamId& id, const JobPointer& job) -> void
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || std::erase(found->second.jobs, job) == 0)
+        return;
+    if (m_world.chance(m_faults.silent))
+        return;
+    if (m_world.chance(m_faults.answerLost)) {
+        reply(job, resultOf(ExchangeOutcome::Lost));
+        return;
+    }
+    auto result
+        = resultOf(m_world.chance(m_faults.brokenAnswer) ? ExchangeOutcome::Invalid : ExchangeOutcome::Answered);
+    result.answer = std::make_shared<Answer>();
+    result.load = loadOf(found->second);
+    reply(job, result);
+}
+
+auto FieldClient::start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange>
+{
+    auto& world = m_field.m_world;
+    const auto timeLeft = call.timeLeft;
+    noticeEndedConnection(call);
+    auto job = std::make_shared<UpstreamField::Job>(m_vm, m_life, std::move(call), std::move(callback));
+    world.post(fieldNode, world.between(shortestTravel, longestTravel), [&field = m_field, job] { field.arrive(job); });
+    world.post(m_vm, timeLeft, [job] { job->finish(resultOf(ExchangeOutcome::TimedOut)); });
+    return job;
+}
+
+auto FieldClient::noticeEndedConnection(const Ports::ExchangeCall& call) -> void
+{
+    const auto* upstream = m_field.at(call.target.address);
+    const auto now = m_field.m_world.now();
+    const auto kept = m_kept.find(call.target.id);
+    const bool isThere = upstream != nullptr && upstream->entry.target.id == call.target.id;
+    if (kept != m_kept.end() && now < kept->second.until
+        && (!isThere || upstream->entry.target.start != kept->second.start))
+        call.connectionEnded();
+    if (isThere)
+        m_kept[call.target.id] = { upstream->entry.target.start, now + keptConnectionTime };
+    else
+        m_kept.erase(call.target.id);
+}
+
+auto FieldClient::askHealth(const Ports::UpstreamTarget& target, const std::string&, HealthCallback callback) -> void
+{
+    auto& world = m_field.m_world;
+    const auto answer = [this, life = std::weak_ptr(m_life), callback = std::move(callback)](
+                            Core::Duration delay, Core::Result<Ports::HealthReport> report) {
+        m_field.m_world.post(m_vm, delay, [life, callback, report = std::move(report)] {
+            if (!life.expired())
+                callback(report);
+        });
+    };
+    const auto* upstream = m_field.at(target.address);
+    if (upstream == nullptr) {
+        answer(healthTimeout, Core::fail(Core::ErrorKind::Unreachable, "no answer", "ask again later"));
+        return;
+    }
+    const auto& id = upstream->entry.target.id;
+    answer(world.between(shortestTravel, longestTravel),
+        Ports::HealthReport { id, !upstream->retiredAt, m_field.coldLeft(id), std::nullopt });
+}
+
+} // namespace Fakes
--- /dev/null
+++ b/tests/fakes/forwarding/virtualcollections.cpp
@@ -0,0 +1,233 @@
+#include "fakes/forwarding/virtualcollections.h"
+
+namespace Fakes {
+
+namespace {
+
+    /// Time after which a call without an answer fails.
+    constexpr Core::Millis callTimeout { 700 };
+    /// Time for which watches hear nothing before the history is dropped.
+    constexpr Core::Millis silenceBeforeDrop { 1000 };
+    const NodeId storeNode { "store" };
+
+    auto away() -> tl::unexpected<Core::Error>
+    {
+        return Core::fail(Core::ErrorKind::Unreachable, "the store does not answer", "try again");
+    }
+
+} // namespace
+
+auto VirtualCollections::setFaults(CollectionFaults faults) -> void
+{
+    m_faults = faults;
+    if (m_faults.isAway)
+        endWatches([](const Watch&) { return true; });
+}
+
+auto VirtualCollections::refuse(const NodeId& vm) -> void
+{
+    m_refused.insert(vm);
+    endWatches([&vm](const Watch& watch) { return watch.vm == vm; });
+}
+
+auto VirtualCollections::isReachable(const NodeId& vm) const -> bool
+{
+    return !m_faults.isAway && !m_refused.contains(vm);
+}
+
+auto VirtualCollections::put(const Ports::CollectionName& collection, const std::string& name, std::string text) -> void
+{
+    const Ports::CollectionItem item { name, Ports::StoreRevision(++m_revision), std::move(text) };
+    m_items[collection][name] = item;
+    append(collection, { item, false });
+}
+
+auto VirtualCollections::remove(const Ports::CollectionName& collection, const std::string& name) -> void
+{
+    auto removed = m_items[collection].extract(name);
+    if (removed.empty())
+        return;
+    removed.mapped().revision = Ports::StoreRevision(++m_revision);
+    append(collection, { removed.mapped(), true });
+}
+
+auto VirtualCollections::contains(const Ports::CollectionName& collection, const std::string& name) const -> bool
+{
+    const auto found = m_items.find(collection);
+    return found != m_items.end() && found->second.contains(name);
+}
+
+auto VirtualCollections::append(const Ports::CollectionName& collection, Ports::CollectionChange change) -> void
+{
+    m_history.push_back({ collection, std::move(change) });
+    const auto waiting = m_watches;
+    for (const auto& watch : waiting)
+        serve(watch);
+}
+
+auto VirtualCollections::dropHistory() -> void
+{
+    m_isSilent = true;
+    m_world.post(storeNode, silenceBeforeDrop, [this] {
+        m_isSilent = false;
+        m_history.clear();
+        m_forgotten = m_revision;
+        endWatches([](const Watch&) { return true; });
+    });
+}
+
+auto VirtualCollections::list(const Ports::CollectionName& collection) const -> Ports::CollectionList
+{
+    Ports::CollectionList result;
+    result.revision = Ports::StoreRevision(m_revision);
+    if (const auto found = m_items.find(collection); found != m_items.end()) {
+        for (const auto& [name, item] : found->second)
+            result.items.push_back(item);
+    }
+    return result;
+}
+
+auto VirtualCollections::changesOf(const Watch& watch) const -> Ports::CollectionChanges
+{
+    Ports::CollectionChanges changes;
+    changes.revision = Ports::StoreRevision(m_revision);
+    for (const auto& [collection, change] : m_history) {
+        if (collection == watch.collection && change.item.revision > watch.after)
+            changes.changes.push_back(change);
+    }
+    return changes;
+}
+
+auto VirtualCollections::serve(const std::shared_ptr<Watch>& watch) -> void
+{
+    auto changes = changesOf(*watch);
+    if (watch->isDone || m_isSilent || changes.changes.empty())
+        return;
+    watch->isDone = true;
+    m_watches.remove(watch);
+    m_world.post(storeNode, m_faults.delay, [watch, changes = std::move(changes)] { watch->callback(changes); });
+}
+
+auto VirtualCollections::endWatches(const std::function<bool(const Watch&)>& isEnded) -> void
+{
+    for (const auto& watch : std::list(m_watches)) {
+        if (!isEnded(*watch))
+            continue;
+        watch->isDone = true;
+        m_watches.remove(watch);
+        watch->callback(away());
+    }
+}
+
+template <typename Result>
+auto CollectionClient::call(std::function<Result()> work, std::function<void(Core::Result<Result>)> callback) -> void
+{
+    ++m_store.m_calls;
+    auto& world = m_store.m_world;
+    const auto delay = m_store.m_faults.delay;
+    if (!m_store.isReachable(m_vm)) {
+        const auto failureDelay = world.chance(0.5) ? delay : Core::Duration(callTimeout);
+        world.post(m_vm, failureDelay, whileAlive([callback = std::move(callback)] { callback(away()); }));
+        return;
+    }
+    world.post(storeNode, delay,
+        [this, &store = m_store, vm = m_vm, life = std::weak_ptr(m_life), work = std::move(work),
+            callback = std::move(callback)] {
+            const auto result = work();
+            if (life.expired())
+                return;
+            if (store.m_faults.losesAnswers)
+                store.m_world.post(vm, callTimeout, whileAlive([callback] { callback(away()); }));
+            else
+                store.m_world.post(vm, store.m_faults.delay, whileAlive([callback, result] { callback(result); }));
+        });
+}
+
+auto CollectionClient::whileAlive(Ports::Scheduler::Task task) const -> Ports::Scheduler::Task
+{
+    return [life = std::weak_ptr(m_life), task = std::move(task)] {
+        if (!life.expired())
+            task();
+    };
+}
+
+auto CollectionClient::list(const Ports::CollectionName& name, ListCallback callback) -> void
+{
+    call<Ports::CollectionList>([&store = m_store, name] { return store.list(name); }, std::move(callback));
+}
+
+auto CollectionClient::ping(DoneCallback callback) -> void
+{
+    call<Ports::StoreRevision>(
+        [&store = m_store] { return Ports::StoreRevision(store.m_revision); }, std::move(callback));
+}
+
+auto CollectionClient::put(const Ports::CollectionName& name, const Ports::CollectionItem& item, DoneCallback callback)
+    -> void
+{
+    call<Ports::StoreRevision>(
+        [&store = m_store, name, item] {
+            store.put(name, item.name, item.text);
+            return Ports::StoreRevision(store.m_revision);
+        },
+        std::move(callback));
+}
+
+namespace {
+
+    class WatchCall : public Ports::StoreCall {
+    public:
+        explicit WatchCall(std::function<void()> cancelled)
+            : m_cancelled(std::move(cancelled))
+        {
+        }
+        auto cancel() -> void override { m_cancelled(); }
+
+    private:
+        std::function<void()> m_cancelled;
+    };
+
+} // namespace
+
+auto CollectionClient::watch(const Ports::CollectionName& name, Ports::StoreRevision after, Core::Millis wait,
+    ChangesCallback callback) -> std::shared_ptr<Ports::StoreCall>
+{
+    ++m_store.m_calls;
+    auto& world = m_store.m_world;
+    auto watch = std::make_shared<VirtualCollections::Watch>();
+    watch->vm = m_vm;
+    watch->collection = name;
+    watch->after = after;
+    watch->callback = [this, &world, life = std::weak_ptr(m_life), vm = m_vm, callback = std::move(callback)](
+                          const Core::Result<Ports::CollectionChanges>& result) {
+        if (!life.expired())
+            world.post(vm, {}, whileAlive([callback, result] { callback(result); }));
+    };
+    const auto end = [&store = m_store, watch](Core::Result<Ports::CollectionChanges> result) {
+        if (std::exchange(watch->isDone, true))
+            return;
+        store.m_watches.remove(watch);
+        watch->callback(std::move(result));
+    };
+    auto cancelled = std::make_shared<WatchCall>(
+        [end] { end(Core::fail(Core::ErrorKind::OutcomeUnknown, "the watch was given up", "list again")); });
+    if (!m_store.isReachable(m_vm)) {
+        world.post(storeNode, m_store.m_faults.delay, [end] { end(away()); });
+        return cancelled;
+    }
+    if (after.value() < m_store.m_forgotten) {
+        world.post(storeNode, m_store.m_faults.delay,
+            [end] { end(Core::fail(Core::ErrorKind::Conflict, "the history is gone", "list again")); });
+        return cancelled;
+    }
+    m_store.m_watches.push_back(watch);
+    world.post(storeNode, wait, [&store = m_store, watch, end] {
+        auto changes = store.changesOf(*watch);
+        if (!store.m_isSilent)
+            end(std::move(changes));
+    });
+    m_store.serve(watch);
+    return cancelled;
+}
+
+} // namespace Fakes
--- /dev/null
+++ b/tests/fakes/forwarding/virtualcollections.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "fakes/virtualworld.h"
+#include "ports/collectionstore.h"
+
+#include <deque>
+#include <list>
+
+namespace Fakes {
+
+/// Faults of the store of collections.
+struct CollectionFaults {
+    bool isAway = false;
+    /// Calls take effect and their answer is lost.
+    bool losesAnswers = false;
+    Core::Duration delay = usualDelay;
+
+    static constexpr Core::Millis usualDelay { 4 };
+    [[nodiscard]] auto isTroubled() const -> bool { return isAway || losesAnswers || delay > usualDelay; }
+};
+
+/// The platform's collections in virtual time: one revision counter, watches, and a history that can be dropped.
+class VirtualCollections {
+public:
+    explicit VirtualCollections(VirtualWorld& world)
+        : m_world(world)
+    {
+    }
+
+    auto setFaults(CollectionFaults faults) -> void;
+    [[nodiscard]] auto faults() const -> const CollectionFaults& { return m_faults; }
+    /// Calls of the VM are turned away.
+    auto refuse(const NodeId& vm) -> void;
+    auto acceptAll() -> void { m_refused.clear(); }
+    [[nodiscard]] auto isReachable(const NodeId& vm) const -> bool;
+
+    auto put(const Ports::CollectionName& collection, const std::string& name, std::string text) -> void;
+    auto remove(const Ports::CollectionName& collection, const std::string& name) -> void;
+    [[nodiscard]] auto contains(const Ports::CollectionName& collection, const std::string& name) const -> bool;
+    /// Tells watches nothing for a second, then forgets all changes and cuts the watches.
+    auto dropHistory() -> void;
+    [[nodiscard]] auto calls() const -> std::size_t { return m_calls; }
+
+private:
+    friend class CollectionClient;
+
+    struct Change {
+        Ports::CollectionName collection;
+        Ports::CollectionChange change;
+    };
+
+    struct Watch {
+        NodeId vm;
+        Ports::CollectionName collection;
+        Ports::StoreRevision after;
+        Ports::CollectionStore::ChangesCallback callback;
+        bool isDone = false;
+    };
+
+    auto append(const Ports::CollectionName& collection, Ports::CollectionChange change) -> void;
+    [[nodiscard]] auto list(const Ports::CollectionName& collection) const -> Ports::CollectionList;
+    [[nodiscard]] auto changesOf(const Watch& watch) const -> Ports::CollectionChanges;
+    /// Answers the watch if something changed.
+    auto serve(const std::shared_ptr<Watch>& watch) -> void;
+    auto endWatches(const std::function<bool(const Watch&)>& isEnded) -> void;
+
+    VirtualWorld& m_world;
+    CollectionFaults m_faults;
+    std::set<NodeId> m_refused;
+    std::map<Ports::CollectionName, std::map<std::string, Ports::CollectionItem>> m_items;
+    std::deque<Change> m_history;
+    std::uint64_t m_revision = 1;
+    /// Changes up to this revision are forgotten.
+    std::uint64_t m_forgotten = 1;
+    bool m_isSilent = false;
+    std::list<std::shared_ptr<Watch>> m_watches;
+    std::size_t m_calls = 0;
+};
+
+/// The collections as one VM's process sees them.
+class CollectionClient : public Ports::CollectionStore {
+public:
+    CollectionClient(VirtualCollections& store, NodeId vm)
+        : m_store(store)
+        , m_vm(std::move(vm))
+    {
+    }
+
+    auto list(const Ports::CollectionName& name, ListCallback callback) -> void override;
+    auto watch(const Ports::CollectionName& name, Ports::StoreRevision after, Core::Millis wait,
+        ChangesCallback callback) -> std::shared_ptr<Ports::StoreCall> override;
+    auto ping(DoneCallback callback) -> void override;
+    auto put(const Ports::CollectionName& name, const Ports::CollectionItem& item, DoneCallback callback)
+        -> void override;
+
+private:
+    /// Carries out the call at the store and brings its result back, or an error after a while.
+    template <typename Result>
+    auto call(std::function<Result()> work, std::function<void(Core::Result<Result>)> callback) -> void;
+
+    /// Does nothing once the process has ended.
+    [[nodiscard]] auto whileAlive(Ports::Scheduler::Task task) const -> Ports::Scheduler::Task;
+
+    VirtualCollections& m_store;
+    const NodeId m_vm;
+    const std::shared_ptr<bool> m_life = std::make_shared<bool>(true);
+};
+
+} // namespace Fakes
