Log what each watch of the store brought

The new line showed where they come from: of some 40 calls of one VM 17 are watches of upstreams that were renewed after half a second of changes, at the start and around a release. Tried and dropped: letting changes of upstreams gather for 0.9 s.

--- a/src/libs/following/collectionfollower.cpp
+++ b/src/libs/following/collectionfollower.cpp
@@ -172,6 +172,9 @@
         const std::lock_guard lock(m_mutex);
         m_revision = std::max(m_revision, result->revision);
     }
+    m_environment.events.record({ Ports::EventKind("store.watched"), {},
+        { { "collection", m_name.value() }, { "changes", std::to_string(result->changes.size()) },
+            { "revision", std::to_string(result->revision.value()) } } });
     recordRecovery();
     schedule(gatherPause, &CollectionFollower::watch);
 }
