Send nothing after a request's end, and take only a refused connection for a dead upstream

Read in the diff: with several threads, the deadline could answer "not run" while another thread was sending the request once more. The deadline and a caller that leaves now close the request under the lock that each send takes; what was chosen for it goes back unsent. And a connection that timed out counted as proof that an upstream is down, so that one VM with a bad link would have had others stop sending to healthy upstreams; only a refused connection is told to others now.

--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -112,17 +112,26 @@
         refuseChoice(choice.error());
 }
 
+auto Passage::openAttempt(const Choice& choice, Core::Instant now) -> std::optional<std::size_t>
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isClosed)
+        return std::nullopt;
+    Core::invariant(m_route->isIdempotent || !m_mayHaveRun, "forwarding.runs-once");
+    m_attempts.push_back({ choice, now, nullptr, false });
+    m_tried.push_back(choice.target.id);
+    ++m_sends;
+    return m_attempts.size() - 1;
+}
+
 auto Passage::startExchange(const Choice& choice, Core::Instant now) -> void
 {
-    std::size_t index = 0;
-    {
-        const std::lock_guard lock(m_mutex);
-        Core::invariant(m_route->isIdempotent || !m_mayHaveRun, "forwarding.runs-once");
-        index = m_attempts.size();
-        m_attempts.push_back({ choice, now, nullptr, false });
-        m_tried.push_back(choice.target.id);
-        ++m_sends;
+    const auto attempt = openAttempt(choice, now);
+    if (!attempt) {
+        releaseChoice(choice, now);
+        return;
     }
+    const auto index = *attempt;
     const auto self = shared_from_this();
     Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
         [desk = m_desk, target = choice.target] { desk->pool.recordEndedConnection(target); } };
@@ -144,6 +153,14 @@
         exchange->cancel();
 }
 
+auto Passage::releaseChoice(const Choice& choice, Core::Instant now) -> void
+{
+    ExchangeReport report;
+    report.target = choice.target;
+    report.outcome = ExchangeOutcome::Cancelled;
+    m_desk->pool.end(report, now);
+}
+
 auto Passage::onResult(std::size_t index, const Ports::ExchangeResult& result) -> void
 {
     const auto now = m_environment.clock.now();
@@ -275,6 +292,7 @@
         const std::lock_guard lock(m_mutex);
         if (m_isDone)
             return;
+        m_isClosed = true;
         // What an upstream still works on may run to its end.
         if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return !attempt.hasEnded; }))
             m_mayHaveRun = true;
@@ -285,6 +303,10 @@
 
 auto Passage::abandon() -> void
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isClosed = true;
+    }
     ForwardRefusal gone;
     gone.outcome = RunOutcome::Unknown;
     gone.reason = RefusalReason::DeadlinePassed;
--- a/src/libs/forwarding/passage.h
+++ b/src/libs/forwarding/passage.h
@@ -25,7 +25,11 @@
     auto findRoute() -> bool;
     auto setDeadline(Core::Instant now) -> void;
     auto send() -> void;
+    /// Number of the new attempt; none when nothing may be sent any more.
+    auto openAttempt(const Choice& choice, Core::Instant now) -> std::optional<std::size_t>;
     auto startExchange(const Choice& choice, Core::Instant now) -> void;
+    /// Gives a chosen upstream back that was sent nothing.
+    auto releaseChoice(const Choice& choice, Core::Instant now) -> void;
     auto onResult(std::size_t index, const Ports::ExchangeResult& result) -> void;
     auto onSlow(std::size_t index) -> void;
     auto onDeadline() -> void;
@@ -60,6 +64,8 @@
     std::atomic<std::uint32_t> m_sends { 0 };
     std::atomic<bool> m_mayHaveRun { false };
     bool m_isDone = false;
+    /// Its time is over or its caller has gone: nothing is sent any more.
+    bool m_isClosed = false;
     std::unique_ptr<Ports::Timer> m_deadlineTimer;
     std::unique_ptr<Ports::Timer> m_slowTimer;
 };
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -105,6 +105,7 @@
     virtual ~ExchangeClient() = default;
     /// Calls back exactly once, at the latest shortly after the time left.
     virtual auto start(ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Exchange> = 0;
+    /// Fails with Unreachable when nothing is there to answer, and with Timeout when the answer is late.
     virtual auto askHealth(const UpstreamTarget& target, const std::string& path, HealthCallback callback) -> void = 0;
 };
 
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -166,9 +166,9 @@
     {
         const auto deadline = std::chrono::steady_clock::now() + call->timeout;
         if (!connection->isReused) {
-            const auto failure = co_await self->connect(*connection, *call);
-            if (!failure.empty())
-                co_return tl::unexpected(Failure { FailureStage::BeforeWrite, false, failure });
+            const auto connected = co_await self->connect(*connection, *call);
+            if (!connected)
+                co_return tl::unexpected(connected.error());
         }
         connection->stream.expires_at(deadline);
         Error error;
@@ -227,22 +227,23 @@
         co_return HttpResponse();
     }
 
-    /// Returns what went wrong, or an empty text.
-    auto connect(Connection& connection, const Call& call) -> asio::awaitable<std::string>
+    auto connect(Connection& connection, const Call& call) -> asio::awaitable<tl::expected<void, Failure>>
     {
         const auto endpoint = Runtime::parseEndpoint(call.address);
         if (!endpoint)
-            co_return endpoint.error().message;
+            co_return tl::unexpected(Failure { FailureStage::BeforeWrite, false, endpoint.error().message });
         connection.stream.expires_after(std::min<Core::Duration>(m_limits.connectTimeout, call.timeout));
         Error error;
         co_await connection.stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return error.message();
+        if (error) {
+            co_return tl::unexpected(
+                Failure { FailureStage::BeforeWrite, false, error.message(), error == beast::error::timeout });
+        }
         ++m_opened;
         connection.stream.socket().set_option(Tcp::no_delay(true), error);
         if (m_limits.silenceTimeout.count() > 0)
             Runtime::detectSilence(connection.stream.socket().native_handle(), m_limits.silenceTimeout);
-        co_return std::string();
+        co_return tl::expected<void, Failure>();
     }
 
     auto failureAfterWrite(const Call& call, const Connection& connection, const Error& error) -> Failure
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -34,6 +34,8 @@
     FailureStage stage = FailureStage::BeforeWrite;
     bool reusedConnection = false;
     std::string detail;
+    /// The server did not even refuse the connection; nothing was written.
+    bool hasConnectTimedOut = false;
 };
 
 struct Exchange {
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -46,7 +46,7 @@
 
     auto errorKindOf(const HttpClient::Failure& failure) -> Core::ErrorKind
     {
-        const bool isTimeout = failure.stage == HttpClient::FailureStage::TimedOut;
+        const bool isTimeout = failure.stage == HttpClient::FailureStage::TimedOut || failure.hasConnectTimedOut;
         return isTimeout ? Core::ErrorKind::Timeout : Core::ErrorKind::Unreachable;
     }
 
