--- a/src/libs/forwarding/passage.cpp
+++ b/src/libs/forwarding/passage.cpp
@@ -140,7 +140,8 @@
     bool isDone = false;
     {
         const std::lock_guard lock(m_mutex);
-        m_attempts[index].exchange = exchange;
+        if (!m_attempts[index].hasEnded)
+            m_attempts[index].exchange = exchange;
         isDone = m_isDone;
         if (!isDone && m_route->isIdempotent && m_sends < m_route->attempts) {
             m_slowTimer = m_environment.scheduler.after(m_desk->pool.silenceLimit(), [weak = weak_from_this(), index] {
@@ -171,6 +172,8 @@
         const std::lock_guard lock(m_mutex);
         m_attempts[index].hasEnded = true;
         attempt = m_attempts[index];
+        // The exchange may hold this request.
+        m_attempts[index].exchange.reset();
         isDone = m_isDone;
         if (result.outcome == ExchangeOutcome::NotSent)
             --m_sends;
