--- /dev/null
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -0,0 +1,189 @@
+#include "apool.h"
+
+using namespace ForwardingTest;
+
+BOOST_AUTO_TEST_SUITE(AnUpstream)
+
+BOOST_FIXTURE_TEST_SUITE(ThatIsCold, APool)
+
+BOOST_AUTO_TEST_CASE(GetsFourRequestsASecondFromItsOwner)
+{
+    auto cold = upstream("a1");
+    cold.coldUntil = now + Core::Millis(3000);
+    list({ cold });
+    int taken = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+        now += Core::Millis(10);
+        if (const auto choice = choose("1")) {
+            ++taken;
+            end(*choice, "1");
+        }
+    }
+    BOOST_TEST(taken >= 4);
+    BOOST_TEST(taken <= 5);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesTheRestOfItsRequestsToOthers)
+{
+    auto cold = upstream("a1");
+    cold.coldUntil = now + Core::Millis(3000);
+    list({ cold, upstream("a2") });
+    for (int request = 0; request < 40; ++request) {
+        now += Core::Millis(20);
+        const auto object = std::to_string(request % 8);
+        const auto choice = choose(object);
+        BOOST_REQUIRE(choice);
+        end(*choice, object);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(GetsNoneFromOtherEntryVms)
+{
+    entryVms.ownsColdUpstreams = false;
+    auto cold = upstream("a1");
+    cold.coldUntil = now + Core::Millis(3000);
+    list({ cold });
+    BOOST_TEST(!choose("1"));
+    now += Core::Millis(3000);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatFails, APool)
+
+BOOST_AUTO_TEST_CASE(GetsNothingUntilItsHealthIsGood)
+{
+    list({ upstream("a1") });
+    for (int failure = 0; failure < 2; ++failure) {
+        const auto choice = choose("1");
+        BOOST_REQUIRE(choice);
+        end(*choice, "1", Ports::ExchangeOutcome::TimedOut);
+    }
+    BOOST_TEST(!choose("1"));
+    now += Core::Millis(400);
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsAskedWhenAConnectionEndedSinceItMayHaveStartedAgain)
+{
+    list({ upstream("a1") });
+    end(*choose("1"), "1", Ports::ExchangeOutcome::Lost);
+    BOOST_TEST(choose("1").has_value());
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, Core::Millis(3000), {} }, now);
+    entryVms.ownsColdUpstreams = false;
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_CASE(GetsOneRequestAtATimeUntilItIsAskedWhenTheListIsStale)
+{
+    for (const auto outcome : { Ports::ExchangeOutcome::Lost, Ports::ExchangeOutcome::NotSent }) {
+        list({});
+        list({ upstream("a1") });
+        const auto first = choose("1");
+        const auto second = choose("1");
+        pool.setListStale(true);
+        end(*first, "1", outcome);
+        BOOST_TEST(!choose("1"));
+        end(*second, "1");
+        const auto due = pool.takeDueProbes(now);
+        BOOST_REQUIRE(due.size() == 1U);
+        pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+        BOOST_TEST(choose("1").has_value());
+        BOOST_TEST(choose("1").has_value());
+        pool.setListStale(false);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsAskedWhenAStaleListHasNotBeenConfirmedByAnAnswer)
+{
+    list({ upstream("a1") });
+    pool.setListStale(true);
+    BOOST_TEST(choose("1").has_value());
+    BOOST_TEST(!choose("1"));
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    // A full or leaving upstream answers that it is not well: it has not started again.
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, false, {}, {} }, now);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsAskedAgainWhenTheAnswerIsOld)
+{
+    list({ upstream("a1") });
+    pool.doubtAll();
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    now += Core::Millis(5000);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsLeftAloneWhenAnotherEntryVmFoundItDown)
+{
+    list({ upstream("a1") });
+    pool.learn({ stock, Core::UpstreamId("a1"), false, {} }, now);
+    BOOST_TEST(!choose("1"));
+    BOOST_TEST(pool.takeDueProbes(now).empty());
+    pool.learn({ stock, Core::UpstreamId("a1"), true, Core::Millis(3000) }, now);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsNewsForOthersOnceWhenItIsDownAndOnceWhenItIsBack)
+{
+    list({ upstream("a1") });
+    const auto ask = [this](const Core::Result<Ports::HealthReport>& report) {
+        const auto due = pool.takeDueProbes(now);
+        return due.size() == 1U && pool.recordProbe(due.front(), report, now);
+    };
+    const Core::Result<Ports::HealthReport> down = Core::fail(Core::ErrorKind::Unreachable, "refused", "ask again");
+    const Ports::HealthReport well { Core::UpstreamId("a1"), true, {}, {} };
+    pool.doubtAll();
+    BOOST_TEST(ask(down));
+    now += Core::Millis(3000);
+    BOOST_TEST(!ask(down));
+    now += Core::Millis(3000);
+    BOOST_TEST(ask(well));
+    pool.doubtAll();
+    BOOST_TEST(!ask(well));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotTakenForWellWhenAnotherHasItsAddress)
+{
+    list({ upstream("a1") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    end(*choice, "1", Ports::ExchangeOutcome::Misdirected);
+    now += Core::Millis(400);
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { Core::UpstreamId("other"), true, {}, {} }, now);
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatStartsAgainUnderItsId, APool)
+
+BOOST_AUTO_TEST_CASE(IsAnotherOneThatIsCold)
+{
+    list({ upstream("a1") });
+    BOOST_TEST(met("1", 2).size() == 1U);
+    auto restarted = upstream("a1");
+    restarted.target.start = Core::StartMark(2);
+    restarted.coldUntil = now + Core::Millis(3000);
+    list({ restarted });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    BOOST_TEST((choice->target.start == Core::StartMark(2)));
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
