--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -126,6 +126,8 @@
 {
     const std::lock_guard lock(m_mutex);
     std::vector<Ports::UpstreamTarget> due;
+    if (m_settings.healthPath.empty())
+        return due;
     for (auto& [target, state] : m_states) {
         if (!state.isProbeDue(now) || m_evacuated.contains(state.entry().failureDomain))
             continue;
--- a/tests/auto/forwarding/tst_upstreamhealth.cpp
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -113,6 +113,16 @@
     BOOST_TEST(choose("1").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(IsNotAskedBeforeTheConfigurationSaysHow)
+{
+    Forwarding::ServicePool unconfigured { stock, { here, entryVms, {} } };
+    unconfigured.update({ upstream("a1") }, {}, now);
+    unconfigured.doubtAll();
+    BOOST_TEST(unconfigured.takeDueProbes(now).empty());
+    unconfigured.setSettings({ "/health", Core::Millis(3000), 4 });
+    BOOST_TEST(unconfigured.takeDueProbes(now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(IsAskedAgainWhenTheAnswerIsOld)
 {
     list({ upstream("a1") });
