One copy of the soak loop and of the world's random source in the tests

The random run of the forwarding decisions had brought a second copy of each. Seeds, bounds and assertions are as before; the product is untouched.

--- a/tests/auto/ledgersoak/tst_ledgersoak.cpp
+++ b/tests/auto/ledgersoak/tst_ledgersoak.cpp
@@ -63,12 +63,6 @@
 }
 
 /// Runs seed after seed for the given time: tst_ledgersoak --run_test=*/Soak -- SECONDS=60 SEED=1
-BOOST_AUTO_TEST_CASE(Soak, *boost::unit_test::disabled())
-{
-    const auto end
-        = std::chrono::steady_clock::now() + std::chrono::seconds(TestSupport::argument("SECONDS").value_or(10));
-    for (auto seed = TestSupport::argument("SEED").value_or(1); std::chrono::steady_clock::now() < end; ++seed)
-        BOOST_REQUIRE(runWithSeed(seed));
-}
+BOOST_AUTO_TEST_CASE(Soak, *boost::unit_test::disabled()) { TestSupport::soak(runWithSeed); }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/support/testarguments.h
+++ b/tests/auto/support/testarguments.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <optional>
@@ -20,4 +21,12 @@
     return std::nullopt;
 }
 
+/// Runs seed after seed, from the argument SEED on, for the argument SECONDS; stops at the first that does not hold.
+inline auto soak(bool (*runWithSeed)(std::uint64_t seed)) -> void
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(argument("SECONDS").value_or(10));
+    for (auto seed = argument("SEED").value_or(1); std::chrono::steady_clock::now() < end; ++seed)
+        BOOST_REQUIRE(runWithSeed(seed));
+}
+
 } // namespace TestSupport
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -1,5 +1,6 @@
 #include "fakes/forwarding/forwardingsite.h"
 
+#include "fakes/worldrandom.h"
 #include "mirrorpeer/mirrorpeer.h"
 #include "noticepeer/noticepeer.h"
 #include "suspicionpeer/suspicionpeer.h"
@@ -18,18 +19,6 @@
         auto upstreamEnded(const Core::ServiceId&, Ports::UpstreamOutcome) -> void override { }
     };
 
-    class WorldRandom : public Ports::RandomSource {
-    public:
-        explicit WorldRandom(VirtualWorld& world)
-            : m_world(world)
-        {
-        }
-        auto next() -> std::uint64_t override { return m_world.below(std::numeric_limits<std::size_t>::max()); }
-
-    private:
-        VirtualWorld& m_world;
-    };
-
 } // namespace
 
 /// Notes what a VM says of all but single requests.
--- a/tests/fakes/steering/steeringfleet.cpp
+++ b/tests/fakes/steering/steeringfleet.cpp
@@ -1,5 +1,7 @@
 #include "fakes/steering/steeringfleet.h"
 
+#include "fakes/worldrandom.h"
+
 #include <algorithm>
 
 namespace Fakes {
@@ -38,18 +40,6 @@
         }
     };
 
-    class WorldRandom : public Ports::RandomSource {
-    public:
-        explicit WorldRandom(VirtualWorld& world)
-            : m_world(world)
-        {
-        }
-        auto next() -> std::uint64_t override { return m_world.below(std::numeric_limits<std::size_t>::max()); }
-
-    private:
-        VirtualWorld& m_world;
-    };
-
     class HeardMembers : public Membership::MembershipView {
     public:
         [[nodiscard]] auto members() const -> std::vector<Membership::Member> override { return list; }
