Log callers that disconnect, and how late a VM handles its events

A refusal now has the reason caller-disconnected; process.delayed is written when an event is handled 200 ms late or more, once a second at most, and event_delay_highest_ms is its gauge. No decision changes.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -66,7 +66,9 @@
           { { "upstream_connections_total", Metrics::CallbackMetric::Type::Counter,
                 [this] { return m_upstreamClient.openedConnections(); } },
               { "heartbeats_malformed_total", Metrics::CallbackMetric::Type::Counter,
-                  [this] { return m_datagrams.malformedCount(); } } })
+                  [this] { return m_datagrams.malformedCount(); } },
+              { "event_delay_highest_ms", Metrics::CallbackMetric::Type::Gauge,
+                  [this] { return static_cast<std::uint64_t>(m_entryVm.delays().highestDelay().count()); } } })
     , m_store(platform.makeStore(m_storeClient))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
     , m_peers(m_runtime.context(), m_peerTraffic)
--- a/src/libs/core/refusal.cpp
+++ b/src/libs/core/refusal.cpp
@@ -47,6 +47,8 @@
         return "not-configured";
     case RefusalReason::InternalError:
         return "internal-error";
+    case RefusalReason::CallerDisconnected:
+        return "caller-disconnected";
     }
     return "invalid-request";
 }
--- a/src/libs/core/refusal.h
+++ b/src/libs/core/refusal.h
@@ -34,6 +34,7 @@
     ShuttingDown,
     NotConfigured,
     InternalError,
+    CallerDisconnected,
 };
 
 auto toString(RunOutcome outcome) -> std::string;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -315,7 +315,7 @@
     }
     ForwardRefusal abandoned;
     abandoned.outcome = RunOutcome::Unknown;
-    abandoned.reason = RefusalReason::DeadlinePassed;
+    abandoned.reason = RefusalReason::CallerDisconnected;
     abandoned.message = "the caller disconnected";
     finish(std::move(abandoned));
     cancelExchanges();
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -110,7 +110,9 @@
 
 auto EntryVm::scheduleProbes() -> void
 {
-    m_probeTimer = m_environment.scheduler.after(probeInterval, [this] {
+    const auto due = m_environment.clock.now() + probeInterval;
+    m_probeTimer = m_environment.scheduler.after(probeInterval, [this, due] {
+        m_delays.recordHandled(due);
         m_forwarder.runProbes();
         scheduleProbes();
     });
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crashreports/crashreportsender.h"
+#include "forwardinghost/delaymonitor.h"
 #include "forwardinghost/entryvmsettings.h"
 #include "forwardinghost/listeners.h"
 #include "storesync/peerrefresh.h"
@@ -39,6 +40,7 @@
     auto forwarder() -> Forwarding::Forwarder& { return m_forwarder; }
     auto fleet() -> EntryFleet::EntryFleet& { return m_fleet; }
     [[nodiscard]] auto mirror() const -> const StoreSync::CollectionMirror& { return m_mirror; }
+    [[nodiscard]] auto delays() const -> const DelayMonitor& { return m_delays; }
     [[nodiscard]] auto isStoreReachable() const -> bool;
     /// Returns true if a configuration is in force and this entry VM is not shutting down.
     [[nodiscard]] auto isReady() const -> bool;
@@ -87,6 +89,7 @@
     std::shared_ptr<StoreSync::PeerRefresh> m_peerRefresh;
     std::vector<std::shared_ptr<StoreSync::CollectionFollower>> m_followers;
     std::atomic<bool> m_isLeaving { false };
+    DelayMonitor m_delays { m_environment.clock, m_environment.events };
     std::unique_ptr<Ports::Timer> m_probeTimer;
     std::unique_ptr<Ports::Timer> m_registrationTimer;
 };
--- a/src/plugins/httpfront/replyencoding.cpp
+++ b/src/plugins/httpfront/replyencoding.cpp
@@ -45,6 +45,7 @@
         case RefusalReason::UpstreamFailed:
         case RefusalReason::UpstreamAnswerInvalid:
         case RefusalReason::HomeUnreachable:
+        case RefusalReason::CallerDisconnected:
             return http::status::bad_gateway;
         case RefusalReason::DeadlineUnreachable:
         case RefusalReason::Overloaded:
--- a/tests/auto/forwarding/tst_forwardoperation.cpp
+++ b/tests/auto/forwarding/tst_forwardoperation.cpp
@@ -203,6 +203,13 @@
     BOOST_TEST(exchanges.exchanges.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(IsLoggedAsAbandonedByItsCaller)
+{
+    send()->abandon();
+    BOOST_TEST((refusal().reason == RefusalReason::CallerDisconnected));
+    BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(ThatNothingCanServe, ForwarderFixture)
