--- a/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
@@ -48,7 +48,7 @@
     configure();
     for (std::size_t index = 0; index < upstreamCount; ++index)
         addUpstream(Core::Address("10.0.0." + std::to_string(index) + ":80"));
-    for (std::size_t index = 0; index < ForwardingSite::size; ++index)
+    for (std::size_t index = 0; index < ForwardingSite::defaultSize; ++index)
         m_site.startVm(index);
     m_site.world.runFor(Core::Millis(4000));
 }
@@ -343,7 +343,7 @@
     m_sendRate = normalSendRate;
     if (!m_evacuated.empty())
         evacuate();
-    for (std::size_t index = 0; index < ForwardingSite::size; ++index) {
+    for (std::size_t index = 0; index < ForwardingSite::defaultSize; ++index) {
         if (m_site.vm(index) == nullptr)
             m_site.startVm(index);
         else if (!m_site.isRunning(index))
--- a/tests/auto/forwardingsoak/randomisedforwardingrun.h
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.h
@@ -37,13 +37,13 @@
     auto addUpstream(const Core::Address& address) -> void;
     [[nodiscard]] auto makeEntry(const Core::UpstreamId& id, const Core::Address& address) -> Forwarding::UpstreamEntry;
     [[nodiscard]] auto randomUpstream() -> std::optional<Core::UpstreamId>;
-    [[nodiscard]] auto randomVm() -> std::size_t { return m_site.world.below(Fakes::ForwardingSite::size); }
+    [[nodiscard]] auto randomVm() -> std::size_t { return m_site.world.below(Fakes::ForwardingSite::defaultSize); }
     [[nodiscard]] auto isStoreHealthy() const -> bool;
     auto schedule(Core::Duration delay, Ports::Scheduler::Task task) -> void;
 
     Fakes::ForwardingSite m_site;
     /// Requests of each VM's current process: all that have no reply yet, and some that have one.
-    std::array<OpenRequests, Fakes::ForwardingSite::size> m_open;
+    std::array<OpenRequests, Fakes::ForwardingSite::defaultSize> m_open;
     std::set<Core::UpstreamId> m_upstreams;
     /// Upstreams that are draining, or that crashed and have not restarted yet.
     std::set<Core::UpstreamId> m_leaving;
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -5,6 +5,8 @@
 #include "standins/rawconnection.h"
 
 #include <boost/test/unit_test.hpp>
+#include <future>
+#include <latch>
 
 using namespace HttpForwardTest;
 
@@ -35,8 +37,12 @@
 
 const std::string goodAnswer
     = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nX-Seal: s1\r\nKeep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\npegs";
-const std::string goodRequest
-    = "GET /stock/7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r1\r\nTime-Left: 2000\r\n\r\n";
+auto requestWithId(const std::string& id) -> std::string
+{
+    return "GET /stock/7 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id + "\r\nTime-Left: 2000\r\n\r\n";
+}
+
+const std::string goodRequest = requestWithId("r1");
 
 auto smallLimits() -> HttpServer::Limits
 {
@@ -51,6 +57,8 @@
 }
 
 struct ForwardFrontFixture {
+    static constexpr std::size_t threadCount = 2;
+
     ForwardFrontFixture()
         : thread([this] { runtime.run(); })
     {
@@ -83,6 +91,22 @@
         forwarder.setUpstreams({ { entry.target.id, entry } }, {});
     }
 
+    /// Blocks all threads of the entry VM, as if it had no processor time, until the returned promise is set.
+    auto holdThreads() -> std::promise<void>
+    {
+        std::promise<void> release;
+        const auto released = release.get_future().share();
+        const auto held = std::make_shared<std::latch>(threadCount);
+        for (std::size_t index = 0; index < threadCount; ++index) {
+            runtime.post([held, released] {
+                held->count_down();
+                released.wait();
+            });
+        }
+        held->wait();
+        return release;
+    }
+
     auto exchange(const std::string& bytes) -> std::string
     {
         StandIns::RawConnection connection(server.port());
@@ -92,7 +116,7 @@
 
     Runtime::SystemClock clock;
     Runtime::SystemRandom random;
-    Runtime::AsioRuntime runtime { 2 };
+    Runtime::AsioRuntime runtime { threadCount };
     HttpClient::Client client { runtime.context() };
     HttpForward::HttpExchangeClient exchanges { client, names() };
     NullEventSink events;
@@ -162,6 +186,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhoseVmReadsARequestLate)
+
+/// Incident DRAIN, GONE: requests were sent on after their callers had left.
+BOOST_AUTO_TEST_CASE(SendsNothingForACallerThatHasLeft, *boost::unit_test::disabled())
+{
+    ScriptedUpstream upstream({ goodAnswer, goodAnswer, goodAnswer });
+    serve(upstream);
+    // Leaves a connection to the upstream open, over which the next request is sent without delay.
+    exchange(requestWithId("first"));
+    auto release = holdThreads();
+    {
+        StandIns::RawConnection connection(server.port());
+        connection.send(requestWithId("abandoned"));
+    }
+    release.set_value();
+    BOOST_TEST(exchange(requestWithId("last")).starts_with("HTTP/1.1 200 "));
+    for (const auto& head : upstream.requestHeads())
+        BOOST_TEST(head.find("abandoned") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatReceivesMalformedRequests)
 
 BOOST_AUTO_TEST_CASE(RefusesThemAndServesOthers)
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -91,9 +91,11 @@
     ForwardingHost::EntryVm entryVm;
 };
 
-ForwardingSite::ForwardingSite(std::uint64_t seed)
+ForwardingSite::ForwardingSite(std::uint64_t seed, std::size_t vmCount)
     : world(seed)
     , virtualUpstreams(world, requestTracker, [this](const NodeId& vm) { return isStable(vm); })
+    , m_processes(vmCount)
+    , m_versions(vmCount)
 {
 }
 
@@ -169,7 +171,7 @@
 
 auto ForwardingSite::recordGlobalDisturbance() -> void
 {
-    for (std::size_t index = 0; index < size; ++index)
+    for (std::size_t index = 0; index < m_processes.size(); ++index)
         recordDisturbance(index);
 }
 
@@ -266,7 +268,7 @@
 
 auto ForwardingSite::checkConfigurations() -> void
 {
-    for (std::size_t index = 0; index < size; ++index) {
+    for (std::size_t index = 0; index < m_processes.size(); ++index) {
         if (!m_processes.at(index) || !m_configuration)
             continue;
         const auto known = m_processes.at(index)->entryVm.forwarder().configuration();
--- a/tests/fakes/forwarding/forwardingsite.h
+++ b/tests/fakes/forwarding/forwardingsite.h
@@ -11,11 +11,11 @@
 /// upstreams.
 class ForwardingSite {
 public:
-    static constexpr std::size_t size = 5;
+    static constexpr std::size_t defaultSize = 5;
     /// A VM counts as stable after this time without a disturbance of the VM or the store.
     static constexpr Core::Millis stabilityTime { 3000 };
 
-    explicit ForwardingSite(std::uint64_t seed);
+    explicit ForwardingSite(std::uint64_t seed, std::size_t vmCount = defaultSize);
     ~ForwardingSite();
 
     auto startVm(std::size_t index) -> void;
@@ -68,10 +68,10 @@
     auto recordGlobalDisturbance() -> void;
     auto recordReply(const Core::RequestId& id, const Forwarding::ForwardReply& reply) -> void;
 
-    std::array<std::unique_ptr<Process>, size> m_processes;
+    std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::string> m_runLog;
     std::map<NodeId, Core::Instant> m_disturbedAt;
-    std::array<Core::Version, size> m_versions;
+    std::vector<Core::Version> m_versions;
     std::shared_ptr<const Forwarding::RoutingConfiguration> m_configuration;
     Core::Instant m_configuredAt;
 };
