Bound the health checks that a VM starts in a second

Health checks are another control work that grew with the upstreams without a bound. Of those that are due, a round now starts five (50 a second): first the upstreams that requests wait for, then the oldest, and the services by turns.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -3,6 +3,8 @@
 #include "core/invariant.h"
 #include "forwarding/forwardoperation.h"
 
+#include <algorithm>
+
 namespace Forwarding {
 
 namespace {
@@ -85,15 +87,32 @@
 auto Forwarder::runProbes() -> void
 {
     const auto contexts = m_contexts.load();
-    for (const auto& [id, context] : *contexts) {
-        for (const auto& target : context->pool.takeDueProbes(m_environment.clock.now())) {
-            m_environment.exchanges.probeHealth(target, context->pool.healthPath(),
-                [this, context = context, target](
-                    const Core::Result<Ports::HealthReport>& report) { recordProbe(context, target, report); });
-        }
+    if (contexts->empty())
+        return;
+    std::vector<std::shared_ptr<detail::ServiceContext>> services;
+    for (const auto& [id, context] : *contexts)
+        services.push_back(context);
+    // Each service is first in turn, so that none takes all health checks of the rounds.
+    const auto first = m_firstProbedService++ % services.size();
+    std::rotate(services.begin(), services.begin() + static_cast<std::ptrdiff_t>(first), services.end());
+    std::size_t started = 0;
+    for (const auto& context : services) {
+        const auto due = context->pool.takeDueProbes(m_environment.clock.now(), maximumProbesPerRound - started);
+        started += due.size();
+        for (const auto& target : due)
+            probe(context, target);
     }
 }
 
+auto Forwarder::probe(const std::shared_ptr<detail::ServiceContext>& context, const Ports::UpstreamTarget& target)
+    -> void
+{
+    m_environment.exchanges.probeHealth(
+        target, context->pool.healthPath(), [this, context, target](const Core::Result<Ports::HealthReport>& report) {
+            recordProbe(context, target, report);
+        });
+}
+
 auto Forwarder::setListStale(bool isStale) -> void
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -60,7 +60,11 @@
     auto setShutdownDeadline(Core::Instant end) -> void;
     /// Forwards the request. The callback runs exactly once, on any thread.
     auto handle(ForwardRequest request, ForwardCallback callback) -> std::shared_ptr<OpenRequest>;
-    /// Starts the health checks that are due; called at short intervals.
+    /// Largest number of health checks that one round starts. When many upstreams change together, the health checks
+    /// must not take the processor time that requests and changes of the store need.
+    static constexpr std::size_t maximumProbesPerRound = 5;
+
+    /// Starts health checks that are due; called at short intervals.
     auto runProbes() -> void;
     /// Sets whether the list of upstreams is stale, that is, may lack recent changes.
     auto setListStale(bool isStale) -> void;
@@ -92,7 +96,10 @@
     UpstreamEntries m_entries;
     EvacuatedDomains m_evacuated;
     bool m_isListStale = false;
+    /// Service whose health checks go first in the next round.
+    std::size_t m_firstProbedService = 0;
 
+    auto probe(const std::shared_ptr<detail::ServiceContext>& context, const Ports::UpstreamTarget& target) -> void;
     auto recordProbe(const std::shared_ptr<detail::ServiceContext>& context, const Ports::UpstreamTarget& target,
         const Core::Result<Ports::HealthReport>& report) -> void;
     auto accept(const UpstreamNotice& notice) -> void;
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -120,23 +120,31 @@
     // A current list soon reports a restart. A stale list does not, and the upstream may be cold.
     if (m_isListStale)
         state.markUnverified();
-    else
-        state.requestProbe();
+    state.requestProbe();
 }
 
-auto ServicePool::takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>
+auto ServicePool::takeDueProbes(Core::Instant now, std::size_t limit) -> std::vector<Ports::UpstreamTarget>
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<Ports::UpstreamTarget> due;
+    std::vector<Ports::UpstreamTarget> targets;
     if (m_settings.healthPath.empty())
-        return due;
+        return targets;
+    std::vector<UpstreamState*> due;
     for (auto& [target, state] : m_states) {
-        if (!state.isProbeDue(now) || m_evacuated.contains(state.entry().failureDomain))
-            continue;
-        state.beginProbe(now);
-        due.push_back(target);
+        if (state.isProbeDue(now) && !m_evacuated.contains(state.entry().failureDomain))
+            due.push_back(&state);
     }
-    return due;
+    std::stable_sort(due.begin(), due.end(), [](const UpstreamState* a, const UpstreamState* b) {
+        if (a->isProbeUrgent() != b->isProbeUrgent())
+            return a->isProbeUrgent();
+        return a->probeAt() < b->probeAt();
+    });
+    due.resize(std::min(due.size(), limit));
+    for (auto* state : due) {
+        state->beginProbe(now);
+        targets.push_back(state->entry().target);
+    }
+    return targets;
 }
 
 auto ServicePool::recordProbe(
@@ -168,8 +176,10 @@
 auto ServicePool::recordClosedConnection(const Ports::UpstreamTarget& target) -> void
 {
     const std::lock_guard lock(m_mutex);
-    if (auto* state = findState(target))
+    if (auto* state = findState(target)) {
         state->markUnverified();
+        state->requestProbe();
+    }
 }
 
 auto ServicePool::markAllUnverified() -> void
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -8,6 +8,7 @@
 #include "forwarding/upstreamnotice.h"
 #include "forwarding/upstreamstate.h"
 
+#include <limits>
 #include <mutex>
 
 namespace Forwarding {
@@ -103,8 +104,10 @@
     /// Chooses an upstream and counts the request as in flight there. Each choice requires a call of endExchange().
     auto choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
     auto endExchange(const ExchangeReport& report, Core::Instant now) -> void;
-    /// Returns the upstreams that are due for a health check. Each requires a call of recordProbe().
-    auto takeDueProbes(Core::Instant now) -> std::vector<Ports::UpstreamTarget>;
+    /// Returns upstreams that are due for a health check, at most `limit`, the most urgent ones first. Each requires a
+    /// call of recordProbe().
+    auto takeDueProbes(Core::Instant now, std::size_t limit = std::numeric_limits<std::size_t>::max())
+        -> std::vector<Ports::UpstreamTarget>;
     /// Returns true if the result must be announced to the other entry VMs.
     auto recordProbe(const Ports::UpstreamTarget& target, const Core::Result<Ports::HealthReport>& report,
         Core::Instant now) -> bool;
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -133,11 +133,7 @@
     return wasDown;
 }
 
-auto UpstreamState::markUnverified() -> void
-{
-    m_isUnverified = true;
-    m_isProbeRequested = true;
-}
+auto UpstreamState::markUnverified() -> void { m_isUnverified = true; }
 
 auto UpstreamState::markVerified(Core::Instant now) -> void
 {
@@ -205,7 +201,7 @@
 
 auto UpstreamState::isProbeDue(Core::Instant now) const -> bool
 {
-    return m_isListed && (m_isEjected || m_isProbeRequested) && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
+    return m_isListed && (m_isUnverified || isProbeUrgent()) && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
 }
 
 auto UpstreamState::mayHaveRestarted(Core::Instant now) const -> bool
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -34,7 +34,7 @@
     /// Schedules a health check without excluding the upstream from requests.
     auto requestProbe() -> void { m_isProbeRequested = true; }
     /// Limits the upstream to one request at a time until it has been probed. It may have restarted unnoticed and be
-    /// cold.
+    /// cold. The probe is less urgent than a requested one.
     auto markUnverified() -> void;
     /// Treats the upstream as cold until at least the given instant, even if it reports an earlier one.
     auto setCold(Core::Instant until) -> void;
@@ -52,6 +52,10 @@
     [[nodiscard]] auto isBusy() const -> bool { return m_inFlight > 0; }
     [[nodiscard]] auto isCold(Core::Instant now) const -> bool { return now < m_coldUntil; }
     [[nodiscard]] auto isProbeDue(Core::Instant now) const -> bool;
+    /// Returns true if requests wait for the result of the due probe.
+    [[nodiscard]] auto isProbeUrgent() const -> bool { return m_isEjected || m_isProbeRequested; }
+    /// Returns the instant from which on a probe may be due.
+    [[nodiscard]] auto probeAt() const -> Core::Instant { return m_probeAt; }
     [[nodiscard]] auto hasCached(const ObjectKey& object) const -> bool { return m_cachedObjects.contains(object); }
     /// Returns the share of recent requests that failed or were refused although the upstream seemed to have capacity.
     [[nodiscard]] auto failureShare() const -> double { return m_failureShare; }
--- a/tests/auto/forwarding/tst_upstreamhealth.cpp
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -163,6 +163,21 @@
     BOOST_TEST(!probe(healthy));
 }
 
+BOOST_AUTO_TEST_CASE(IsProbedBeforeThoseThatNoRequestNeeds)
+{
+    std::vector<Forwarding::UpstreamEntry> entries;
+    for (int number = 0; number < 50; ++number)
+        entries.push_back(upstream("a" + std::to_string(number)));
+    list(entries);
+    pool.markAllUnverified();
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    const auto due = pool.takeDueProbes(now, 3);
+    BOOST_REQUIRE(due.size() == 3U);
+    BOOST_TEST(due.front().id == choice->target.id);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 47U);
+}
+
 BOOST_AUTO_TEST_CASE(IsNotAnnouncedAgainWhenAnotherEntryVmHasAnnouncedIt)
 {
     list({ upstream("a1") });
