Take only an end of stream or an error for a caller's disconnect

Cause: the server waited for the socket to become readable and took a wake without bytes for a disconnect; with several threads a late readiness event of bytes that have been read wakes it too. The wait was one-shot as well: it missed a caller that left behind a pipelined request, and ignored errors. An idle connection had the same wait, and closed after the header timeout. The server now reads ahead, up to the header limit, while a request is in flight: an end of stream or an error is the disconnect. The idle wait looks at the socket before it takes a request for begun.

--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
 
 namespace HttpServer {
 
@@ -25,6 +26,7 @@
         /// with unread input resets it, and the client can lose the response.
         constexpr Core::Millis discardTime { 500 };
         constexpr std::size_t discardLimit = 4UL * 1024 * 1024;
+        constexpr std::size_t readAheadBytes = 512;
 
         auto statusFor(const Error& error) -> http::status
         {
@@ -103,6 +105,17 @@
         callback();
     }
 
+    auto ClientDisconnectNotifier::isDisconnected() const -> bool
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_isDisconnected)
+                return true;
+        }
+        const auto connection = m_connection.lock();
+        return !connection || connection->isClosedByClient();
+    }
+
     auto ClientDisconnectNotifier::notifyDisconnect() -> void
     {
         std::function<void()> callback;
@@ -119,7 +132,7 @@
         : m_socket(std::move(socket))
         , m_environment(std::move(environment))
         , m_timeout(m_socket.get_executor())
-        , m_responseSignal(m_socket.get_executor())
+        , m_signal(m_socket.get_executor())
     {
         Error ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -190,7 +203,7 @@
         asio::post(executor(), [self = shared_from_this(), response = std::move(response)]() mutable {
             self->m_isResponseDelivered = true;
             self->m_response = std::move(response);
-            self->m_responseSignal.cancel();
+            self->m_signal.cancel();
         });
     }
 
@@ -205,7 +218,10 @@
         m_limits = m_environment.server->limits.load();
         armTimeout(m_limits->idleTimeout);
         Error error;
-        co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        // A late event for bytes that have been read already ends the wait as well.
+        do
+            co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        while (!error && peek() == PeekResult::Nothing);
         m_isIdle = false;
         co_return !error;
     }
@@ -271,8 +287,7 @@
     {
         m_isResponseDelivered = false;
         m_response.reset();
-        ++m_requestNumber;
-        const auto client = std::make_shared<ClientDisconnectNotifier>();
+        const auto client = std::make_shared<ClientDisconnectNotifier>(weak_from_this());
         try {
             m_environment.handler.handleCancellable(
                 client, std::move(request), makeRespond(shared_from_this(), m_environment.server));
@@ -280,12 +295,10 @@
             // The destructor of the unused OneShotResponder delivers the failure.
         }
         if (!m_isResponseDelivered)
-            watchForDisconnect(client);
-        while (!m_isResponseDelivered) {
-            Error ignored;
-            m_responseSignal.expires_at(asio::steady_timer::time_point::max());
-            co_await m_responseSignal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
+            readAhead(client);
+        while (!m_isResponseDelivered)
+            co_await waitForSignal();
+        co_await stopReadingAhead();
         if (!m_response)
             co_return m_environment.handler.failureResponse();
         co_return std::move(*m_response);
@@ -349,20 +362,53 @@
         });
     }
 
-    auto Connection::watchForDisconnect(std::shared_ptr<ClientDisconnectNotifier> client) -> void
+    auto Connection::readAhead(std::shared_ptr<ClientDisconnectNotifier> client) -> void
     {
-        if (m_buffer.size() > 0)
+        if (m_buffer.size() + readAheadBytes > m_limits->maximumHeader.value())
             return;
-        m_socket.async_wait(Socket::wait_read,
-            [self = shared_from_this(), client = std::move(client), number = m_requestNumber](Error error) {
-                if (error || self->m_isResponseDelivered || number != self->m_requestNumber)
-                    return;
-                // Readable with no bytes available means end of stream; otherwise the next request has arrived.
-                if (self->m_socket.available(error) == 0)
+        m_isReadingAhead = true;
+        m_socket.async_read_some(m_buffer.prepare(readAheadBytes),
+            [self = shared_from_this(), client = std::move(client)](Error error, std::size_t size) {
+                self->m_isReadingAhead = false;
+                self->m_buffer.commit(size);
+                if (self->m_isResponseDelivered)
+                    self->m_signal.cancel();
+                else if (error)
                     client->notifyDisconnect();
+                else
+                    self->readAhead(client);
             });
     }
 
+    auto Connection::stopReadingAhead() -> asio::awaitable<void>
+    {
+        if (!m_isReadingAhead)
+            co_return;
+        Error ignored;
+        m_socket.cancel(ignored);
+        while (m_isReadingAhead)
+            co_await waitForSignal();
+    }
+
+    auto Connection::waitForSignal() -> asio::awaitable<void>
+    {
+        Error ignored;
+        m_signal.expires_at(asio::steady_timer::time_point::max());
+        co_await m_signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    auto Connection::isClosedByClient() -> bool { return peek() == PeekResult::Closed; }
+
+    auto Connection::peek() -> PeekResult
+    {
+        char byte = 0;
+        const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count > 0)
+            return PeekResult::Bytes;
+        const bool isEmpty = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        return isEmpty ? PeekResult::Nothing : PeekResult::Closed;
+    }
+
     auto Connection::closesAfterResponse() const -> bool
     {
         return m_environment.server->isShuttingDown || m_environment.server->isDraining;
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -33,14 +33,23 @@
         std::atomic<bool> isDestroyed { false };
     };
 
+    class Connection;
+
     /// Calls the callback once: when the client disconnects, or at once if it has already. Thread-safe.
     class ClientDisconnectNotifier : public DisconnectNotifier {
     public:
+        explicit ClientDisconnectNotifier(std::weak_ptr<Connection> connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
         auto onDisconnect(std::function<void()> callback) -> void override;
+        [[nodiscard]] auto isDisconnected() const -> bool override;
         auto notifyDisconnect() -> void;
 
     private:
-        std::mutex m_mutex;
+        const std::weak_ptr<Connection> m_connection;
+        mutable std::mutex m_mutex;
         bool m_isDisconnected = false;
         std::function<void()> m_callback;
     };
@@ -65,11 +74,17 @@
         /// Sets the response to the request in flight; std::nullopt means that the handler failed. Thread-safe.
         auto deliver(std::optional<HttpResponse> response) -> void;
 
+        /// Returns true if the client has closed the connection and everything that it sent has been read. Thread-safe.
+        [[nodiscard]] auto isClosedByClient() -> bool;
+
         [[nodiscard]] auto executor() -> Strand { return m_socket.get_executor(); }
 
     private:
         using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+        /// What waits to be read from the socket.
+        enum class PeekResult : std::uint8_t { Nothing, Bytes, Closed };
+
         auto waitForRequest() -> boost::asio::awaitable<bool>;
         auto serveRequest() -> boost::asio::awaitable<bool>;
         auto readRequest(Parser& parser) -> boost::asio::awaitable<boost::system::error_code>;
@@ -85,8 +100,12 @@
         auto discardInput() -> boost::asio::awaitable<void>;
         auto armTimeout(Core::Duration timeout) -> void;
         auto hasInput() -> bool;
-        /// Notifies if the client disconnects before the request in flight is answered.
-        auto watchForDisconnect(std::shared_ptr<ClientDisconnectNotifier> client) -> void;
+        auto peek() -> PeekResult;
+        /// Reads what the client sends while its request is in flight, up to a limit, and notifies if it disconnects.
+        auto readAhead(std::shared_ptr<ClientDisconnectNotifier> client) -> void;
+        auto stopReadingAhead() -> boost::asio::awaitable<void>;
+        /// Suspends the coroutine until deliver() or the end of the reading ahead resumes it.
+        auto waitForSignal() -> boost::asio::awaitable<void>;
         [[nodiscard]] auto closesAfterResponse() const -> bool;
 
         Socket m_socket;
@@ -96,11 +115,10 @@
         std::uint64_t m_timeoutGeneration = 0;
         bool m_hasTimedOut = false;
         bool m_isIdle = false;
-        /// Cancelled by deliver() to resume the coroutine.
-        boost::asio::steady_timer m_responseSignal;
+        /// Cancelled to resume the coroutine.
+        boost::asio::steady_timer m_signal;
         bool m_isResponseDelivered = false;
-        /// Number of the request in flight; lets the disconnect watch of an earlier request detect that it is obsolete.
-        std::uint64_t m_requestNumber = 0;
+        bool m_isReadingAhead = false;
         std::uint64_t m_reservedBytes = 0;
         bool m_isBodyRefused = false;
         std::shared_ptr<const Limits> m_limits;
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -14,12 +14,14 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-/// Notifies the handler of one request when the client disconnects.
+/// Tells the handler of one request whether the client is still connected. Thread-safe.
 class DisconnectNotifier {
 public:
     virtual ~DisconnectNotifier() = default;
     /// Calls back once, from any thread, when the client closes its connection before the response is delivered.
     virtual auto onDisconnect(std::function<void()> callback) -> void = 0;
+    /// Looks at the connection itself, and so notices a disconnect before onDisconnect() calls back.
+    [[nodiscard]] virtual auto isDisconnected() const -> bool = 0;
 };
 
 /// Handles parsed HTTP requests.
