Look again at caller and upstream right before a request is written

The exchange client now asks right before it writes: a request that is done, whose caller has left, or whose upstream is leaving or evacuated is withdrawn. The connection stays usable, the upstream's health is not charged, and a withdrawn request goes to another upstream without a charge on the retry budget, since no upstream saw it. A caller that left while a connection was opened counted as a failure of the upstream; two of them ejected it. That ends as withdrawn too. New tests for each case; they use the new hook and so can't run on the code before.

--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -27,6 +27,12 @@
             || outcome == ExchangeOutcome::Invalid || outcome == ExchangeOutcome::Cancelled;
     }
 
+    /// Returns true if no byte of the request has reached the upstream.
+    auto isUnsent(ExchangeOutcome outcome) -> bool
+    {
+        return outcome == ExchangeOutcome::NotSent || outcome == ExchangeOutcome::Withdrawn;
+    }
+
     auto describeFailure(const std::string& problem, const ChoiceFailure& failure) -> std::string
     {
         return "the " + std::to_string(failure.candidates) + " upstreams weighed " + problem + "; the least wait is "
@@ -139,6 +145,10 @@
     const auto index = *attempt;
     const auto self = shared_from_this();
     Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
+        [weak = weak_from_this(), target = choice.target] {
+            const auto operation = weak.lock();
+            return operation && operation->isStillWanted(target);
+        },
         [context = m_context, target = choice.target] { context->pool.recordClosedConnection(target); } };
     auto exchange = m_environment.exchanges.start(
         std::move(call), [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
@@ -160,6 +170,20 @@
         exchange->cancel();
 }
 
+auto ForwardOperation::isStillWanted(const Ports::UpstreamTarget& target) -> bool
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone || m_isClosed)
+            return false;
+    }
+    if (hasCallerLeft()) {
+        abandon();
+        return false;
+    }
+    return m_context->pool.acceptsRequests(target);
+}
+
 auto ForwardOperation::releaseChoice(const Choice& choice, Core::Instant now) -> void
 {
     ExchangeReport report;
@@ -181,7 +205,7 @@
         // The exchange may own a reference to this operation.
         m_attempts[index].exchange.reset();
         isDone = m_isDone;
-        if (result.outcome == ExchangeOutcome::NotSent)
+        if (isUnsent(result.outcome))
             --m_sends;
         if (isOutcomeUnknown(result.outcome))
             m_mayHaveRun = true;
@@ -231,10 +255,12 @@
         attempt.exchange->cancel();
 }
 
-auto ForwardOperation::mayRetry(Core::Instant now) -> bool
+auto ForwardOperation::mayRetry(ExchangeOutcome outcome, Core::Instant now) -> bool
 {
     if (now >= m_deadline || m_sends >= m_route->attempts || m_attempts.size() >= maximumAttempts)
         return false;
+    if (outcome == ExchangeOutcome::Withdrawn)
+        return true;
     return m_context->retryBudget.tryTake(m_forwarder.retryAllowance(), now);
 }
 
@@ -242,7 +268,7 @@
 {
     const bool isSafe
         = (m_route->isIdempotent || !m_mayHaveRun) && !m_forwarder.m_crashGuard.isQuarantined(m_fingerprint);
-    if (isSafe && mayRetry(m_environment.clock.now())) {
+    if (isSafe && mayRetry(result.outcome, m_environment.clock.now())) {
         send();
         return;
     }
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -31,13 +31,15 @@
     auto startExchange(const Choice& choice, Core::Instant now) -> void;
     /// Releases a chosen upstream to which nothing was sent.
     auto releaseChoice(const Choice& choice, Core::Instant now) -> void;
+    /// Returns true if the request may still be written to the chosen upstream. Abandons it if the caller has left.
+    [[nodiscard]] auto isStillWanted(const Ports::UpstreamTarget& target) -> bool;
     auto onResult(std::size_t index, const Ports::ExchangeResult& result) -> void;
     auto onResponseTimeout(std::size_t index) -> void;
     auto onDeadline() -> void;
     /// Retries the request if that is safe, allowed and still useful. Otherwise replies with what is known of the
     /// outcome.
     auto retryOrRefuse(const Ports::ExchangeResult& result) -> void;
-    [[nodiscard]] auto mayRetry(Core::Instant now) -> bool;
+    [[nodiscard]] auto mayRetry(Ports::ExchangeOutcome outcome, Core::Instant now) -> bool;
     auto reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void;
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const ChoiceFailure& failure) -> void;
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -21,6 +21,7 @@
         case ExchangeOutcome::NotRun:
             return Ports::UpstreamOutcome::Shed;
         case ExchangeOutcome::Misdirected:
+        case ExchangeOutcome::Withdrawn:
         case ExchangeOutcome::NotSent:
             return Ports::UpstreamOutcome::NotSent;
         case ExchangeOutcome::Lost:
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -33,6 +33,7 @@
         case ExchangeOutcome::Lost:
             // The upstream may simply have closed an idle connection because of its age.
             return report.reusedConnection ? HealthSignal::Refusal : HealthSignal::Failure;
+        case ExchangeOutcome::Withdrawn:
         case ExchangeOutcome::Cancelled:
             break;
         }
@@ -202,6 +203,13 @@
     return state != nullptr && isUnresponsive(*state, now);
 }
 
+auto ServicePool::acceptsRequests(const Ports::UpstreamTarget& target) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    const auto* state = findState(target);
+    return state != nullptr && !state->isLeaving() && !m_evacuated.contains(state->entry().failureDomain);
+}
+
 auto ServicePool::responseTimeLimit() const -> Core::Duration
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -124,6 +124,8 @@
     [[nodiscard]] auto service() const -> const Core::ServiceId& { return m_service; }
     /// Returns true if the upstream has not answered for much longer than its usual service time.
     [[nodiscard]] auto isUnresponsive(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
+    /// Returns true unless the upstream is leaving or its failure domain is being evacuated.
+    [[nodiscard]] auto acceptsRequests(const Ports::UpstreamTarget& target) -> bool;
     /// Returns the time without an answer after which an upstream counts as unresponsive.
     [[nodiscard]] auto responseTimeLimit() const -> Core::Duration;
 
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -196,12 +196,12 @@
 
 auto UpstreamState::isUsable(Core::Instant now) const -> bool
 {
-    return m_isListed && !m_entry.isDraining && !m_isEjected && now >= m_backoffUntil;
+    return !isLeaving() && !m_isEjected && now >= m_backoffUntil;
 }
 
 auto UpstreamState::isProbeDue(Core::Instant now) const -> bool
 {
-    return m_isListed && (m_isUnverified || isProbeUrgent()) && !m_isProbing && !m_entry.isDraining && now >= m_probeAt;
+    return !isLeaving() && (m_isUnverified || isProbeUrgent()) && !m_isProbing && now >= m_probeAt;
 }
 
 auto UpstreamState::mayHaveRestarted(Core::Instant now) const -> bool
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -45,6 +45,8 @@
 
     [[nodiscard]] auto entry() const -> const UpstreamEntry& { return m_entry; }
     [[nodiscard]] auto isRemovable() const -> bool { return !m_isListed && m_inFlight == 0 && !m_isProbing; }
+    /// Returns true if the upstream is draining or no longer listed.
+    [[nodiscard]] auto isLeaving() const -> bool { return !m_isListed || m_entry.isDraining; }
     [[nodiscard]] auto isUsable(Core::Instant now) const -> bool;
     /// Returns true if the last answer is so old that the upstream may have restarted since.
     [[nodiscard]] auto mayHaveRestarted(Core::Instant now) const -> bool;
--- a/src/libs/ports/exchangeclient.cpp
+++ b/src/libs/ports/exchangeclient.cpp
@@ -11,6 +11,8 @@
         return "not-run";
     case ExchangeOutcome::Misdirected:
         return "misdirected";
+    case ExchangeOutcome::Withdrawn:
+        return "withdrawn";
     case ExchangeOutcome::NotSent:
         return "not-sent";
     case ExchangeOutcome::Lost:
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -41,6 +41,8 @@
     MessagePointer request;
     /// Remaining time; also sent to the upstream, which should abandon the request when it expires.
     Core::Duration timeLeft {};
+    /// Called right before the first byte of the request is written. If it returns false, nothing is written.
+    std::function<bool()> isStillWanted = [] { return true; };
     /// Called if the upstream closed a keep-alive connection early, because its process may have ended since.
     std::function<void()> onConnectionClosed;
 };
@@ -52,6 +54,8 @@
     NotRun,
     /// The address belongs to another upstream; the request did not run.
     Misdirected,
+    /// No byte of the request was written, because it was cancelled or isStillWanted() returned false.
+    Withdrawn,
     /// No byte of the request was written.
     NotSent,
     /// The connection ended after bytes were written; the request may have run.
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -45,6 +45,8 @@
             : stream(asio::make_strand(context))
         {
         }
+        auto setUsableFor(Core::Duration time) -> void { usableUntil = std::chrono::steady_clock::now() + time; }
+
         Stream stream;
         beast::flat_buffer buffer;
         bool isReused = false;
@@ -173,6 +175,13 @@
             if (!connected)
                 co_return tl::unexpected(connected.error());
         }
+        if (connection->isCancelled)
+            co_return tl::unexpected(withdrawn(*connection));
+        if (call->isStillWanted && !call->isStillWanted()) {
+            ++connection->exchangeNumber;
+            self->returnToPool(*call, connection);
+            co_return tl::unexpected(withdrawn(*connection));
+        }
         connection->stream.expires_at(deadline);
         Error error;
         if (call->request.body().size() > sequentialWriteLimit)
@@ -187,10 +196,12 @@
             co_return tl::unexpected(self->failureAfterWrite(*call, *connection, error));
         ++connection->exchangeNumber;
         Exchange result { std::move(response), connection->isReused };
-        if (isReusable(*connection, result.response))
-            self->returnToPool(*call, connection, keepAliveTimeOf(result.response, self->m_limits.idleTimeout));
-        else
+        if (isReusable(*connection, result.response)) {
+            connection->setUsableFor(keepAliveTimeOf(result.response, self->m_limits.idleTimeout));
+            self->returnToPool(*call, connection);
+        } else {
             connection->stream.close();
+        }
         co_return result;
     }
 
@@ -239,17 +250,25 @@
         connection.stream.expires_after(std::min<Core::Duration>(m_limits.connectTimeout, call.timeout));
         Error error;
         co_await connection.stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error && connection.isCancelled)
+            co_return tl::unexpected(withdrawn(connection));
         if (error) {
             co_return tl::unexpected(
                 Failure { FailureStage::BeforeWrite, false, error.message(), error == beast::error::timeout });
         }
         ++m_openedConnections;
+        connection.setUsableFor(m_limits.idleTimeout);
         connection.stream.socket().set_option(Tcp::no_delay(true), error);
         if (m_limits.deadPeerTimeout.count() > 0)
             Runtime::enableDeadPeerDetection(connection.stream.socket().native_handle(), m_limits.deadPeerTimeout);
         co_return tl::expected<void, Failure>();
     }
 
+    static auto withdrawn(const Connection& connection) -> Failure
+    {
+        return { FailureStage::Withdrawn, connection.isReused, "no longer wanted" };
+    }
+
     auto failureAfterWrite(const Call& call, const Connection& connection, const Error& error) -> Failure
     {
         // The other pooled connections to this server have often failed for the same reason: discard them all.
@@ -289,10 +308,9 @@
         return nullptr;
     }
 
-    auto returnToPool(const Call& call, const ConnectionPointer& connection, Core::Duration idleTime) -> void
+    auto returnToPool(const Call& call, const ConnectionPointer& connection) -> void
     {
         connection->stream.expires_never();
-        connection->usableUntil = std::chrono::steady_clock::now() + idleTime;
         m_idleConnections.with(call.address, [&](Pool& pool) {
             auto& connections = pool[keyOf(call)];
             if (connections.size() < m_limits.idleConnectionsPerAddress)
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -18,6 +18,8 @@
 
 /// Point at which an exchange failed.
 enum class FailureStage : std::uint8_t {
+    /// No byte of the request was written, because the call was cancelled or Call::isStillWanted() returned false.
+    Withdrawn,
     /// No byte of the request was written.
     BeforeWrite,
     /// Bytes were written; the server may have acted on them.
@@ -53,6 +55,9 @@
     /// Returns true if the response belongs to this request. Other responses are skipped, and the connection is closed
     /// afterwards. If empty, the first response is accepted.
     std::function<bool(const HttpResponse&)> matchesRequest;
+    /// Called right before the request is written. If it returns false, the call fails and its connection stays usable.
+    /// If empty, the request is always written.
+    std::function<bool()> isStillWanted;
     /// Called before the request is sent over a new connection if the server closed a pooled one before its timeout.
     std::function<void()> onIdleConnectionClosed;
 };
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -30,6 +30,8 @@
     auto outcomeOf(const HttpClient::Failure& failure) -> ExchangeOutcome
     {
         switch (failure.stage) {
+        case HttpClient::FailureStage::Withdrawn:
+            return ExchangeOutcome::Withdrawn;
         case HttpClient::FailureStage::BeforeWrite:
             return ExchangeOutcome::NotSent;
         case HttpClient::FailureStage::AfterWrite:
@@ -96,6 +98,7 @@
         const auto echoed = response.find(m_names.requestId);
         return echoed == response.end() || echoed->value() == id;
     };
+    httpCall.isStillWanted = std::move(call.isStillWanted);
     httpCall.onIdleConnectionClosed = std::move(call.onConnectionClosed);
     auto pending = m_client.send(std::move(httpCall),
         [this, callback = std::move(callback)](tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
--- a/src/plugins/httpupstream/httpupstreamclient.cpp
+++ b/src/plugins/httpupstream/httpupstreamclient.cpp
@@ -51,6 +51,7 @@
     auto outcomeFor(HttpClient::FailureStage stage) -> UpstreamOutcome
     {
         switch (stage) {
+        case HttpClient::FailureStage::Withdrawn:
         case HttpClient::FailureStage::BeforeWrite:
             return UpstreamOutcome::NotSent;
         case HttpClient::FailureStage::AfterWrite:
--- a/tests/auto/forwarding/tst_forwardoperation.cpp
+++ b/tests/auto/forwarding/tst_forwardoperation.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+class LeavingCaller : public Forwarding::CallerConnection {
+public:
+    [[nodiscard]] auto isClosed() const -> bool override { return hasLeft; }
+
+    bool hasLeft = false;
+};
+
 struct ForwarderFixture {
     ForwarderFixture()
     {
@@ -19,7 +26,8 @@
 
     auto configure(const Forwarding::Route& route) -> void { forwarder.setConfiguration(configurationWith({ route })); }
 
-    auto send(const std::string& id = "r1", const std::string& path = "/stock/7")
+    auto send(const std::string& id = "r1", const std::string& path = "/stock/7",
+        std::shared_ptr<const Forwarding::CallerConnection> caller = nullptr)
         -> std::shared_ptr<Forwarding::OpenRequest>
     {
         Forwarding::ForwardRequest request;
@@ -29,6 +37,7 @@
         request.object = Forwarding::ObjectKey("7");
         request.callerTimeout = Core::Millis(3000);
         request.message = std::make_shared<TextMessage>("question");
+        request.caller = std::move(caller);
         return forwarder.handle(
             std::move(request), [this](Forwarding::ForwardReply reply) { replies.push_back(std::move(reply)); });
     }
@@ -212,6 +221,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(ThatIsAboutToBeWritten, ForwarderFixture)
+
+/// Incident DRAIN, GONE: an upstream that began to leave while a connection was opened still got the request.
+BOOST_AUTO_TEST_CASE(GoesToAnotherUpstreamIfTheChosenOneIsLeaving)
+{
+    forwarder.setRetryAllowance({ 0, 0 });
+    send();
+    BOOST_TEST(exchange(0).call.isStillWanted());
+    auto entries = byId({ upstream("a1"), upstream("a2"), upstream("a3") });
+    entries.at(exchange(0).call.target.id).isDraining = true;
+    forwarder.setUpstreams(entries, {});
+    BOOST_TEST(!exchange(0).call.isStillWanted());
+    exchanges.end(0, ExchangeOutcome::Withdrawn);
+    BOOST_REQUIRE(exchanges.exchanges.size() == 2U);
+    BOOST_TEST((exchange(1).call.target.id != exchange(0).call.target.id));
+    exchanges.end(1, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(GoesNowhereIfItsFailureDomainIsEvacuated)
+{
+    send();
+    forwarder.setUpstreams(
+        byId({ upstream("a1"), upstream("a2"), upstream("a3") }), { Core::FailureDomainId("atl-a") });
+    BOOST_TEST(!exchange(0).call.isStillWanted());
+    exchanges.end(0, ExchangeOutcome::Withdrawn);
+    BOOST_TEST((refusal().outcome == RunOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(GoesNowhereIfItsCallerHasLeft)
+{
+    const auto caller = std::make_shared<LeavingCaller>();
+    send("r1", "/stock/7", caller);
+    BOOST_TEST(exchange(0).call.isStillWanted());
+    caller->hasLeft = true;
+    BOOST_TEST(!exchange(0).call.isStillWanted());
+    exchanges.end(0, ExchangeOutcome::Withdrawn);
+    BOOST_TEST(exchanges.exchanges.size() == 1U);
+    BOOST_TEST((refusal().reason == RefusalReason::CallerDisconnected));
+}
+
+BOOST_AUTO_TEST_CASE(IsNotSentAtAllIfItsCallerLeftBefore)
+{
+    const auto caller = std::make_shared<LeavingCaller>();
+    caller->hasLeft = true;
+    send("r1", "/stock/7", caller);
+    BOOST_TEST(exchanges.exchanges.empty());
+    BOOST_TEST((refusal().reason == RefusalReason::CallerDisconnected));
+    BOOST_TEST((refusal().outcome == RunOutcome::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotCountAgainstTheUpstreamWhenItIsWithdrawn)
+{
+    for (int request = 0; request < 5; ++request) {
+        send("r" + std::to_string(request));
+        exchanges.end(exchanges.exchanges.size() - 1, ExchangeOutcome::Withdrawn);
+        replies.clear();
+    }
+    forwarder.runProbes();
+    BOOST_TEST(exchanges.probes == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ThatNothingCanServe, ForwarderFixture)
 
 BOOST_AUTO_TEST_CASE(IsRefusedAtOnceWithARetryDelay)
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -225,6 +225,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ThatIsNoLongerWantedWhenItCanBeWritten)
+
+/// Incident DRAIN, GONE: nothing was looked at again between the choice of an upstream and the first byte.
+BOOST_AUTO_TEST_CASE(WritesNothingAndKeepsTheConnection)
+{
+    ScriptedUpstream upstream({ answer("ID", "one") });
+    auto withdrawn = call(upstream.address(), "r1");
+    withdrawn.isStillWanted = [] { return false; };
+    const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
+    exchanges.start(
+        std::move(withdrawn), [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+    BOOST_TEST(toString(promise->get_future().get().outcome) == "withdrawn");
+    BOOST_TEST(bodyOf(exchange(upstream.address(), "r2")) == "one");
+    BOOST_TEST(upstream.requestHeads().size() == 1U);
+    BOOST_TEST(upstream.connections() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatIsCancelled)
 
 BOOST_AUTO_TEST_CASE(AfterItsEndDoesNotAffectTheNextOnItsConnection)
