Reset a connection that closes in the middle of an exchange

Cancelling an exchange closed its connection in order: bytes of the request that still waited in the send buffer, on a stalled or narrow link, were delivered after the caller had left, and so they were at the timeout. A connection is now reset when it closes during an exchange, which discards them; an idle one still ends in order. While there: an expired exchange whose request was still being written was reported as lost in place of timed out.

--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -40,16 +40,32 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Stream = beast::basic_stream<Tcp, Strand>;
 
+    /// Connection to a server. If it closes during an exchange, it is reset, so that the server receives no rest of a
+    /// request that nobody waits for.
     struct Connection {
         explicit Connection(asio::io_context& context)
             : stream(asio::make_strand(context))
         {
         }
+        ~Connection()
+        {
+            if (isIdle)
+                closeInOrder();
+        }
+        Connection(const Connection&) = delete;
+        auto operator=(const Connection&) -> Connection& = delete;
+
+        auto closeInOrder() -> void
+        {
+            Runtime::setResetOnClose(stream.socket().native_handle(), false);
+            stream.close();
+        }
         auto setUsableFor(Core::Duration time) -> void { usableUntil = std::chrono::steady_clock::now() + time; }
 
         Stream stream;
         beast::flat_buffer buffer;
         bool isReused = false;
+        bool isIdle = false;
         bool isCancelled = false;
         /// Number of the exchange in progress; incremented when it starts and when it ends. Accessed on the strand, or
         /// while there is only one owner.
@@ -122,7 +138,9 @@
 
     auto stageAfterWrite(const Error& error) -> FailureStage
     {
-        if (error == beast::error::timeout)
+        // A read and a write can be open together; when the time expires, one ends as timed out and the other as
+        // aborted.
+        if (error == beast::error::timeout || error == asio::error::operation_aborted)
             return FailureStage::TimedOut;
         if (error.category() == http::make_error_code(http::error::bad_version).category()
             && error != http::error::end_of_stream && error != http::error::partial_message)
@@ -200,7 +218,7 @@
             connection->setUsableFor(keepAliveTimeOf(result.response, self->m_limits.idleTimeout));
             self->returnToPool(*call, connection);
         } else {
-            connection->stream.close();
+            connection->closeInOrder();
         }
         co_return result;
     }
@@ -259,6 +277,7 @@
         ++m_openedConnections;
         connection.setUsableFor(m_limits.idleTimeout);
         connection.stream.socket().set_option(Tcp::no_delay(true), error);
+        Runtime::setResetOnClose(connection.stream.socket().native_handle(), true);
         if (m_limits.deadPeerTimeout.count() > 0)
             Runtime::enableDeadPeerDetection(connection.stream.socket().native_handle(), m_limits.deadPeerTimeout);
         co_return tl::expected<void, Failure>();
@@ -301,6 +320,7 @@
                 continue;
             if (isStillOpen(*connection)) {
                 connection->isReused = true;
+                connection->isIdle = false;
                 return connection;
             }
             hasClosedConnection = true;
@@ -311,6 +331,7 @@
     auto returnToPool(const Call& call, const ConnectionPointer& connection) -> void
     {
         connection->stream.expires_never();
+        connection->isIdle = true;
         m_idleConnections.with(call.address, [&](Pool& pool) {
             auto& connections = pool[keyOf(call)];
             if (connections.size() < m_limits.idleConnectionsPerAddress)
--- a/src/plugins/runtime/socketoptions.cpp
+++ b/src/plugins/runtime/socketoptions.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+auto setResetOnClose(int socket, bool isEnabled) -> void
+{
+    const linger option { isEnabled ? 1 : 0, 0 };
+    // Errors are ignored: without the option, closing ends the stream in order.
+    (void)::setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 auto enableDeadPeerDetection(int socket, Core::Millis timeout) -> void
 {
     constexpr int probeIntervalSeconds = 1;
