Never let an older answer of the store undo a newer copy

Cause: while the store turns a VM away, the VM takes a newer copy of a collection from a peer; the answer of a watch or a list that was sent before is then applied on top of it, older states last, and the next watch starts behind the changes that were undone. The lock was let go between the comparison of the revisions and the change, too. Class: a change applied to another state than the one that it belongs to. Changes are now applied only at the revision that they start from, a list only if it is not older, and a copy, in one critical section with the revision. An answer that is ignored is followed by a watch from the newer revision; store.listed and store.watched say applied=no.

--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -67,18 +67,17 @@
         retryLater(result.error());
         return;
     }
-    applyList(*result);
+    const bool isApplied = applyUnlessOlder(*result);
     m_environment.events.record({ Ports::EventKind("store.listed"), {},
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
-            { "revision", std::to_string(result->revision.value()) } } });
+            { "revision", std::to_string(result->revision.value()) }, { "applied", isApplied ? "yes" : "no" } } });
     recordRecovery();
     m_environment.storeAnswered();
     watch();
 }
 
-auto CollectionFollower::applyList(const Ports::CollectionList& list) -> void
+auto CollectionFollower::applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>&) -> void
 {
-    const std::lock_guard listenerLock(m_listenerMutex);
     m_environment.mirror.replaceAll(m_name, list);
     m_listener.replaceAll(list);
     m_listener.commit();
@@ -87,17 +86,51 @@
     m_isLoaded = true;
 }
 
+auto CollectionFollower::applyUnlessOlder(const Ports::CollectionList& list) -> bool
+{
+    const std::lock_guard listenerLock(m_listenerMutex);
+    if (list.revision < revision())
+        return false;
+    applyList(list, listenerLock);
+    return true;
+}
+
 auto CollectionFollower::applyIfNewer(const Ports::CollectionList& list) -> bool
 {
+    const std::lock_guard listenerLock(m_listenerMutex);
     {
         const std::lock_guard lock(m_mutex);
         if (m_isStopped || list.revision <= m_revision)
             return false;
     }
-    applyList(list);
+    applyList(list, listenerLock);
     return true;
 }
 
+auto CollectionFollower::applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool
+{
+    const std::lock_guard listenerLock(m_listenerMutex);
+    if (revision() != base)
+        return false;
+    m_environment.mirror.apply(m_name, changes);
+    for (const auto& change : changes.changes) {
+        if (change.isDeleted)
+            m_listener.remove(change.item.name);
+        else
+            m_listener.upsert(change.item);
+    }
+    m_listener.commit();
+    const std::lock_guard lock(m_mutex);
+    m_revision = std::max(m_revision, changes.revision);
+    return true;
+}
+
+auto CollectionFollower::revision() const -> Ports::StoreRevision
+{
+    const std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
 auto CollectionFollower::watch() -> void
 {
     std::uint64_t number = 0;
@@ -110,7 +143,7 @@
         revision = m_revision;
     }
     auto call = m_environment.store.watch(m_name, revision, watchTimeout,
-        [weak = weak_from_this(), number](const Core::Result<Ports::CollectionChanges>& result) {
+        [weak = weak_from_this(), number, revision](const Core::Result<Ports::CollectionChanges>& result) {
             const auto self = weak.lock();
             if (!self)
                 return;
@@ -119,7 +152,7 @@
                 if (number != self->m_watchNumber || self->m_isStopped)
                     return;
             }
-            self->handleChanges(result);
+            self->handleChanges(result, revision);
         });
     const std::lock_guard lock(m_mutex);
     if (number == m_watchNumber)
@@ -140,7 +173,8 @@
     list();
 }
 
-auto CollectionFollower::handleChanges(const Core::Result<Ports::CollectionChanges>& result) -> void
+auto CollectionFollower::handleChanges(const Core::Result<Ports::CollectionChanges>& result, Ports::StoreRevision base)
+    -> void
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -156,24 +190,10 @@
         }
         return;
     }
-    {
-        const std::lock_guard listenerLock(m_listenerMutex);
-        m_environment.mirror.apply(m_name, *result);
-        for (const auto& change : result->changes) {
-            if (change.isDeleted)
-                m_listener.remove(change.item.name);
-            else
-                m_listener.upsert(change.item);
-        }
-        m_listener.commit();
-    }
-    {
-        const std::lock_guard lock(m_mutex);
-        m_revision = std::max(m_revision, result->revision);
-    }
+    const bool isApplied = applyChanges(*result, base);
     m_environment.events.record({ Ports::EventKind("store.watched"), {},
         { { "collection", m_name.value() }, { "changes", std::to_string(result->changes.size()) },
-            { "revision", std::to_string(result->revision.value()) } } });
+            { "revision", std::to_string(result->revision.value()) }, { "applied", isApplied ? "yes" : "no" } } });
     recordRecovery();
     schedule(batchingDelay, &CollectionFollower::watch);
 }
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -53,9 +53,16 @@
 private:
     auto list() -> void;
     auto watch() -> void;
-    auto applyList(const Ports::CollectionList& list) -> void;
+    /// The caller must hold m_listenerMutex.
+    auto applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>& listenerLock) -> void;
+    /// Returns false if a newer copy came from another entry VM while the store was asked.
+    auto applyUnlessOlder(const Ports::CollectionList& list) -> bool;
+    /// Applies changes since the base revision. Returns false if the collection is at another revision by now, because
+    /// a copy came from another entry VM.
+    auto applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool;
+    [[nodiscard]] auto revision() const -> Ports::StoreRevision;
     auto handleList(const Core::Result<Ports::CollectionList>& result) -> void;
-    auto handleChanges(const Core::Result<Ports::CollectionChanges>& result) -> void;
+    auto handleChanges(const Core::Result<Ports::CollectionChanges>& result, Ports::StoreRevision base) -> void;
     auto retryLater(const Core::Error& error) -> void;
     auto recordRecovery() -> void;
     auto schedule(Core::Duration delay, void (CollectionFollower::*step)()) -> void;
@@ -63,7 +70,7 @@
     const Ports::CollectionName m_name;
     CollectionListener& m_listener;
     const Environment m_environment;
-    /// Held while the listener is called, so that its calls do not overlap.
+    /// Held while the listener is called and the revision changes, so that both always agree.
     std::mutex m_listenerMutex;
     mutable std::mutex m_mutex;
     Ports::StoreRevision m_revision;
--- a/tests/auto/storesync/tst_collectionfollower.cpp
+++ b/tests/auto/storesync/tst_collectionfollower.cpp
@@ -104,6 +104,32 @@
     BOOST_TEST(listener.names == (std::set<std::string> { "n" }));
 }
 
+/// Incident DRAIN, GONE: a late answer brought back upstreams that a newer copy had shown to be leaving.
+BOOST_AUTO_TEST_CASE(IgnoresAnOlderWatchThatIsAnsweredAfterwards)
+{
+    follower->applyIfNewer({ { item("a", 1), item("n", 8) }, Ports::StoreRevision(8) });
+    answerWatch(
+        Ports::CollectionChanges { { { item("b", 4), false }, { item("a", 5), true } }, Ports::StoreRevision(5) });
+    BOOST_TEST(listener.names == (std::set<std::string> { "a", "n" }));
+    BOOST_TEST((mirror.revisions().at(name) == Ports::StoreRevision(8)));
+    time.runFor(Core::Millis(500));
+    BOOST_REQUIRE(store.watches.size() == 2U);
+    BOOST_TEST((store.watches.back()->after == Ports::StoreRevision(8)));
+    answerWatch(Ports::CollectionChanges { { { item("a", 9), true } }, Ports::StoreRevision(9) });
+    BOOST_TEST(listener.names == (std::set<std::string> { "n" }));
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresAnOlderListThatIsAnsweredAfterwards)
+{
+    answerWatch(ScriptedStore::unavailable());
+    follower->applyIfNewer({ { item("n", 8) }, Ports::StoreRevision(8) });
+    time.runFor(Core::Millis(500));
+    BOOST_TEST(store.lists == 2);
+    BOOST_TEST(listener.names == (std::set<std::string> { "n" }));
+    BOOST_TEST((mirror.revisions().at(name) == Ports::StoreRevision(8)));
+    BOOST_TEST((store.watches.back()->after == Ports::StoreRevision(8)));
+}
+
 BOOST_AUTO_TEST_CASE(NeverReturnsToAnOlderRevision)
 {
     BOOST_TEST(!follower->applyIfNewer({ { item("old", 1) }, Ports::StoreRevision(1) }));
