Believe a refusal only with the id of its request

Another operator's report: an upstream wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that ran, or such a request ran at a second upstream. It could happen here: an answer without a request id matched any request, and its not-run header or status 421 was believed. Such an answer is now invalid (the request may have run), and its connection is closed, since the request's own answer may follow. A repeated refusal that bears its id was skipped before, and is. The test failed before for both kinds of refusal.

--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -71,7 +71,7 @@
         /// while there is only one owner.
         std::uint64_t exchangeNumber = 0;
         bool hasUnwrittenRequest = false;
-        /// A response arrived that did not match the request.
+        /// A response arrived that does not belong to the request, or may not.
         bool hasUnmatchedResponse = false;
         std::chrono::steady_clock::time_point usableUntil;
     };
@@ -252,9 +252,10 @@
                 co_return HttpResponse();
             if (http::to_status_class(parser.get().result_int()) == http::status_class::informational)
                 continue;
-            if (!call.matchesRequest || call.matchesRequest(parser.get()))
+            const auto owner = call.ownerOf ? call.ownerOf(parser.get()) : ResponseOwner::ThisRequest;
+            connection.hasUnmatchedResponse |= owner != ResponseOwner::ThisRequest;
+            if (owner != ResponseOwner::OtherRequest)
                 co_return parser.release();
-            connection.hasUnmatchedResponse = true;
         }
         error = http::make_error_code(http::error::bad_status);
         co_return HttpResponse();
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -45,6 +45,15 @@
     bool reusedConnection = false;
 };
 
+/// Request that a response belongs to.
+enum class ResponseOwner : std::uint8_t {
+    ThisRequest,
+    /// The response is skipped, and the connection is closed afterwards.
+    OtherRequest,
+    /// The response is delivered, and the connection is closed: the response to this request may still follow.
+    Unknown,
+};
+
 struct Call {
     Core::Address address;
     HttpRequest request;
@@ -52,9 +61,8 @@
     /// Identifies the server process. Calls with different incarnations never share a connection, so that a server that
     /// restarted at the same address is not reached over a connection to its predecessor.
     std::string incarnation;
-    /// Returns true if the response belongs to this request. Other responses are skipped, and the connection is closed
-    /// afterwards. If empty, the first response is accepted.
-    std::function<bool(const HttpResponse&)> matchesRequest;
+    /// Returns the request that the response belongs to. If empty, all responses belong to this request.
+    std::function<ResponseOwner(const HttpResponse&)> ownerOf;
     /// Called right before the request is written. If it returns false, the call fails and its connection stays usable.
     /// If empty, the request is always written.
     std::function<bool()> isStillWanted;
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -94,9 +94,11 @@
     httpCall.request = encode(call);
     httpCall.timeout = call.timeLeft;
     httpCall.incarnation = incarnationOf(call.target);
-    httpCall.matchesRequest = [this, id = call.id.value()](const HttpClient::HttpResponse& response) {
+    httpCall.ownerOf = [this, id = call.id.value()](const HttpClient::HttpResponse& response) {
         const auto echoed = response.find(m_names.requestId);
-        return echoed == response.end() || echoed->value() == id;
+        if (echoed == response.end())
+            return HttpClient::ResponseOwner::Unknown;
+        return echoed->value() == id ? HttpClient::ResponseOwner::ThisRequest : HttpClient::ResponseOwner::OtherRequest;
     };
     httpCall.isStillWanted = std::move(call.isStillWanted);
     httpCall.onIdleConnectionClosed = std::move(call.onConnectionClosed);
@@ -123,16 +125,16 @@
     result.reusedConnection = exchange.reusedConnection;
     result.load = decodeLoad(response);
     result.isUpstreamError = http::to_status_class(response.result()) == http::status_class::server_error;
-    const bool hasRequestId = response.find(m_names.requestId) != response.end();
-    if (response.result() == http::status::misdirected_request) {
+    if (response.find(m_names.requestId) == response.end()) {
+        // It may belong to an earlier request on this connection, and proves nothing about this one.
+        result.outcome = ExchangeOutcome::Invalid;
+        result.detail = "the answer " + std::to_string(result.status) + " has no request id";
+    } else if (response.result() == http::status::misdirected_request) {
         result.outcome = ExchangeOutcome::Misdirected;
         result.detail = "the address belongs to another upstream";
     } else if (response.find(m_names.notRun) != response.end()) {
         result.outcome = ExchangeOutcome::NotRun;
         result.detail = "the upstream answered " + std::to_string(result.status);
-    } else if (!hasRequestId) {
-        result.outcome = ExchangeOutcome::Invalid;
-        result.detail = "the answer " + std::to_string(result.status) + " has no request id";
     } else {
         result.outcome = ExchangeOutcome::Answered;
         result.answer = std::make_shared<AnswerMessage>(std::move(response));
--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -17,7 +17,9 @@
 
 /// Upstream on a real socket that answers each request head with the next of the given texts, in which ID is replaced
 /// by the request's id, and records the heads. An empty text closes the connection, the prefix "SLOW " delays the
-/// answer, and "SILENCE" sends none and waits until the peer closes the connection.
+/// answer, and "SILENCE" sends none and waits until the peer closes the connection. After the prefix "CLOSE " the
+/// connection is closed behind the answer, after "RESET " it is reset, and after "ENDLESS " the part of the
+/// answer behind the last '|' is repeated until the peer closes the connection.
 class ScriptedUpstream {
 public:
     explicit ScriptedUpstream(std::vector<std::string> answers)
@@ -55,6 +57,9 @@
     /// Returns true if the peer closed a connection whose request was not answered.
     [[nodiscard]] auto hasPeerClosed() const -> bool { return m_hasPeerClosed; }
 
+    /// Returns the number of bytes of endless answers that were written.
+    [[nodiscard]] auto endlessBytes() const -> std::size_t { return m_endlessBytes; }
+
     /// Shuts down the connection that is being served.
     auto shutDownConnection() -> void
     {
@@ -107,12 +112,41 @@
             }
             if (answer.empty())
                 return;
+            if (answer.starts_with("ENDLESS ")) {
+                writeWithoutEnd(socket, answer.substr(8));
+                return;
+            }
+            if (answer.starts_with("CLOSE ") || answer.starts_with("RESET ")) {
+                boost::asio::write(socket, boost::asio::buffer(answer.substr(6)), error);
+                if (answer.starts_with("RESET ")) {
+                    // Lets the answer arrive first.
+                    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                    socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+                    // The destructor would end the connection in order.
+                    socket.close(error);
+                }
+                return;
+            }
             boost::asio::write(socket, boost::asio::buffer(answer), error);
             if (answer.find("Connection: close") != std::string::npos)
                 return;
         }
     }
 
+    /// Writes the part before the last '|' once, and the part behind it again and again.
+    auto writeWithoutEnd(Socket& socket, const std::string& answer) -> void
+    {
+        boost::system::error_code error;
+        const auto last = answer.rfind('|');
+        m_endlessBytes += boost::asio::write(socket, boost::asio::buffer(answer.substr(0, last)), error);
+        std::string repeated;
+        while (repeated.size() < 16UL * 1024)
+            repeated += answer.substr(last + 1);
+        while (!error && !m_isStopping)
+            m_endlessBytes += boost::asio::write(socket, boost::asio::buffer(repeated), error);
+        m_hasPeerClosed = error.failed();
+    }
+
     auto awaitPeerClose(Socket& socket) -> void
     {
         char byte = 0;
@@ -143,6 +177,7 @@
     std::vector<std::string> m_requestHeads;
     std::atomic<int> m_connections { 0 };
     std::atomic<bool> m_hasPeerClosed { false };
+    std::atomic<std::size_t> m_endlessBytes { 0 };
     std::atomic<bool> m_isStopping { false };
     boost::asio::io_context m_context;
     /// Connection that is being served; must be destroyed before m_context.
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -1,72 +1,12 @@
-#include "httpforward/httpexchangeclient.h"
-#include "httpforward/httpmessage.h"
-#include "runtime/asioruntime.h"
-#include "scriptedupstreams.h"
+#include "exchangefixture.h"
 
 #include <boost/test/unit_test.hpp>
-#include <future>
 
 using namespace HttpForwardTest;
 using Ports::ExchangeOutcome;
 
 namespace {
 
-auto names() -> HttpForward::HeaderNames
-{
-    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left" };
-}
-
-auto answer(const std::string& id, const std::string& body) -> std::string
-{
-    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-        + body;
-}
-
-struct ExchangeClientFixture {
-    ExchangeClientFixture()
-        : thread([this] { runtime.run(); })
-    {
-    }
-    ~ExchangeClientFixture()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    ExchangeClientFixture(const ExchangeClientFixture&) = delete;
-    auto operator=(const ExchangeClientFixture&) -> ExchangeClientFixture& = delete;
-
-    static auto call(const Core::Address& address, const std::string& id, std::int64_t start = 1) -> Ports::ExchangeCall
-    {
-        HttpServer::HttpRequest request { boost::beast::http::verb::get, "/stock/7?page=2", 11 };
-        request.set("Host", "desk.example");
-        request.set("Request-Id", id);
-        request.set("Expected", "forged");
-        request.set("Connection", "X-Private, keep-alive");
-        request.set("X-Private", "for one hop");
-        request.set("X-Kept", "yes");
-        return { { Core::UpstreamId("u1"), Core::ProcessStartId(start), address }, Core::RequestId(id),
-            std::make_shared<HttpForward::RequestMessage>(request), Core::Millis(2000) };
-    }
-
-    auto exchange(const Core::Address& address, const std::string& id, std::int64_t start = 1) -> Ports::ExchangeResult
-    {
-        const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
-        exchanges.start(call(address, id, start),
-            [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
-        return promise->get_future().get();
-    }
-
-    static auto bodyOf(const Ports::ExchangeResult& result) -> std::string
-    {
-        return static_cast<const HttpForward::AnswerMessage&>(*result.answer).response().body();
-    }
-
-    Runtime::AsioRuntime runtime { 2 };
-    HttpClient::Client client { runtime.context() };
-    HttpForward::HttpExchangeClient exchanges { client, names() };
-    std::thread thread;
-};
-
 /// Upstream that accepts a connection and reads nothing until the test does.
 struct LateReader : ExchangeClientFixture {
     auto startLargeRequest(Core::Duration timeLeft) -> std::shared_ptr<Ports::Exchange>
@@ -165,6 +105,27 @@
     BOOST_TEST((exchange(upstream.address(), "r1").outcome == ExchangeOutcome::Invalid));
 }
 
+/// Another operator's report: an upstream repeated an earlier refusal, which made a request that ran "not run".
+BOOST_AUTO_TEST_CASE(AndBelievesNoRefusalWithoutItsRequestId)
+{
+    for (const std::string head : { "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n", "HTTP/1.1 421 Misdirected\r\n" }) {
+        const auto refusal = head + "Content-Length: 0\r\n\r\n";
+        ScriptedUpstream upstream({ answer("ID", "one"), refusal + answer("ID", "two"), answer("ID", "three") });
+        BOOST_TEST(bodyOf(exchange(upstream.address(), "r1")) == "one");
+        BOOST_TEST((exchange(upstream.address(), "r2").outcome == ExchangeOutcome::Invalid));
+        BOOST_TEST(bodyOf(exchange(upstream.address(), "r3")) == "three");
+        BOOST_TEST(upstream.connections() == 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AndSkipsTheRepeatedRefusalOfAnEarlierRequest)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    ScriptedUpstream upstream({ refusal, refusal + answer("ID", "two") });
+    BOOST_TEST((exchange(upstream.address(), "r1").outcome == ExchangeOutcome::NotRun));
+    BOOST_TEST(bodyOf(exchange(upstream.address(), "r2")) == "two");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AcceptsOnlyACompleteAnswer)
@@ -176,6 +137,28 @@
     BOOST_TEST((exchange(upstream.address(), "r1").outcome == ExchangeOutcome::Lost));
 }
 
+/// Another operator's report: an upstream closed in the middle of its head, and callers got a whole but empty answer.
+BOOST_AUTO_TEST_CASE(SoAnAnswerThatBreaksOffAnywhereIsLost)
+{
+    const std::vector<std::string> wholeAnswers {
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\npegs",
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npegs\r\n0\r\n\r\n",
+    };
+    for (const auto& whole : wholeAnswers) {
+        for (std::size_t size = 1; size < whole.size(); ++size) {
+            ScriptedUpstream upstream({ "CLOSE " + whole.substr(0, size) });
+            const auto outcome = exchange(upstream.address(), "r1").outcome;
+            BOOST_TEST((outcome == ExchangeOutcome::Lost), toString(outcome) << " after " << size << " bytes");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SoAnAnswerWithoutLengthIsLostIfItsConnectionIsReset)
+{
+    ScriptedUpstream upstream({ "RESET HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n\r\nhalf" });
+    BOOST_TEST(toString(exchange(upstream.address(), "r1").outcome) == "lost");
+}
+
 BOOST_AUTO_TEST_CASE(SoAMalformedAnswerIsInvalid)
 {
     ScriptedUpstream upstream({ "\x01\x02 garbage\r\n\r\nConnection: close" });
