Bound the bytes of an answer that never ends, and those of all answers together

The buffer of a connection now holds 128 KB, and on the side of the callers a header and 64 KB: the same request from a caller is refused with 400. The bodies of all answers that are being received share a quarter of the VM's memory, where each could take 16 MB, and the answer to a health check is read up to 64 KB.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -8,7 +8,8 @@
 
     /// Share of the file descriptors for connections of callers; the rest is for upstreams and the store.
     constexpr double callerDescriptorShare = 0.6;
-    /// The memory limit divided by this is the limit for the request bodies of callers.
+    /// The memory limit divided by this is the limit for the request bodies of callers, and for the answers of
+    /// upstreams.
     constexpr std::uint64_t bodyMemoryDivisor = 4;
     /// Interval at which idle connections to other entry VMs are closed.
     constexpr Core::Millis idlePeerCloseInterval { 5000 };
@@ -30,9 +31,11 @@
         return limits;
     }
 
-    auto upstreamLimits() -> HttpClient::Limits
+    auto upstreamLimits(const ForwardingHost::EntryVmSettings& settings) -> HttpClient::Limits
     {
         auto limits = storeLimits();
+        limits.maximumBodyTotal = Core::Bytes(settings.memory.value() / bodyMemoryDivisor);
+        limits.maximumBody = std::min(limits.maximumBody, limits.maximumBodyTotal);
         limits.idleTimeout = Core::Millis(8000);
         limits.idleConnectionsPerAddress = 16;
         return limits;
@@ -61,7 +64,7 @@
     , m_reload(std::move(reload))
     , m_runtime(m_settings.threads)
     , m_storeClient(m_runtime.context(), storeLimits())
-    , m_upstreamClient(m_runtime.context(), upstreamLimits())
+    , m_upstreamClient(m_runtime.context(), upstreamLimits(m_settings))
     , m_telemetry({ m_settings.id }, m_clock,
           { { "upstream_connections_total", Metrics::CallbackMetric::Type::Counter,
                 [this] { return m_upstreamClient.openedConnections(); } },
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -30,6 +30,8 @@
 namespace {
 
     constexpr int maximumResponsesPerCall = 8;
+    /// Bytes that may wait for the rest of a line, for example of a chunk's header, before they can be parsed.
+    constexpr std::size_t maximumBufferedBytes = 128UL * 1024;
     /// Longer request bodies are written while the response is read, because a server may answer before it has read
     /// them.
     constexpr std::size_t sequentialWriteLimit = 8 * 1024;
@@ -63,7 +65,7 @@
         auto setUsableFor(Core::Duration time) -> void { usableUntil = std::chrono::steady_clock::now() + time; }
 
         Stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { maximumBufferedBytes };
         bool isReused = false;
         bool isIdle = false;
         bool isCancelled = false;
@@ -77,6 +79,33 @@
     };
 
     using ConnectionPointer = std::shared_ptr<Connection>;
+    using ResponseParser = http::response_parser<http::string_body>;
+
+    /// Part of the limit on the bodies of all responses that one response has taken. Returns it at the end.
+    class BodyReservation {
+    public:
+        BodyReservation(std::atomic<std::uint64_t>& total, Core::Bytes limit)
+            : m_total(total)
+            , m_limit(limit)
+        {
+        }
+        ~BodyReservation() { m_total -= m_reserved; }
+        BodyReservation(const BodyReservation&) = delete;
+        auto operator=(const BodyReservation&) -> BodyReservation& = delete;
+
+        /// Grows the reservation to the given size. Returns false if the limit is exceeded.
+        auto growTo(std::uint64_t size) -> bool
+        {
+            const auto more = size - std::min(size, m_reserved);
+            m_reserved += more;
+            return m_total.fetch_add(more) + more <= m_limit.value();
+        }
+
+    private:
+        std::atomic<std::uint64_t>& m_total;
+        const Core::Bytes m_limit;
+        std::uint64_t m_reserved = 0;
+    };
 
     class PendingExchange : public PendingCall {
     public:
@@ -243,11 +272,11 @@
     auto readFinalResponse(Connection& connection, const Call& call, Error& error) -> asio::awaitable<HttpResponse>
     {
         for (int count = 0; count < maximumResponsesPerCall; ++count) {
-            http::response_parser<http::string_body> parser;
-            parser.body_limit(m_limits.maximumBody.value());
+            ResponseParser parser;
+            const auto bodyLimit = std::min(m_limits.maximumBody, call.maximumBody.value_or(m_limits.maximumBody));
+            parser.body_limit(bodyLimit.value());
             parser.skip(call.request.method() == http::verb::head);
-            co_await http::async_read(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            error = co_await readResponse(connection, parser);
             if (error)
                 co_return HttpResponse();
             if (http::to_status_class(parser.get().result_int()) == http::status_class::informational)
@@ -261,6 +290,20 @@
         co_return HttpResponse();
     }
 
+    /// Reads one response, within the limits on its own size and on that of all responses together.
+    auto readResponse(Connection& connection, ResponseParser& parser) -> asio::awaitable<Error>
+    {
+        BodyReservation reservation(m_receivedBodyBytes, m_limits.maximumBodyTotal);
+        Error error;
+        while (!error && !parser.is_done()) {
+            co_await http::async_read_some(
+                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            if (!error && !reservation.growTo(parser.get().body().size()))
+                error = http::make_error_code(http::error::body_limit);
+        }
+        co_return error;
+    }
+
     auto connect(Connection& connection, const Call& call) -> asio::awaitable<tl::expected<void, Failure>>
     {
         const auto endpoint = Runtime::parseEndpoint(call.address);
@@ -344,6 +387,8 @@
     Limits m_limits;
     Core::Sharded<Pool> m_idleConnections;
     std::atomic<std::uint64_t> m_openedConnections { 0 };
+    /// Size of the bodies of all responses that are being received.
+    std::atomic<std::uint64_t> m_receivedBodyBytes { 0 };
 };
 
 Client::Client(asio::io_context& context, Limits limits)
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -63,6 +64,8 @@
     std::string incarnation;
     /// Returns the request that the response belongs to. If empty, all responses belong to this request.
     std::function<ResponseOwner(const HttpResponse&)> ownerOf;
+    /// Limit on the response's body, if it is smaller than that of the client.
+    std::optional<Core::Bytes> maximumBody;
     /// Called right before the request is written. If it returns false, the call fails and its connection stays usable.
     /// If empty, the request is always written.
     std::function<bool()> isStillWanted;
@@ -80,6 +83,8 @@
 
 struct Limits {
     Core::Bytes maximumBody { 4 * 1024 * 1024 };
+    /// Total size of the bodies of all responses that are being received.
+    Core::Bytes maximumBodyTotal { 256UL * 1024 * 1024 };
     std::size_t idleConnectionsPerAddress = 64;
     Core::Millis connectTimeout { 1000 };
     /// Connections that were idle for longer are closed instead of reused: a device between client and server may have
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -13,6 +13,8 @@
     using Ports::ExchangeOutcome;
 
     constexpr Core::Millis healthTimeout { 1000 };
+    /// A health report is in the headers; its body is read only to keep the connection usable.
+    const Core::Bytes healthBodyLimit { 64UL * 1024 };
     constexpr int httpVersion = 11;
 
     class PendingExchange : public Ports::Exchange {
@@ -166,6 +168,7 @@
     call.request = { http::verb::get, path, httpVersion };
     call.request.set(http::field::host, target.address.value());
     call.timeout = healthTimeout;
+    call.maximumBody = healthBodyLimit;
     call.incarnation = incarnationOf(target);
     m_client.send(std::move(call),
         [this, callback = std::move(callback)](tl::expected<HttpClient::Exchange, HttpClient::Failure> result) {
--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -27,6 +27,8 @@
         constexpr Core::Millis discardTime { 500 };
         constexpr std::size_t discardLimit = 4UL * 1024 * 1024;
         constexpr std::size_t readAheadBytes = 512;
+        /// Bytes that may wait to be parsed, in addition to a header of the maximum size.
+        constexpr std::size_t maximumBufferedBytes = 64UL * 1024;
 
         auto statusFor(const Error& error) -> http::status
         {
@@ -260,6 +262,7 @@
     auto Connection::readRequest(Parser& parser) -> asio::awaitable<Error>
     {
         m_limits = m_environment.server->limits.load();
+        m_buffer.max_size(m_limits->maximumHeader.value() + maximumBufferedBytes);
         parser.header_limit(static_cast<std::uint32_t>(m_limits->maximumHeader.value()));
         parser.body_limit(m_limits->maximumBody.value());
         armTimeout(m_limits->headerTimeout.count() > 0 ? m_limits->headerTimeout : m_limits->idleTimeout);
--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -19,7 +19,7 @@
 /// by the request's id, and records the heads. An empty text closes the connection, the prefix "SLOW " delays the
 /// answer, and "SILENCE" sends none and waits until the peer closes the connection. After the prefix "CLOSE " the
 /// connection is closed behind the answer, after "RESET " it is reset, and after "ENDLESS " the part of the
-/// answer behind the last '|' is repeated until the peer closes the connection.
+/// answer behind the last '|' is repeated until the peer closes the connection; if there is none, no more is sent.
 class ScriptedUpstream {
 public:
     explicit ScriptedUpstream(std::vector<std::string> answers)
@@ -139,9 +139,14 @@
         boost::system::error_code error;
         const auto last = answer.rfind('|');
         m_endlessBytes += boost::asio::write(socket, boost::asio::buffer(answer.substr(0, last)), error);
+        const auto part = answer.substr(last + 1);
+        if (part.empty()) {
+            awaitPeerClose(socket);
+            return;
+        }
         std::string repeated;
         while (repeated.size() < 16UL * 1024)
-            repeated += answer.substr(last + 1);
+            repeated += part;
         while (!error && !m_isStopping)
             m_endlessBytes += boost::asio::write(socket, boost::asio::buffer(repeated), error);
         m_hasPeerClosed = error.failed();
--- /dev/null
+++ b/tests/auto/httpforward/tst_endlessanswers.cpp
@@ -0,0 +1,100 @@
+#include "exchangefixture.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace HttpForwardTest;
+using Ports::ExchangeOutcome;
+
+namespace {
+
+constexpr std::size_t maximumAnswer = 1024UL * 1024;
+/// What an endless answer may write: the limit of an answer and what the buffers of both sockets hold.
+constexpr std::size_t socketBuffers = 8UL * 1024 * 1024;
+constexpr std::size_t endlessLimit = maximumAnswer + socketBuffers;
+
+auto smallLimits() -> HttpClient::Limits
+{
+    HttpClient::Limits limits;
+    limits.maximumBody = Core::Bytes(maximumAnswer);
+    limits.maximumBodyTotal = Core::Bytes(4 * maximumAnswer);
+    return limits;
+}
+
+struct LimitedClient : ExchangeClientFixture {
+    LimitedClient()
+        : ExchangeClientFixture(smallLimits())
+    {
+    }
+
+    static auto closesWithin(const ScriptedUpstream& upstream, Core::Millis limit) -> bool
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!upstream.hasPeerClosed() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return upstream.hasPeerClosed();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AnExchangeWithAnUpstreamThatSendsWithoutEnd, LimitedClient)
+
+/// The upstream of each case writes until the connection is closed.
+BOOST_AUTO_TEST_CASE(EndsAsInvalidAndClosesTheConnection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n";
+    const std::vector<std::string> endlessAnswers {
+        "HTTP/1.1 200 OK\r\n|X-More: more and more\r\n",
+        "HTTP/1.1 200 OK\r\nX-Long: |more and more",
+        "|no answer at all",
+        head + "\r\n|more and more",
+        head + "Transfer-Encoding: chunked\r\n\r\n|4\r\nmore\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n4;|extension",
+        "|HTTP/1.1 100 Continue\r\n\r\n",
+        "|HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 4\r\n\r\nmore",
+    };
+    for (const auto& endless : endlessAnswers) {
+        ScriptedUpstream upstream({ "ENDLESS " + endless });
+        BOOST_TEST(toString(exchange(upstream.address(), "r1").outcome) == "invalid", endless);
+        BOOST_TEST(closesWithin(upstream, Core::Millis(2000)), endless);
+        BOOST_TEST(upstream.endlessBytes() < endlessLimit, endless);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(EndsAHealthCheckAsWell)
+{
+    for (const std::string endless : { "HTTP/1.1 200 OK\r\n\r\n|more and more", "|HTTP/1.1 100 Continue\r\n\r\n" }) {
+        ScriptedUpstream upstream({ "ENDLESS " + endless });
+        const auto promise = std::make_shared<std::promise<Core::Result<Ports::HealthReport>>>();
+        exchanges.probeHealth(call(upstream.address(), "r1").target, "/health",
+            [promise](const Core::Result<Ports::HealthReport>& report) { promise->set_value(report); });
+        BOOST_TEST(!promise->get_future().get().has_value());
+        BOOST_TEST(closesWithin(upstream, Core::Millis(2000)), endless);
+        BOOST_TEST(upstream.endlessBytes() < endlessLimit, endless);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(HoldsNoMoreThanItsShareOfTheMemory)
+{
+    // Each answer is within its own limit; together they are not.
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    std::vector<std::future<Ports::ExchangeResult>> results;
+    const std::string large(maximumAnswer - 1024, 'x');
+    for (int number = 0; number < 8; ++number) {
+        upstreams.push_back(std::make_unique<ScriptedUpstream>(std::vector<std::string> {
+            "ENDLESS HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 9999999\r\n\r\n" + large + "|" }));
+        const auto promise = std::make_shared<std::promise<Ports::ExchangeResult>>();
+        results.push_back(promise->get_future());
+        exchanges.start(call(upstreams.back()->address(), "r" + std::to_string(number)),
+            [promise](Ports::ExchangeResult result) { promise->set_value(std::move(result)); });
+    }
+    const auto refused = std::count_if(results.begin(), results.end(),
+        [](std::future<Ports::ExchangeResult>& result) { return result.get().outcome == ExchangeOutcome::Invalid; });
+    BOOST_TEST(refused >= 4);
+    // What was held is free again.
+    ScriptedUpstream upstream({ answer("ID", std::string(maximumAnswer - 1024, 'x')) });
+    BOOST_TEST((exchange(upstream.address(), "last").outcome == ExchangeOutcome::Answered));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -223,6 +223,8 @@
             "400" },
         { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", "400" },
         { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n", "400" },
+        { "POST /stock/7 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4;" + std::string(200'000, 'x'),
+            "400" },
         { head + "Broken header line\r\n\r\n", "400" },
         { "GET /stock/7 HTTP/1.1\r\nHost: desk", "408" },
     };
