Heed upstreams that say they leave, and those that ask for a pause

An upstream that leaves says so in its answers: this VM sends it nothing from then on, whatever the store's list shows, until the end of that incarnation; the state is kept for five minutes after its entry is gone, since the list may show it again. An upstream that refuses with 503 may name a time: this VM sends it nothing until then, no health check either, at most two minutes (a wrong value must not exclude it for good); callers whose upstreams are all paused are told when the first accepts requests again. Both are looked at once more right before a request is written. Logged once each: upstream.leaving, upstream.paused. The tests were not run on the code before, which has no place for these signals.

--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -181,7 +181,7 @@
         abandon();
         return false;
     }
-    return m_context->pool.acceptsRequests(target);
+    return m_context->pool.acceptsRequests(target, m_environment.clock.now());
 }
 
 auto ForwardOperation::releaseChoice(const Choice& choice, Core::Instant now) -> void
@@ -189,7 +189,7 @@
     ExchangeReport report;
     report.target = choice.target;
     report.outcome = ExchangeOutcome::Cancelled;
-    m_context->pool.endExchange(report, now);
+    (void)m_context->pool.endExchange(report, now);
 }
 
 auto ForwardOperation::onResult(std::size_t index, const Ports::ExchangeResult& result) -> void
@@ -232,7 +232,8 @@
     report.load = result.load;
     report.duration = now - attempt.startedAt;
     report.cacheState = attempt.choice.cacheState;
-    m_context->pool.endExchange(report, now);
+    report.signals = result.signals;
+    m_recorder.recordSignals(report.target, m_context->pool.endExchange(report, now));
     m_recorder.recordExchange(attempt.choice, result, report.duration);
     if (result.outcome == ExchangeOutcome::Answered) {
         m_forwarder.m_crashGuard.recordAnswer(m_fingerprint);
@@ -284,7 +285,8 @@
 {
     switch (failure.reason) {
     case ChoiceFailureReason::NoUpstream:
-        refuse(RefusalReason::NoUpstream, "the service has no usable upstream", minimumRetryAfter);
+        refuse(RefusalReason::NoUpstream, "the service has no usable upstream",
+            std::max<Core::Duration>(failure.wait, minimumRetryAfter));
         return;
     case ChoiceFailureReason::Busy:
         refuse(RefusalReason::Overloaded, describeFailure("are full", failure), failure.wait);
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -76,6 +76,15 @@
             { "predictedMs", millis(choice.predicted) } } });
 }
 
+auto RequestRecorder::recordSignals(const Ports::UpstreamTarget& target, const Ports::UpstreamSignals& news) -> void
+{
+    if (!news.isLeaving && news.pause.count() == 0)
+        return;
+    m_events.record({ Ports::EventKind(news.isLeaving ? "upstream.leaving" : "upstream.paused"), m_request.id,
+        { { "upstream", target.id.value() }, { "start", std::to_string(target.start.value()) },
+            { "service", m_service.value() }, { "pauseMs", millis(news.pause) } } });
+}
+
 auto RequestRecorder::fieldsOf(const RequestEnd& end) const -> std::vector<Ports::EventField>
 {
     std::vector<Ports::EventField> fields;
--- a/src/libs/forwarding/requestrecorder.h
+++ b/src/libs/forwarding/requestrecorder.h
@@ -25,6 +25,8 @@
     /// Records the route and service that were selected under the given configuration version.
     auto recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration) -> void;
     auto recordExchange(const Choice& choice, const Ports::ExchangeResult& result, Core::Duration duration) -> void;
+    /// Records what an upstream has said of itself for the first time.
+    auto recordSignals(const Ports::UpstreamTarget& target, const Ports::UpstreamSignals& news) -> void;
     auto recordEnd(const ForwardReply& reply, const RequestEnd& end) -> void;
 
 private:
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -60,7 +60,7 @@
         if (isFirst && entry.mayBeOutdated)
             found->second.markUnverified();
     }
-    std::erase_if(m_states, [](const auto& item) { return item.second.isRemovable(); });
+    std::erase_if(m_states, [now](const auto& item) { return item.second.isRemovable(now); });
     for (auto& [target, state] : m_states) {
         const auto& domain = state.entry().failureDomain;
         if (m_evacuated.contains(domain) && !evacuated.contains(domain))
@@ -92,12 +92,13 @@
     return found == m_states.end() ? nullptr : &found->second;
 }
 
-auto ServicePool::endExchange(const ExchangeReport& report, Core::Instant now) -> void
+auto ServicePool::endExchange(const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals
 {
     const std::lock_guard lock(m_mutex);
     auto* state = findState(report.target);
     if (state == nullptr)
-        return;
+        return {};
+    const auto news = state->applySignals(report.signals, now);
     state->endExchange(report.load, now);
     if (report.load)
         m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
@@ -112,8 +113,9 @@
         if (!report.object.value().empty())
             state->recordCachedObject(report.object, now);
     }
-    if (state->isRemovable())
+    if (state->isRemovable(now))
         m_states.erase(report.target);
+    return news;
 }
 
 auto ServicePool::probeAfterConnectionLoss(UpstreamState& state) const -> void
@@ -203,11 +205,13 @@
     return state != nullptr && isUnresponsive(*state, now);
 }
 
-auto ServicePool::acceptsRequests(const Ports::UpstreamTarget& target) -> bool
+auto ServicePool::acceptsRequests(const Ports::UpstreamTarget& target, Core::Instant now) -> bool
 {
     const std::lock_guard lock(m_mutex);
     const auto* state = findState(target);
-    return state != nullptr && !state->isLeaving() && !m_evacuated.contains(state->entry().failureDomain);
+    if (state == nullptr || state->isLeaving() || state->isPaused(now))
+        return false;
+    return !m_evacuated.contains(state->entry().failureDomain);
 }
 
 auto ServicePool::responseTimeLimit() const -> Core::Duration
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -82,6 +82,7 @@
     bool isUpstreamError = false;
     bool reusedConnection = false;
     std::optional<Ports::ReportedLoad> load;
+    Ports::UpstreamSignals signals;
     Core::Duration duration {};
     CacheState cacheState = CacheState::NoObject;
 };
@@ -103,7 +104,8 @@
     auto setSettings(const ServiceSettings& settings) -> void;
     /// Chooses an upstream and counts the request as in flight there. Each choice requires a call of endExchange().
     auto choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
-    auto endExchange(const ExchangeReport& report, Core::Instant now) -> void;
+    /// Returns what the upstream said of itself that was not known before.
+    auto endExchange(const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals;
     /// Returns upstreams that are due for a health check, at most `limit`, the most urgent ones first. Each requires a
     /// call of recordProbe().
     auto takeDueProbes(Core::Instant now, std::size_t limit = std::numeric_limits<std::size_t>::max())
@@ -124,8 +126,8 @@
     [[nodiscard]] auto service() const -> const Core::ServiceId& { return m_service; }
     /// Returns true if the upstream has not answered for much longer than its usual service time.
     [[nodiscard]] auto isUnresponsive(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
-    /// Returns true unless the upstream is leaving or its failure domain is being evacuated.
-    [[nodiscard]] auto acceptsRequests(const Ports::UpstreamTarget& target) -> bool;
+    /// Returns true unless the upstream is leaving, has asked for a pause, or its failure domain is being evacuated.
+    [[nodiscard]] auto acceptsRequests(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
     /// Returns the time without an answer after which an upstream counts as unresponsive.
     [[nodiscard]] auto responseTimeLimit() const -> Core::Duration;
 
@@ -170,6 +172,9 @@
     auto probeAfterConnectionLoss(UpstreamState& state) const -> void;
     /// Returns true if the upstream may have restarted unnoticed.
     [[nodiscard]] auto isUnverified(const UpstreamState& state, Core::Instant now) const -> bool;
+    /// Returns the time until the first of the upstreams that have asked for a pause accepts requests again, or zero if
+    /// there are none.
+    [[nodiscard]] auto shortestPause(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration;
     [[nodiscard]] auto findState(const Ports::UpstreamTarget& target) -> UpstreamState*;
 
     const Core::ServiceId m_service;
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -189,7 +189,7 @@
     m_serviceTime.setInitialEstimate(query.targetLatency);
     auto candidates = candidatesFor(query, now);
     if (candidates.empty())
-        return tl::unexpected(ChoiceFailure { ChoiceFailureReason::NoUpstream, 0, {} });
+        return tl::unexpected(ChoiceFailure { ChoiceFailureReason::NoUpstream, 0, shortestPause(query, now) });
     if (query.object.value().empty()) {
         std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
             return std::tie(a.cost, a.score) < std::tie(b.cost, b.score);
@@ -220,6 +220,18 @@
     return tl::unexpected(ChoiceFailure { ChoiceFailureReason::Busy, candidates.size(), minimumWait });
 }
 
+auto ServicePool::shortestPause(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration
+{
+    std::optional<Core::Instant> first;
+    for (const auto& [target, state] : m_states) {
+        const bool isCandidate = !state.isLeaving() && !m_evacuated.contains(state.entry().failureDomain)
+            && contains(query.homes, state.entry().region);
+        if (isCandidate && state.isPaused(now) && (!first || state.pausedUntil() < *first))
+            first = state.pausedUntil();
+    }
+    return first ? *first - now : Core::Duration(0);
+}
+
 auto ServicePool::isUnverified(const UpstreamState& state, Core::Instant now) const -> bool
 {
     return state.isUnverified() || (m_isListStale && state.mayHaveRestarted(now));
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -15,6 +15,8 @@
     constexpr Core::Millis refusalBackoff { 60 };
     /// Lower bound on the time that an upstream takes to restart.
     constexpr Core::Millis minimumRestartTime { 2000 };
+    /// Time for which an upstream is remembered as leaving after its entry is gone.
+    constexpr std::chrono::minutes leavingRetention { 5 };
     /// Upper bound on the duration of a probe while this process is running.
     constexpr Core::Millis maximumProbeTime { 1500 };
     /// Difference between two reports of the same cold time that is due to delays.
@@ -64,6 +66,27 @@
     --m_inFlight;
 }
 
+auto UpstreamState::applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals
+{
+    Ports::UpstreamSignals news;
+    if (signals.isLeaving && !m_saysLeavingAt) {
+        m_saysLeavingAt = now;
+        news.isLeaving = true;
+    }
+    if (signals.pause.count() > 0) {
+        news.pause = isPaused(now) ? Core::Duration(0) : signals.pause;
+        m_pausedUntil = std::max(m_pausedUntil, now + signals.pause);
+    }
+    return news;
+}
+
+auto UpstreamState::isRemovable(Core::Instant now) const -> bool
+{
+    // The list may show the same incarnation again, for example after an outage of the store.
+    const bool saysLeaving = m_saysLeavingAt && now - *m_saysLeavingAt < leavingRetention;
+    return !m_isListed && m_inFlight == 0 && !m_isProbing && !saysLeaving && !isPaused(now);
+}
+
 auto UpstreamState::recordHealthSignal(HealthSignal signal, Core::Instant now) -> void
 {
     m_failureShare += failureSmoothingFactor * ((signal == HealthSignal::Success ? 0.0 : 1.0) - m_failureShare);
@@ -104,6 +127,7 @@
     }
     if (!report)
         return recordFailedProbe(report.error().kind, now);
+    (void)applySignals(report->signals, now);
     const bool hasBecomeCold = isColdNews(report->coldRemaining, now);
     if (report->coldRemaining.count() > 0)
         setCold(now + report->coldRemaining);
@@ -196,12 +220,14 @@
 
 auto UpstreamState::isUsable(Core::Instant now) const -> bool
 {
-    return !isLeaving() && !m_isEjected && now >= m_backoffUntil;
+    return !isLeaving() && !isPaused(now) && !m_isEjected && now >= m_backoffUntil;
 }
 
 auto UpstreamState::isProbeDue(Core::Instant now) const -> bool
 {
-    return !isLeaving() && (m_isUnverified || isProbeUrgent()) && !m_isProbing && now >= m_probeAt;
+    if (isLeaving() || isPaused(now) || m_isProbing)
+        return false;
+    return (m_isUnverified || isProbeUrgent()) && now >= m_probeAt;
 }
 
 auto UpstreamState::mayHaveRestarted(Core::Instant now) const -> bool
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -23,6 +23,8 @@
     auto markUnlisted() -> void { m_isListed = false; }
     auto beginExchange(Core::Instant now) -> void;
     auto endExchange(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void;
+    /// Applies what the upstream says of itself. Returns the part that was news.
+    auto applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals;
     auto recordHealthSignal(HealthSignal signal, Core::Instant now) -> void;
     /// Excludes the upstream from new requests until a health check succeeds.
     auto eject(Core::Instant now) -> void;
@@ -44,9 +46,13 @@
     auto recordCachedObject(const ObjectKey& object, Core::Instant now) -> void;
 
     [[nodiscard]] auto entry() const -> const UpstreamEntry& { return m_entry; }
-    [[nodiscard]] auto isRemovable() const -> bool { return !m_isListed && m_inFlight == 0 && !m_isProbing; }
-    /// Returns true if the upstream is draining or no longer listed.
-    [[nodiscard]] auto isLeaving() const -> bool { return !m_isListed || m_entry.isDraining; }
+    /// Returns true if nothing of this state is needed any more.
+    [[nodiscard]] auto isRemovable(Core::Instant now) const -> bool;
+    /// Returns true if the upstream is draining, has said that it leaves, or is no longer listed.
+    [[nodiscard]] auto isLeaving() const -> bool { return !m_isListed || m_entry.isDraining || m_saysLeavingAt; }
+    /// Returns true if the upstream has asked for a pause that has not ended.
+    [[nodiscard]] auto isPaused(Core::Instant now) const -> bool { return now < m_pausedUntil; }
+    [[nodiscard]] auto pausedUntil() const -> Core::Instant { return m_pausedUntil; }
     [[nodiscard]] auto isUsable(Core::Instant now) const -> bool;
     /// Returns true if the last answer is so old that the upstream may have restarted since.
     [[nodiscard]] auto mayHaveRestarted(Core::Instant now) const -> bool;
@@ -89,6 +95,10 @@
     double m_othersLoad = 0;
     Core::Instant m_reportedAt;
     Core::Instant m_backoffUntil;
+    /// End of the pause that the upstream has asked for.
+    Core::Instant m_pausedUntil;
+    /// Time at which the upstream first said, in an answer, that it leaves. Holds until the end of this incarnation.
+    std::optional<Core::Instant> m_saysLeavingAt;
     Core::Instant m_coldUntil;
     /// Time of the last load report, or the start of the first request in flight if that is later.
     Core::Instant m_lastActivity;
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -28,6 +28,14 @@
     friend auto operator<=>(const UpstreamTarget&, const UpstreamTarget&) -> std::strong_ordering = default;
 };
 
+/// What an upstream says of itself in an answer to a request or a health check.
+struct UpstreamSignals {
+    /// The upstream is leaving, and no new request may be sent to it.
+    bool isLeaving = false;
+    /// Time for which the upstream, which is overloaded, asks this VM to send it nothing; zero if it does not ask.
+    Core::Duration pause {};
+};
+
 /// Load that an upstream reports in an answer.
 struct ReportedLoad {
     std::uint32_t running = 0;
@@ -79,6 +87,7 @@
     /// True if the upstream answered but reported a failure of its own.
     bool isUpstreamError = false;
     std::optional<ReportedLoad> load;
+    UpstreamSignals signals;
     bool reusedConnection = false;
     std::string detail;
 };
@@ -90,6 +99,7 @@
     /// Time for which the upstream remains cold; zero if it is warm.
     Core::Duration coldRemaining {};
     std::optional<ReportedLoad> load;
+    UpstreamSignals signals;
 };
 
 /// Exchange in progress.
--- a/src/plugins/httpforward/headernames.h
+++ b/src/plugins/httpforward/headernames.h
@@ -22,6 +22,8 @@
     std::string notRun;
     /// Remaining time in milliseconds for which the upstream is cold.
     std::string coldRemaining;
+    /// The value "1" says that the upstream is leaving.
+    std::string leaving;
 };
 
 } // namespace HttpForward
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -2,6 +2,7 @@
 
 #include "httpforward/httpmessage.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -15,6 +16,8 @@
     constexpr Core::Millis healthTimeout { 1000 };
     /// A health report is in the headers; its body is read only to keep the connection usable.
     const Core::Bytes healthBodyLimit { 64UL * 1024 };
+    /// Longest pause that an upstream can ask for, so that a wrong value does not exclude it for good.
+    constexpr std::chrono::seconds maximumPause { 120 };
     constexpr int httpVersion = 11;
 
     class PendingExchange : public Ports::Exchange {
@@ -63,6 +66,18 @@
         return number;
     }
 
+    /// Parses a number of seconds, which may have a fraction. Returns zero for anything else, a date for example.
+    auto parseRetryAfter(std::string_view text) -> Core::Duration
+    {
+        double seconds = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        if (error != std::errc() || end != text.data() + text.size() || !(seconds > 0))
+            return {};
+        const std::chrono::duration<double> limit(maximumPause);
+        const std::chrono::duration<double> pause(seconds);
+        return std::chrono::duration_cast<Core::Duration>(std::min(pause, limit));
+    }
+
     auto incarnationOf(const Ports::UpstreamTarget& target) -> std::string
     {
         return target.id.value() + '/' + std::to_string(target.start.value());
@@ -126,6 +141,7 @@
     result.status = static_cast<int>(response.result_int());
     result.reusedConnection = exchange.reusedConnection;
     result.load = decodeLoad(response);
+    result.signals = decodeSignals(response);
     result.isUpstreamError = http::to_status_class(response.result()) == http::status_class::server_error;
     if (response.find(m_names.requestId) == response.end()) {
         // It may belong to an earlier request on this connection, and proves nothing about this one.
@@ -144,6 +160,15 @@
     return result;
 }
 
+auto HttpExchangeClient::decodeSignals(const HttpClient::HttpResponse& response) const -> Ports::UpstreamSignals
+{
+    Ports::UpstreamSignals signals;
+    signals.isLeaving = response[m_names.leaving] == "1";
+    if (response.result() == http::status::service_unavailable)
+        signals.pause = parseRetryAfter(response[http::field::retry_after]);
+    return signals;
+}
+
 auto HttpExchangeClient::decodeLoad(const HttpClient::HttpResponse& response) const
     -> std::optional<Ports::ReportedLoad>
 {
@@ -186,6 +211,7 @@
     report.isHealthy = response.result() == http::status::ok;
     report.id = Core::UpstreamId(std::string(response[m_names.upstream]));
     report.load = decodeLoad(response);
+    report.signals = decodeSignals(response);
     report.coldRemaining = Core::Millis(parseNumber(response[m_names.coldRemaining]).value_or(0));
     return report;
 }
--- a/src/plugins/httpforward/httpexchangeclient.h
+++ b/src/plugins/httpforward/httpexchangeclient.h
@@ -19,6 +19,7 @@
 private:
     [[nodiscard]] auto encode(const Ports::ExchangeCall& call) const -> HttpClient::HttpRequest;
     [[nodiscard]] auto decode(HttpClient::Exchange exchange) const -> Ports::ExchangeResult;
+    [[nodiscard]] auto decodeSignals(const HttpClient::HttpResponse& response) const -> Ports::UpstreamSignals;
     [[nodiscard]] auto decodeLoad(const HttpClient::HttpResponse& response) const -> std::optional<Ports::ReportedLoad>;
     [[nodiscard]] auto decodeHealth(const HttpClient::HttpResponse& response) const
         -> Core::Result<Ports::HealthReport>;
--- a/tests/auto/forwarding/poolfixture.h
+++ b/tests/auto/forwarding/poolfixture.h
@@ -41,6 +41,17 @@
         pool.endExchange(report, now);
     }
 
+    /// Ends the exchange without running the request, with what the upstream says of itself. Returns what was news.
+    auto endWithSignals(const Forwarding::Choice& choice, const Ports::UpstreamSignals& signals)
+        -> Ports::UpstreamSignals
+    {
+        Forwarding::ExchangeReport report;
+        report.target = choice.target;
+        report.outcome = Ports::ExchangeOutcome::NotRun;
+        report.signals = signals;
+        return pool.endExchange(report, now);
+    }
+
     /// Sends requests for the object one after the other and returns the ids of the upstreams that were chosen.
     auto chosenUpstreams(const std::string& object, int count) -> std::set<std::string>
     {
--- a/tests/auto/forwarding/tst_upstreamhealth.cpp
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -214,6 +214,101 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(ThatSaysItIsLeaving, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(GetsNothingFromThenOn)
+{
+    list({ upstream("a1") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    endWithSignals(*choice, { true, {} });
+    BOOST_TEST(!choose("1"));
+    BOOST_TEST(!pool.acceptsRequests(choice->target, now));
+    // Neither the list, nor its absence from the list for a while, nor time makes it usable again.
+    list({ upstream("a1") });
+    list({});
+    list({ upstream("a1") });
+    now += Core::Millis(60'000);
+    BOOST_TEST(!choose("1"));
+    auto restarted = upstream("a1");
+    restarted.target.start = Core::ProcessStartId(2);
+    list({ restarted });
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(GetsNothingAfterAHealthCheckThatSaysSo)
+{
+    list({ upstream("a1") });
+    pool.markAllUnverified();
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    Ports::HealthReport report { due.front().id, false, {}, {} };
+    report.signals.isLeaving = true;
+    pool.recordProbe(due.front(), report, now);
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_CASE(IsReportedOnce)
+{
+    list({ upstream("a1") });
+    const auto first = choose("1");
+    const auto second = choose("1");
+    BOOST_TEST(endWithSignals(*first, { true, {} }).isLeaving);
+    BOOST_TEST(!endWithSignals(*second, { true, {} }).isLeaving);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ThatAsksForAPause, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(GetsNothingUntilItsEnd)
+{
+    list({ upstream("a1") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    endWithSignals(*choice, { false, Core::Millis(3000) });
+    now += Core::Millis(2000);
+    const auto refused = choose("1");
+    BOOST_REQUIRE(!refused);
+    // Callers are told when it accepts requests again.
+    BOOST_TEST((refused.error().wait == Core::Millis(1000)));
+    BOOST_TEST(!pool.acceptsRequests(choice->target, now));
+    now += Core::Millis(1000);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(GetsNoHealthCheckEither)
+{
+    list({ upstream("a1") });
+    endWithSignals(*choose("1"), { false, Core::Millis(3000) });
+    pool.markAllUnverified();
+    BOOST_TEST(pool.takeDueProbes(now).empty());
+    now += Core::Millis(3000);
+    BOOST_TEST(pool.takeDueProbes(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItWhileItIsNotListed)
+{
+    list({ upstream("a1") });
+    endWithSignals(*choose("1"), { false, Core::Millis(3000) });
+    list({});
+    list({ upstream("a1") });
+    BOOST_TEST(!choose("1"));
+}
+
+BOOST_AUTO_TEST_CASE(LeavesItsRequestsToTheOthers)
+{
+    list({ upstream("a1"), upstream("a2") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    endWithSignals(*choice, { false, Core::Millis(3000) });
+    const auto next = choose("1");
+    BOOST_REQUIRE(next);
+    BOOST_TEST((next->target.id != choice->target.id));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ThatRestartsUnderTheSameId, PoolFixture)
 
 BOOST_AUTO_TEST_CASE(IsTreatedAsANewColdUpstream)
--- a/tests/auto/httpforward/exchangefixture.h
+++ b/tests/auto/httpforward/exchangefixture.h
@@ -12,7 +12,7 @@
 
 inline auto names() -> HttpForward::HeaderNames
 {
-    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left" };
+    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving" };
 }
 
 inline auto answer(const std::string& id, const std::string& body) -> std::string
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -200,6 +200,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ReportsWhatTheUpstreamSaysOfItself)
+
+BOOST_AUTO_TEST_CASE(ThatItIsLeaving)
+{
+    ScriptedUpstream upstream({ "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+        answer("ID", "pegs") });
+    BOOST_TEST(exchange(upstream.address(), "r1").signals.isLeaving);
+    BOOST_TEST(exchange(upstream.address(), "r2").signals.isLeaving);
+    BOOST_TEST(!exchange(upstream.address(), "r3").signals.isLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(ThatItWantsAPause)
+{
+    const std::vector<std::pair<std::string, Core::Millis>> cases { { "2", Core::Millis(2000) },
+        { "0.25", Core::Millis(250) }, { "", Core::Millis(0) }, { "-1", Core::Millis(0) }, { "nan", Core::Millis(0) },
+        { "Wed, 21 Oct 2026 07:28:00 GMT", Core::Millis(0) }, { "1e300", Core::Millis(120'000) } };
+    for (const auto& [value, expected] : cases) {
+        ScriptedUpstream upstream({ "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Run: 1\r\nRetry-After: " + value
+            + "\r\nContent-Length: 0\r\n\r\n" });
+        const auto pause = exchange(upstream.address(), "r1").signals.pause;
+        BOOST_TEST((pause == expected), "Retry-After: " << value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ButNoPauseWithAnAnswerOtherThan503)
+{
+    ScriptedUpstream upstream({ "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n" });
+    BOOST_TEST((exchange(upstream.address(), "r1").signals.pause == Core::Millis(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithARestartedUpstream)
 
 BOOST_AUTO_TEST_CASE(DoesNotReuseAConnectionToThePreviousProcess)
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -32,7 +32,7 @@
 
 auto names() -> HttpForward::HeaderNames
 {
-    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left" };
+    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving" };
 }
 
 const std::string goodAnswer
--- a/tests/platform/tst_process.cpp
+++ b/tests/platform/tst_process.cpp
@@ -111,6 +111,17 @@
     BOOST_TEST(site.upstream(0).runs().size() == before);
 }
 
+BOOST_AUTO_TEST_CASE(StopSendingToItAtOnceWhenItSaysSoInAnAnswer)
+{
+    site.upstream(0).setLeaving(true);
+    site.upstream(1).setLeaving(true);
+    for (int request = 0; request < 30; ++request)
+        BOOST_TEST(statusOf(request % 2, "r-" + std::to_string(request)) == 200);
+    // One answer tells each of the two entry VMs.
+    BOOST_TEST(site.upstream(0).runs().size() <= 2U);
+    BOOST_TEST(site.upstream(1).runs().size() <= 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ServeFromTheOthersWhenItsAddressNoLongerReachesIt)
 {
     // Requests carry the id of the expected upstream, so another upstream at this address does not run them.
@@ -125,6 +136,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamAsksForAPause)
+
+BOOST_AUTO_TEST_CASE(SendItNothingUntilItsEnd)
+{
+    BOOST_TEST(statusOf(0, "first") == 200);
+    int preferred = 0;
+    while (site.upstream(preferred).runs().empty())
+        ++preferred;
+    auto& paused = site.upstream(preferred);
+    paused.setRefusing(true);
+    paused.setRetryAfter("2");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+    for (int request = 0; std::chrono::steady_clock::now() < end; ++request)
+        BOOST_TEST(statusOf(request % 2, "r-" + std::to_string(request)) == 200);
+    // One refusal tells each of the two entry VMs.
+    BOOST_TEST(paused.refusals() >= 1);
+    BOOST_TEST(paused.refusals() <= 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheStoreIsUnavailable)
 
 BOOST_AUTO_TEST_CASE(KeepServingAndCatchUpWhenItReturns)
--- a/tests/platform/upstreamstandin.cpp
+++ b/tests/platform/upstreamstandin.cpp
@@ -25,6 +25,24 @@
     m_isRefusing = isRefusing;
 }
 
+auto UpstreamStandIn::setLeaving(bool isLeaving) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isLeaving = isLeaving;
+}
+
+auto UpstreamStandIn::setRetryAfter(const std::string& seconds) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_retryAfter = seconds;
+}
+
+auto UpstreamStandIn::refusals() -> int
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refusals;
+}
+
 auto UpstreamStandIn::runs() -> std::map<std::string, int>
 {
     const std::lock_guard lock(m_mutex);
@@ -48,9 +66,14 @@
         return;
     }
     const std::lock_guard lock(m_mutex);
+    if (m_isLeaving)
+        response.set("Server-Leaving", "1");
     if (m_isRefusing) {
+        ++m_refusals;
         response.result(http::status::service_unavailable);
         response.set("Not-Executed", "1");
+        if (!m_retryAfter.empty())
+            response.set(http::field::retry_after, m_retryAfter);
         respond(std::move(response));
         return;
     }
--- a/tests/platform/upstreamstandin.h
+++ b/tests/platform/upstreamstandin.h
@@ -16,6 +16,12 @@
 
     /// While set, refuses every request without running it.
     auto setRefusing(bool isRefusing) -> void;
+    /// While set, says in each answer that it is leaving.
+    auto setLeaving(bool isLeaving) -> void;
+    /// Sets the value of Retry-After in refusals; empty for none.
+    auto setRetryAfter(const std::string& seconds) -> void;
+    /// Number of requests that were refused.
+    [[nodiscard]] auto refusals() -> int;
     /// Number of runs of each request id.
     [[nodiscard]] auto runs() -> std::map<std::string, int>;
 
@@ -29,6 +35,9 @@
     const Core::Millis m_serviceTime;
     std::mutex m_mutex;
     bool m_isRefusing = false;
+    bool m_isLeaving = false;
+    std::string m_retryAfter;
+    int m_refusals = 0;
     int m_running = 0;
     std::map<std::string, int> m_runs;
 };
