Keep an upstream's pause when the list shows late that it had restarted

Cause: while the list lags behind a restart under the same id, the new process's answers are counted for the old one; once the list shows the new one, its state began without the pause. The state of a new incarnation takes over the pause; one whose predecessor said that it leaves gets a health check before any request, whose answer tells which of the two leaves.

--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -57,8 +57,12 @@
     for (const auto& entry : entries) {
         const auto [found, isFirst] = m_states.try_emplace(entry.target, entry);
         found->second.update(entry);
-        if (isFirst && entry.mayBeOutdated)
+        if (!isFirst)
+            continue;
+        if (entry.mayBeOutdated)
             found->second.markUnverified();
+        for (auto earlier = firstIncarnation(entry.target.id); earlier != found; ++earlier)
+            found->second.inheritSignals(earlier->second, now);
     }
     std::erase_if(m_states, [now](const auto& item) { return item.second.isRemovable(now); });
     for (auto& [target, state] : m_states) {
@@ -162,14 +166,18 @@
 {
     const std::lock_guard lock(m_mutex);
     bool isNews = false;
-    // Incarnations of the same upstream are adjacent.
-    const Ports::UpstreamTarget first { notice.upstream, Core::ProcessStartId(earliestStart), {} };
-    for (auto state = m_states.lower_bound(first); state != m_states.end() && state->first.id == notice.upstream;
+    for (auto state = firstIncarnation(notice.upstream); state != m_states.end() && state->first.id == notice.upstream;
          ++state)
         isNews |= state->second.applyNotice(notice.isHealthy, notice.coldRemaining, now);
     return isNews;
 }
 
+auto ServicePool::firstIncarnation(const Core::UpstreamId& id) -> States::iterator
+{
+    // Incarnations of the same upstream are adjacent.
+    return m_states.lower_bound({ id, Core::ProcessStartId(earliestStart), {} });
+}
+
 auto ServicePool::setListStale(bool isStale) -> void
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -146,6 +146,7 @@
     };
 
     using Candidates = std::vector<Candidate>;
+    using States = std::map<Ports::UpstreamTarget, UpstreamState>;
 
     auto chooseLocked(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
     [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates;
@@ -175,6 +176,8 @@
     /// Returns the time until the first of the upstreams that have asked for a pause accepts requests again, or zero if
     /// there are none.
     [[nodiscard]] auto shortestPause(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration;
+    /// Returns the position from which on the incarnations of the upstream stand, in the order of their starts.
+    [[nodiscard]] auto firstIncarnation(const Core::UpstreamId& id) -> States::iterator;
     [[nodiscard]] auto findState(const Ports::UpstreamTarget& target) -> UpstreamState*;
 
     const Core::ServiceId m_service;
@@ -184,7 +187,7 @@
     EvacuatedDomains m_evacuated;
     bool m_isListStale = false;
     /// Includes upstreams that are no longer listed until their last exchange ends.
-    std::map<Ports::UpstreamTarget, UpstreamState> m_states;
+    States m_states;
     ServiceTimeEstimator m_serviceTime;
     ReplicaPlanner m_planner;
     QueueAdmission m_queueAdmission;
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -80,6 +80,14 @@
     return news;
 }
 
+auto UpstreamState::inheritSignals(const UpstreamState& earlier, Core::Instant now) -> void
+{
+    m_pausedUntil = std::max(m_pausedUntil, earlier.m_pausedUntil);
+    // The answer to a health check says which of the two is leaving.
+    if (earlier.m_saysLeavingAt)
+        requireProbe(now);
+}
+
 auto UpstreamState::isRemovable(Core::Instant now) const -> bool
 {
     // The list may show the same incarnation again, for example after an outage of the store.
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -19,6 +19,9 @@
 
     /// Applies the current list entry of the same incarnation.
     auto update(const UpstreamEntry& entry) -> void;
+    /// Takes over what an earlier incarnation seems to have said of itself: while the list lags behind a restart, the
+    /// answers of the new process are counted for the old one.
+    auto inheritSignals(const UpstreamState& earlier, Core::Instant now) -> void;
     /// Marks the upstream as no longer listed; its open exchanges continue.
     auto markUnlisted() -> void { m_isListed = false; }
     auto beginExchange(Core::Instant now) -> void;
--- a/tests/auto/forwarding/tst_upstreamhealth.cpp
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -233,6 +233,10 @@
     auto restarted = upstream("a1");
     restarted.target.start = Core::ProcessStartId(2);
     list({ restarted });
+    BOOST_TEST(!choose("1"));
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { restarted.target.id, true, {}, {}, {} }, now);
     BOOST_TEST(choose("1").has_value());
 }
 
@@ -296,6 +300,19 @@
     BOOST_TEST(!choose("1"));
 }
 
+/// Found by the soak with the seeds 23 and 24.
+BOOST_AUTO_TEST_CASE(KeepsItWhenTheListShowsLateThatItHadRestarted)
+{
+    list({ upstream("a1") });
+    endWithSignals(*choose("1"), { false, Core::Millis(3000) });
+    auto restarted = upstream("a1");
+    restarted.target.start = Core::ProcessStartId(2);
+    list({ restarted });
+    BOOST_TEST(!choose("1"));
+    now += Core::Millis(3000);
+    BOOST_TEST(choose("1").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(LeavesItsRequestsToTheOthers)
 {
     list({ upstream("a1"), upstream("a2") });
--- a/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
@@ -233,7 +233,7 @@
     if (m_isRecovering || world.chance(0.4))
         m_site.virtualUpstreams.setFaults({});
     else
-        m_site.virtualUpstreams.setFaults({ 0.1, 0.05, 0.05, 0.03, 0.03 });
+        m_site.virtualUpstreams.setFaults({ 0.1, 0.05, 0.05, 0.03, 0.03, 0.2 });
 }
 
 auto RandomisedForwardingRun::randomUpstream() -> std::optional<Core::UpstreamId>
--- a/tests/fakes/forwarding/virtualupstreams.cpp
+++ b/tests/fakes/forwarding/virtualupstreams.cpp
@@ -18,6 +18,8 @@
     constexpr Core::Millis healthTimeout { 700 };
     constexpr Core::Millis idleConnectionTime { 8000 };
     constexpr Core::Millis coldWindow { 1000 };
+    constexpr Core::Millis shortestPause { 700 };
+    constexpr Core::Millis longestPause { 3000 };
 
     auto resultOf(ExchangeOutcome outcome) -> Ports::ExchangeResult
     {
@@ -59,6 +61,8 @@
     Ports::ExchangeClient::ResultCallback callback;
     bool isCancelled = false;
     bool isFinished = false;
+    /// False if the sender gave up before the answer arrived.
+    bool hasReceivedAnswer = false;
 };
 
 VirtualUpstreams::VirtualUpstreams(VirtualWorld& world, RequestTracker& requestTracker, IsStable isStable)
@@ -129,7 +133,10 @@
     m_world.post(
         upstreamsNode, m_world.between(minimumLatency, maximumLatency), [this, job, result = std::move(result)] {
             if (!job->life.expired())
-                m_world.post(job->vm, {}, [job, result] { job->finish(result); });
+                m_world.post(job->vm, {}, [job, result] {
+                    job->hasReceivedAnswer |= !job->isFinished;
+                    job->finish(result);
+                });
         });
 }
 
@@ -149,10 +156,12 @@
     }
     m_requestTracker.arrived(job->call.id, upstream->entry.service, m_world.now());
     checkArrival(*upstream, *job);
+    checkTold(*upstream, *job);
     const auto capacity = upstream->entry.slots.value() * (1 + queuePerSlot);
     if (upstream->jobs.size() >= capacity || m_world.chance(m_faults.refused)) {
         auto refused = resultOf(ExchangeOutcome::NotRun);
         refused.load = loadOf(*upstream);
+        askForPause(job, refused);
         reply(job, refused);
     } else if (m_world.chance(m_faults.lostBeforeRun)) {
         reply(job, resultOf(ExchangeOutcome::Lost));
@@ -176,6 +185,47 @@
         m_requestTracker.recordViolation("sent to an evacuated failure domain: " + details);
 }
 
+auto VirtualUpstreams::checkTold(Upstream& upstream, const Job& job) -> void
+{
+    const auto found = upstream.told.find(job.life);
+    if (found == upstream.told.end())
+        return;
+    auto& told = found->second;
+    const auto now = m_world.now();
+    const auto details = upstream.entry.target.id.value() + " from " + job.vm.value();
+    if (told.leavingAt && now - *told.leavingAt > m_bounds.drain)
+        m_requestTracker.recordViolation("sent to an upstream that said it leaves: " + details);
+    const bool isInPause = now - told.pausedAt > m_bounds.pauseSlack && now < told.pausedUntil;
+    if (isInPause && ++told.requestsInPause > m_bounds.requestsInPause)
+        m_requestTracker.recordViolation("sent to an upstream that asked for a pause: " + details + ", start "
+            + std::to_string(job.call.target.start.value()) + " of "
+            + std::to_string(upstream.entry.target.start.value()));
+}
+
+auto VirtualUpstreams::askForPause(const JobPointer& job, Ports::ExchangeResult& refusal) -> void
+{
+    if (!m_world.chance(m_faults.pause))
+        return;
+    refusal.signals.pause = m_world.between(shortestPause, longestPause);
+    recordTold(job->call.target.id, job, refusal.signals);
+}
+
+auto VirtualUpstreams::recordTold(
+    const Core::UpstreamId& id, const JobPointer& job, const Ports::UpstreamSignals& signals) -> void
+{
+    const auto pausedUntil = m_world.now() + signals.pause;
+    m_world.post(job->vm, maximumLatency, [this, id, job, signals, pausedUntil] {
+        const auto found = m_upstreams.find(id);
+        if (found == m_upstreams.end() || !job->hasReceivedAnswer)
+            return;
+        auto& told = found->second.told[job->life];
+        if (signals.isLeaving)
+            told.leavingAt = told.leavingAt.value_or(m_world.now());
+        if (signals.pause.count() > 0 && m_world.now() >= told.pausedUntil)
+            told = { told.leavingAt, m_world.now(), pausedUntil, 0 };
+    });
+}
+
 auto VirtualUpstreams::checkCold(Upstream& upstream, const Job& job) -> void
 {
     const auto now = m_world.now();
@@ -221,6 +271,10 @@
         = resultOf(m_world.chance(m_faults.brokenAnswer) ? ExchangeOutcome::Invalid : ExchangeOutcome::Answered);
     result.answer = std::make_shared<Answer>();
     result.load = loadOf(found->second);
+    if (found->second.retiredAt && result.outcome == ExchangeOutcome::Answered) {
+        result.signals.isLeaving = true;
+        recordTold(id, job, result.signals);
+    }
     reply(job, result);
 }
 
--- a/tests/fakes/forwarding/virtualupstreams.h
+++ b/tests/fakes/forwarding/virtualupstreams.h
@@ -17,6 +17,9 @@
     double coldRate = 4;
     double coldOvershoot = 1.5;
     double coldSlack = 5;
+    /// Time until a pause that an upstream asks for binds, and the requests that may still come before its end.
+    Core::Millis pauseSlack { 500 };
+    int requestsInPause = 2;
 };
 
 /// Probability of each fault per request.
@@ -26,6 +29,8 @@
     double answerLost = 0;
     double silent = 0;
     double brokenAnswer = 0;
+    /// Probability that a refusal asks for a pause.
+    double pause = 0;
 };
 
 /// Upstreams in virtual time. Checks each request that reaches them.
@@ -58,17 +63,35 @@
         NodeId vm;
     };
 
+    /// Process of an entry VM; a restarted one is another.
+    using Sender = std::weak_ptr<bool>;
+
+    /// What an upstream has told one process of an entry VM.
+    struct Told {
+        std::optional<Core::Instant> leavingAt;
+        Core::Instant pausedAt;
+        Core::Instant pausedUntil;
+        int requestsInPause = 0;
+    };
+
     struct Upstream {
         Forwarding::UpstreamEntry entry;
         Core::Instant coldUntil;
         std::optional<Core::Instant> retiredAt;
         std::vector<JobPointer> jobs;
         std::deque<ColdArrival> coldArrivals;
+        std::map<Sender, Told, std::owner_less<Sender>> told;
     };
 
     auto arrive(const JobPointer& job) -> void;
     auto checkArrival(Upstream& upstream, const Job& job) -> void;
     auto checkCold(Upstream& upstream, const Job& job) -> void;
+    /// Checks that the sender heeds what the upstream has told it.
+    auto checkTold(Upstream& upstream, const Job& job) -> void;
+    /// Tells the sender in a refusal to pause, or not.
+    auto askForPause(const JobPointer& job, Ports::ExchangeResult& refusal) -> void;
+    /// Records what the answer of the upstream says once the sender has received it; a paused VM receives it later.
+    auto recordTold(const Core::UpstreamId& id, const JobPointer& job, const Ports::UpstreamSignals& signals) -> void;
     auto run(Upstream& upstream, const JobPointer& job) -> void;
     auto finishRun(const Core::UpstreamId& id, const JobPointer& job) -> void;
     auto reply(const JobPointer& job, Ports::ExchangeResult result) -> void;
