--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -135,6 +135,7 @@
     m_environment.events.record({ Ports::EventKind("upstream.probed"), {},
         { { "upstream", target.id.value() }, { "service", context->pool.service().value() },
             { "healthy", report && report->isHealthy ? "yes" : "no" },
+            { "leaving", report && report->signals.isLeaving ? "yes" : "no" },
             { "coldMs", report ? std::to_string(report->coldRemaining.count() / 1000) : "unknown" },
             { "detail", report ? "" : describe(report.error()) } } });
     if (!shouldAnnounce)
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -42,8 +42,8 @@
     using Strand = asio::strand<asio::io_context::executor_type>;
     using Stream = beast::basic_stream<Tcp, Strand>;
 
-    /// Connection to a server. If it closes during an exchange, it is reset, so that the server receives no rest of a
-    /// request that nobody waits for.
+    /// Connection to a server. If it closes while the server may have a request to read or to run, it is reset, so that
+    /// the server does no more work that nobody waits for.
     struct Connection {
         explicit Connection(asio::io_context& context)
             : stream(asio::make_strand(context))
@@ -246,6 +246,8 @@
         if (isReusable(*connection, result.response)) {
             connection->setUsableFor(keepAliveTimeOf(result.response, self->m_limits.idleTimeout));
             self->returnToPool(*call, connection);
+        } else if (connection->hasUnwrittenRequest || connection->hasUnmatchedResponse) {
+            connection->stream.close();
         } else {
             connection->closeInOrder();
         }
