--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -1,23 +1,16 @@
 #include "httpclient/httpclient.h"
 
-#include "core/sharded.h"
+#include "httpclient/connectionpool.h"
 #include "runtime/endpoints.h"
 #include "runtime/socketoptions.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <sys/socket.h>
-#include <unordered_map>
 
 namespace HttpClient {
 
@@ -30,8 +23,6 @@
 namespace {
 
     constexpr int maximumResponsesPerCall = 8;
-    /// Bytes that may wait for the rest of a line, for example of a chunk's header, before they can be parsed.
-    constexpr std::size_t maximumBufferedBytes = 128UL * 1024;
     /// Longer request bodies are written while the response is read, because a server may answer before it has read
     /// them.
     constexpr std::size_t sequentialWriteLimit = 8 * 1024;
@@ -39,46 +30,8 @@
     /// since the server closes them then.
     constexpr Core::Millis keepAliveMargin { 1000 };
 
-    using Strand = asio::strand<asio::io_context::executor_type>;
-    using Stream = beast::basic_stream<Tcp, Strand>;
-
-    /// Connection to a server. If it closes while the server may have a request to read or to run, it is reset, so that
-    /// the server does no more work that nobody waits for.
-    struct Connection {
-        explicit Connection(asio::io_context& context)
-            : stream(asio::make_strand(context))
-        {
-        }
-        ~Connection()
-        {
-            if (isIdle)
-                closeInOrder();
-        }
-        Connection(const Connection&) = delete;
-        auto operator=(const Connection&) -> Connection& = delete;
-
-        auto closeInOrder() -> void
-        {
-            Runtime::setResetOnClose(stream.socket().native_handle(), false);
-            stream.close();
-        }
-        auto setUsableFor(Core::Duration time) -> void { usableUntil = std::chrono::steady_clock::now() + time; }
-
-        Stream stream;
-        beast::flat_buffer buffer { maximumBufferedBytes };
-        bool isReused = false;
-        bool isIdle = false;
-        bool isCancelled = false;
-        /// Number of the exchange in progress; incremented when it starts and when it ends. Accessed on the strand, or
-        /// while there is only one owner.
-        std::uint64_t exchangeNumber = 0;
-        bool hasUnwrittenRequest = false;
-        /// A response arrived that does not belong to the request, or may not.
-        bool hasUnmatchedResponse = false;
-        std::chrono::steady_clock::time_point usableUntil;
-    };
-
-    using ConnectionPointer = std::shared_ptr<Connection>;
+    using detail::Connection;
+    using detail::ConnectionPointer;
     using ResponseParser = http::response_parser<http::string_body>;
 
     /// Part of the limit on the bodies of all responses that one response has taken. Returns it at the end.
@@ -107,43 +60,6 @@
         std::uint64_t m_reserved = 0;
     };
 
-    class PendingExchange : public PendingCall {
-    public:
-        explicit PendingExchange(ConnectionPointer connection)
-            : m_connection(std::move(connection))
-            , m_number(++m_connection->exchangeNumber)
-        {
-        }
-
-        auto cancel() -> void override
-        {
-            asio::post(m_connection->stream.get_executor(), [connection = m_connection, number = m_number] {
-                // The connection may already be in use by another exchange.
-                if (connection->exchangeNumber != number)
-                    return;
-                connection->isCancelled = true;
-                connection->stream.close();
-            });
-        }
-
-    private:
-        ConnectionPointer m_connection;
-        const std::uint64_t m_number;
-    };
-
-    struct PoolKey {
-        Core::Address address;
-        std::string incarnation;
-        friend auto operator==(const PoolKey&, const PoolKey&) -> bool = default;
-    };
-
-    struct PoolKeyHash {
-        auto operator()(const PoolKey& key) const noexcept -> std::size_t
-        {
-            return std::hash<Core::Address> {}(key.address) ^ (std::hash<std::string> {}(key.incarnation) << 1U);
-        }
-    };
-
     /// Returns the time for which the idle connection can be reused: the Keep-Alive timeout of the response less
     /// keepAliveMargin, and at most the limit.
     auto keepAliveTimeOf(const HttpResponse& response, Core::Duration limit) -> Core::Duration
@@ -157,14 +73,6 @@
         return std::min<Core::Duration>(limit, std::chrono::seconds(seconds) - keepAliveMargin);
     }
 
-    /// Returns true if the idle connection has nothing to read: neither an end of stream nor unexpected bytes.
-    auto isStillOpen(Connection& connection) -> bool
-    {
-        char byte = 0;
-        const auto count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
-
     auto stageAfterWrite(const Error& error) -> FailureStage
     {
         // A read and a write can be open together; when the time expires, one ends as timed out and the other as
@@ -184,17 +92,18 @@
     Implementation(asio::io_context& context, Limits limits)
         : m_context(context)
         , m_limits(limits)
+        , m_idleConnections(limits.idleConnectionsPerAddress)
     {
     }
 
     auto send(Call call, Callback callback) -> std::shared_ptr<PendingCall>
     {
-        auto connection = takeIdle(call);
+        auto connection = m_idleConnections.take(call);
         if (!connection)
             connection = std::make_shared<Connection>(m_context);
         auto executor = connection->stream.get_executor();
         auto shared = std::make_shared<Call>(std::move(call));
-        auto pending = std::make_shared<PendingExchange>(connection);
+        auto pending = std::make_shared<detail::PendingExchange>(connection);
         asio::co_spawn(executor, runExchange(shared_from_this(), connection, shared),
             [callback = std::move(callback)](
                 const std::exception_ptr& exception, tl::expected<Exchange, Failure> result) {
@@ -209,10 +118,6 @@
     [[nodiscard]] auto openedConnections() const -> std::uint64_t { return m_openedConnections; }
 
 private:
-    using Pool = std::unordered_map<PoolKey, std::vector<ConnectionPointer>, PoolKeyHash>;
-
-    static auto keyOf(const Call& call) -> PoolKey { return { call.address, call.incarnation }; }
-
     static auto runExchange(std::shared_ptr<Implementation> self, ConnectionPointer connection,
         std::shared_ptr<Call> call) -> asio::awaitable<tl::expected<Exchange, Failure>>
     {
@@ -226,7 +131,7 @@
             co_return tl::unexpected(withdrawn(*connection));
         if (call->isStillWanted && !call->isStillWanted()) {
             ++connection->exchangeNumber;
-            self->returnToPool(*call, connection);
+            self->m_idleConnections.put(*call, connection);
             co_return tl::unexpected(withdrawn(*connection));
         }
         connection->stream.expires_at(deadline);
@@ -245,7 +150,7 @@
         Exchange result { std::move(response), connection->isReused };
         if (isReusable(*connection, result.response)) {
             connection->setUsableFor(keepAliveTimeOf(result.response, self->m_limits.idleTimeout));
-            self->returnToPool(*call, connection);
+            self->m_idleConnections.put(*call, connection);
         } else if (connection->hasUnwrittenRequest || connection->hasUnmatchedResponse) {
             connection->stream.close();
         } else {
@@ -338,56 +243,14 @@
     {
         // The other pooled connections to this server have often failed for the same reason: discard them all.
         if (connection.isReused)
-            m_idleConnections.with(call.address, [&](Pool& pool) { pool.erase(keyOf(call)); });
+            m_idleConnections.drop(call);
         const auto stage = connection.isCancelled ? FailureStage::Cancelled : stageAfterWrite(error);
         return { stage, connection.isReused, error.message() };
     }
 
-    auto takeIdle(const Call& call) -> ConnectionPointer
-    {
-        bool hasClosedConnection = false;
-        auto connection = m_idleConnections.with(
-            call.address, [&](Pool& pool) { return takeIdle(pool, keyOf(call), hasClosedConnection); });
-        if (!connection && hasClosedConnection && call.onIdleConnectionClosed)
-            call.onIdleConnectionClosed();
-        return connection;
-    }
-
-    static auto takeIdle(Pool& pool, const PoolKey& key, bool& hasClosedConnection) -> ConnectionPointer
-    {
-        const auto found = pool.find(key);
-        if (found == pool.end())
-            return nullptr;
-        auto& connections = found->second;
-        while (!connections.empty()) {
-            auto connection = std::move(connections.back());
-            connections.pop_back();
-            if (connection->usableUntil <= std::chrono::steady_clock::now())
-                continue;
-            if (isStillOpen(*connection)) {
-                connection->isReused = true;
-                connection->isIdle = false;
-                return connection;
-            }
-            hasClosedConnection = true;
-        }
-        return nullptr;
-    }
-
-    auto returnToPool(const Call& call, const ConnectionPointer& connection) -> void
-    {
-        connection->stream.expires_never();
-        connection->isIdle = true;
-        m_idleConnections.with(call.address, [&](Pool& pool) {
-            auto& connections = pool[keyOf(call)];
-            if (connections.size() < m_limits.idleConnectionsPerAddress)
-                connections.push_back(connection);
-        });
-    }
-
     asio::io_context& m_context;
     Limits m_limits;
-    Core::Sharded<Pool> m_idleConnections;
+    detail::ConnectionPool m_idleConnections;
     std::atomic<std::uint64_t> m_openedConnections { 0 };
     /// Size of the bodies of all responses that are being received.
     std::atomic<std::uint64_t> m_receivedBodyBytes { 0 };
--- /dev/null
+++ b/src/plugins/httpserver/clientdisconnectnotifier.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "httpserver/httpserver.h"
+
+#include <mutex>
+
+namespace HttpServer {
+
+namespace detail {
+
+    class Connection;
+
+    /// Calls the callback once: when the client disconnects, or at once if it has already. Thread-safe.
+    class ClientDisconnectNotifier : public DisconnectNotifier {
+    public:
+        explicit ClientDisconnectNotifier(std::weak_ptr<Connection> connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
+        auto onDisconnect(std::function<void()> callback) -> void override;
+        [[nodiscard]] auto isDisconnected() const -> bool override;
+        auto notifyDisconnect() -> void;
+
+    private:
+        const std::weak_ptr<Connection> m_connection;
+        mutable std::mutex m_mutex;
+        bool m_isDisconnected = false;
+        std::function<void()> m_callback;
+    };
+
+} // namespace detail
+
+} // namespace HttpServer
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "httpserver/httpserver.h"
+#include "httpserver/clientdisconnectnotifier.h"
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
@@ -10,7 +10,6 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <mutex>
 #include <optional>
 
 namespace HttpServer {
@@ -33,27 +32,6 @@
         std::atomic<bool> isDestroyed { false };
     };
 
-    class Connection;
-
-    /// Calls the callback once: when the client disconnects, or at once if it has already. Thread-safe.
-    class ClientDisconnectNotifier : public DisconnectNotifier {
-    public:
-        explicit ClientDisconnectNotifier(std::weak_ptr<Connection> connection)
-            : m_connection(std::move(connection))
-        {
-        }
-
-        auto onDisconnect(std::function<void()> callback) -> void override;
-        [[nodiscard]] auto isDisconnected() const -> bool override;
-        auto notifyDisconnect() -> void;
-
-    private:
-        const std::weak_ptr<Connection> m_connection;
-        mutable std::mutex m_mutex;
-        bool m_isDisconnected = false;
-        std::function<void()> m_callback;
-    };
-
     /// Connection of one client. Its coroutine and all its completion handlers run on the socket's strand.
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
