Read the store's answers object by object, so that an odd entry affects no other

Cause: one answer of the store was parsed as a whole. A number like 1e999 or an invalid byte in any entry made the whole list or watch unreadable, so that the VM stopped following; a deeply nested value was parsed, but writing it back as text recursed and overflowed the stack, at each list again after the restart. Deeply nested messages of peers overflowed it in the CBOR decoder. Unchecked conversions: ports, slots, cold times and starts out of range were taken; an entry that turned unreadable in a watch left the upstream in use until the next list. Any exception in a task ended the process.

Ruled out: the log, which replaces invalid bytes; the settings, whose decoder kept a discarded value; DOM destruction, which does not recurse.

An unreadable entry names no upstream, in a list and in a watch; it is logged once a revision. Pages of a list have to advance and end. A task that throws is logged (process.task-failed) and the others run on.

--- a/src/app/entryvmprocess.cpp
+++ b/src/app/entryvmprocess.cpp
@@ -11,6 +11,7 @@
     const Ports::EventKind processStarted { "process.started" };
     const Ports::EventKind processLeaving { "process.leaving" };
     const Ports::EventKind processStopped { "process.stopped" };
+    const Ports::EventKind taskFailed { "process.task-failed" };
 
     auto callerLimits(const ServeSettings& settings) -> HttpServer::Limits
     {
@@ -89,7 +90,9 @@
         if (!error)
             leave();
     });
-    m_runtime.run();
+    m_runtime.run([this](const std::string& problem) {
+        m_events.record({ taskFailed, {}, { { "detail", problem } } });
+    });
     m_events.record({ processStopped, {}, {} });
 }
 
--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -107,7 +107,7 @@
     m_datagrams.start([this](const EntryFleet::Heartbeat& heartbeat) { m_entryVm.fleet().receive(heartbeat); });
     m_entryVm.start();
     scheduleIdlePeerClosing();
-    m_runtime.run();
+    m_runtime.run([this](const std::string& problem) { m_entryVm.recordLifecycle("process.task-failed", problem); });
 }
 
 auto ForwardingProcess::registerPeerHandlers() -> void
--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -1,5 +1,7 @@
 #include "forwardinghost/listeners.h"
 
+#include <utility>
+
 namespace ForwardingHost {
 
 namespace {
@@ -7,11 +9,18 @@
     /// Lists that took longer to arrive are treated as possibly stale: an upstream that restarted in the meantime may
     /// still be listed with its previous start.
     constexpr Core::Millis maximumFreshListAge { 100 };
+    /// Number of items for which a listener remembers that it has recorded them as unreadable.
+    constexpr std::size_t maximumRecordedItems = 1000;
 
 } // namespace
 
 auto DecodingListener::recordDecodeError(const Ports::CollectionItem& item, const Core::Error& error) -> void
 {
+    if (m_recorded.size() >= maximumRecordedItems)
+        m_recorded.clear();
+    const auto [recorded, isFirst] = m_recorded.try_emplace(item.name, item.revision);
+    if (!isFirst && std::exchange(recorded->second, item.revision) == item.revision)
+        return;
     m_environment.events.record({ Ports::EventKind("store.item-refused"), {},
         { { "item", item.name }, { "revision", std::to_string(item.revision.value()) },
             { "detail", describe(error) } } });
@@ -75,10 +84,13 @@
 auto UpstreamListener::upsert(const Ports::CollectionItem& item) -> void
 {
     const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
-    if (entry)
+    if (entry) {
         m_registry.upsert(*entry);
-    else
-        recordDecodeError(item, entry.error());
+        return;
+    }
+    recordDecodeError(item, entry.error());
+    // An entry that cannot be read names no upstream, as in a list.
+    m_registry.remove(Core::UpstreamId(item.name));
 }
 
 auto UpstreamListener::remove(const std::string& name) -> void { m_registry.remove(Core::UpstreamId(name)); }
--- a/src/libs/forwardinghost/listeners.h
+++ b/src/libs/forwardinghost/listeners.h
@@ -6,6 +6,8 @@
 #include "forwardinghost/platformcodec.h"
 #include "storesync/storewatchdog.h"
 
+#include <map>
+
 namespace ForwardingHost {
 
 /// Dependencies shared by the listeners of one process.
@@ -15,7 +17,8 @@
     Ports::EventSink& events;
 };
 
-/// Base class of listeners that decode items. Items that cannot be decoded are skipped and recorded.
+/// Base class of listeners that decode items. Items that cannot be decoded are skipped and recorded, each revision
+/// once.
 class DecodingListener : public StoreSync::CollectionListener {
 public:
     explicit DecodingListener(ListenerEnvironment environment)
@@ -30,6 +33,8 @@
 
 private:
     const ListenerEnvironment m_environment;
+    /// Last recorded revision of each item that could not be decoded.
+    std::map<std::string, Ports::StoreRevision> m_recorded;
 };
 
 /// Applies each configuration that is newer than all previous ones and ignores the others.
--- a/src/libs/ports/collectionstore.h
+++ b/src/libs/ports/collectionstore.h
@@ -16,7 +16,8 @@
 /// Name of a collection of objects in the store.
 using CollectionName = Core::StrongType<struct CollectionTag, std::string>;
 
-/// Object of a collection, in the store's own encoding.
+/// Object of a collection, in the store's own encoding. Any program can write to the store, so the text may be
+/// anything.
 struct CollectionItem {
     std::string name;
     StoreRevision revision;
@@ -27,6 +28,8 @@
 struct CollectionList {
     std::vector<CollectionItem> items;
     StoreRevision revision;
+    /// Number of objects that are left out because not even their name can be read.
+    std::size_t unreadableItems = 0;
     /// Time since the store was queried, during which the collection may have changed further.
     Core::Duration age {};
 };
@@ -39,6 +42,8 @@
 struct CollectionChanges {
     std::vector<CollectionChange> changes;
     StoreRevision revision;
+    /// Number of changes that are left out because not even the name of their object can be read.
+    std::size_t unreadableItems = 0;
 };
 
 /// Pending call to the store. A cancelled call fails with Timeout or OutcomeUnknown.
--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -70,7 +70,8 @@
     const bool isApplied = applyUnlessOlder(*result);
     m_environment.events.record({ Ports::EventKind("store.listed"), {},
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
-            { "revision", std::to_string(result->revision.value()) }, { "applied", isApplied ? "yes" : "no" } } });
+            { "revision", std::to_string(result->revision.value()) },
+            { "unreadable", std::to_string(result->unreadableItems) }, { "applied", isApplied ? "yes" : "no" } } });
     recordRecovery();
     m_environment.storeAnswered();
     watch();
@@ -193,7 +194,8 @@
     const bool isApplied = applyChanges(*result, base);
     m_environment.events.record({ Ports::EventKind("store.watched"), {},
         { { "collection", m_name.value() }, { "changes", std::to_string(result->changes.size()) },
-            { "revision", std::to_string(result->revision.value()) }, { "applied", isApplied ? "yes" : "no" } } });
+            { "revision", std::to_string(result->revision.value()) },
+            { "unreadable", std::to_string(result->unreadableItems) }, { "applied", isApplied ? "yes" : "no" } } });
     recordRecovery();
     schedule(batchingDelay, &CollectionFollower::watch);
 }
--- a/src/plugins/noticepeer/noticepeer.cpp
+++ b/src/plugins/noticepeer/noticepeer.cpp
@@ -2,6 +2,8 @@
 
 #include "cbor/cbor.h"
 
+#include <stdexcept>
+
 namespace NoticePeer {
 
 namespace {
@@ -10,6 +12,8 @@
 
     constexpr auto noticesKind = "upstream.notices";
     constexpr Core::Millis sendTimeout { 300 };
+    /// A notice of a longer time is not believed.
+    constexpr std::chrono::hours maximumColdTime { 24 };
 
     auto encode(const Forwarding::UpstreamNotices& notices) -> std::string
     {
@@ -27,6 +31,8 @@
         notice.upstream = Core::UpstreamId(fields.at(1).get<std::string>());
         notice.isHealthy = fields.at(2).get<bool>();
         notice.coldRemaining = Core::Duration(fields.at(3).get<Core::Duration::rep>());
+        if (notice.coldRemaining < Core::Duration(0) || notice.coldRemaining > maximumColdTime)
+            throw std::out_of_range("the cold time is not in the expected range");
         return notice;
     }
 
--- a/src/plugins/runtime/asioruntime.cpp
+++ b/src/plugins/runtime/asioruntime.cpp
@@ -82,12 +82,30 @@
     return std::make_unique<AsioTimer>(m_context, delay, std::move(task));
 }
 
+auto AsioRuntime::run(const FailureCallback& taskFailed) -> void
+{
+    runThreads([this, &taskFailed] {
+        while (!m_context.stopped()) {
+            try {
+                m_context.run();
+            } catch (const std::exception& error) {
+                taskFailed(error.what());
+            }
+        }
+    });
+}
+
 auto AsioRuntime::run() -> void
+{
+    runThreads([this] { m_context.run(); });
+}
+
+auto AsioRuntime::runThreads(const std::function<void()>& runTasks) -> void
 {
     std::vector<std::jthread> threads;
     for (std::size_t index = 1; index < m_threadCount; ++index)
-        threads.emplace_back([this] { m_context.run(); });
-    m_context.run();
+        threads.emplace_back(runTasks);
+    runTasks();
 }
 
 auto AsioRuntime::stop() -> void { m_context.stop(); }
--- a/src/plugins/runtime/asioruntime.h
+++ b/src/plugins/runtime/asioruntime.h
@@ -6,8 +6,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <mutex>
 #include <random>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -40,11 +42,19 @@
     [[nodiscard]] auto after(Core::Duration delay, Task task) -> std::unique_ptr<Ports::Timer> override;
 
     auto context() -> boost::asio::io_context& { return m_context; }
-    /// Runs the threads, including the calling one. Blocks until stop() has been called and all threads have ended.
+    /// Receives the description of an exception that a task threw; called on any thread.
+    using FailureCallback = std::function<void(const std::string&)>;
+
+    /// Runs the threads, including the calling one. Blocks until stop() has been called and all threads have ended. A
+    /// task that throws ends alone: the callback is told, and the other tasks run on.
+    auto run(const FailureCallback& taskFailed) -> void;
+    /// Like the above, but an exception of a task ends the program. For programs that do one thing only.
     auto run() -> void;
     auto stop() -> void;
 
 private:
+    auto runThreads(const std::function<void()>& runTasks) -> void;
+
     std::size_t m_threadCount;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
--- a/tests/auto/forwardinghost/tst_listeners.cpp
+++ b/tests/auto/forwardinghost/tst_listeners.cpp
@@ -17,7 +17,8 @@
     std::vector<std::string> kinds;
 };
 
-/// Decodes the text of a configuration item as its version. Rejects empty texts and all other types of items.
+/// Decodes the text of a configuration item as its version, and that of an upstream's item as its service. Rejects
+/// empty texts and all other types of items.
 class VersionCodec : public ForwardingHost::PlatformCodec {
 public:
     [[nodiscard]] auto collections() const -> ForwardingHost::CollectionNames override { return {}; }
@@ -31,10 +32,15 @@
         configuration->version = Core::Version(std::stoull(item.text));
         return configuration;
     }
-    [[nodiscard]] auto decodeUpstream(const Ports::CollectionItem&, Core::Instant) const
+    [[nodiscard]] auto decodeUpstream(const Ports::CollectionItem& item, Core::Instant) const
         -> Core::Result<Forwarding::UpstreamEntry> override
     {
-        return Core::fail(Core::ErrorKind::InvalidMessage, "none", "none");
+        if (item.text.empty())
+            return Core::fail(Core::ErrorKind::InvalidMessage, "the item is empty", "list the upstream again");
+        Forwarding::UpstreamEntry entry;
+        entry.target.id = Core::UpstreamId(item.name);
+        entry.service = Core::ServiceId(item.text);
+        return entry;
     }
     [[nodiscard]] auto decodeEntryVm(const Ports::CollectionItem&) const
         -> Core::Result<EntryFleet::EntryVmEntry> override
@@ -65,6 +71,10 @@
     Forwarding::EvacuatedDomains evacuated;
     ForwardingHost::ConfigurationListener configurations { { codec, time, events },
         [this](const auto& configuration) { version = configuration->version.value(); } };
+    Forwarding::UpstreamEntries known;
+    Forwarding::UpstreamRegistry registry { { time, time, events },
+        [this](const Forwarding::UpstreamEntries& entries) { known = entries; } };
+    ForwardingHost::UpstreamListener upstreams { { codec, time, events }, registry };
     ForwardingHost::EvacuationListener evacuations { { codec, time, events },
         [this](const Forwarding::EvacuatedDomains& domains) { evacuated = domains; } };
 };
@@ -97,6 +107,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ThatReceivesAnUnreadableEntryOfAnUpstream)
+
+BOOST_AUTO_TEST_CASE(KeepsTheOthersInForce)
+{
+    upstreams.replaceAll(listOf({ item("u1", "stock"), item("u2"), item("u3", "stock") }));
+    upstreams.commit();
+    BOOST_TEST(known.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(NoLongerUsesTheUpstreamThatItReplaces)
+{
+    upstreams.replaceAll(listOf({ item("u1", "stock"), item("u2", "stock") }));
+    upstreams.upsert(item("u2"));
+    upstreams.commit();
+    BOOST_TEST(known.size() == 1U);
+    upstreams.upsert(item("u2", "stock"));
+    upstreams.commit();
+    BOOST_TEST(known.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsEachRevisionOnce)
+{
+    for (int listing = 0; listing < 3; ++listing)
+        upstreams.replaceAll(listOf({ item("u1") }));
+    BOOST_TEST(events.count("store.item-refused") == 1);
+    upstreams.upsert({ "u1", Ports::StoreRevision(2), {} });
+    BOOST_TEST(events.count("store.item-refused") == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatReceivesEvacuations)
 
 BOOST_AUTO_TEST_CASE(RecordsEachStartAndEndOnce)
--- a/tests/auto/forwardinghost/tst_noticepeer.cpp
+++ b/tests/auto/forwardinghost/tst_noticepeer.cpp
@@ -1,3 +1,4 @@
+#include "cbor/cbor.h"
 #include "fakes/virtualworld.h"
 #include "forwarding/noticeoutbox.h"
 #include "noticepeer/noticepeer.h"
@@ -69,6 +70,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(AMalformedNotice, TwoEntryVms)
+
+BOOST_AUTO_TEST_CASE(IsRefusedAndEndsNothing)
+{
+    constexpr std::size_t deep = 1'000'000;
+    constexpr char arrayOfOne = '\x81';
+    const auto tooLong = std::chrono::duration_cast<Core::Duration>(std::chrono::hours(1000)).count();
+    const std::vector<std::string> payloads { std::string(deep, arrayOfOne), "\xff", "",
+        Cbor::pack({ { "stock", "u1", true, "soon" } }), Cbor::pack({ { "stock", "u1", true, tooLong } }),
+        Cbor::pack({ { "stock", "u1", true, -1 } }), Cbor::pack({ { "stock", "u1" } }) };
+    int refused = 0;
+    for (const auto& payload : payloads) {
+        one.call(Core::Address("two"), { "upstream.notices", payload }, Core::Millis(300),
+            [&refused](const Core::Result<std::string>& reply) { refused += reply ? 0 : 1; });
+    }
+    world.runFor(Core::Millis(500));
+    BOOST_TEST(refused == static_cast<int>(payloads.size()));
+    BOOST_TEST(received.empty());
+    outbox.add(cold);
+    world.runFor(Core::Millis(500));
+    BOOST_TEST(received.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ManyNotices, TwoEntryVms)
 
 BOOST_AUTO_TEST_CASE(GoInOneMessageForEachInterval)
--- a/tests/platform/objectstandin.cpp
+++ b/tests/platform/objectstandin.cpp
@@ -42,6 +42,25 @@
     write(kind, name, std::move(spec), std::move(status));
 }
 
+auto ObjectStandIn::putText(const std::string& kind, const std::string& name, const std::string& specText) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto placeholder = "text-" + std::to_string(m_texts.size()) + '-';
+    m_texts[placeholder] = specText;
+    write(kind, name, placeholder, nullptr);
+}
+
+auto ObjectStandIn::respondWith(const Respond& respond, const json& body) -> void
+{
+    auto response = jsonResponse(http::status::ok, body);
+    for (const auto& [placeholder, text] : m_texts) {
+        const auto quoted = '"' + placeholder + '"';
+        for (auto at = response.body().find(quoted); at != std::string::npos; at = response.body().find(quoted, at))
+            response.body().replace(at, quoted.size(), text);
+    }
+    respond(std::move(response));
+}
+
 auto ObjectStandIn::write(const std::string& kind, const std::string& name, json spec, json status) -> json
 {
     ++m_revision;
@@ -136,7 +155,7 @@
     if (const auto after = queryText(target, "watch"); !after.empty())
         watch(kind, std::stoull(after), StandIns::queryNumber(target, "wait_ms", 0), std::move(respond));
     else
-        respond(jsonResponse(http::status::ok, list(kind, queryText(target, "after"))));
+        respondWith(respond, list(kind, queryText(target, "after")));
 }
 
 auto ObjectStandIn::malformedResponse(http::status status, const std::string& detail) -> HttpServer::HttpResponse
@@ -176,7 +195,7 @@
         return;
     }
     if (const auto events = eventsAfter(kind, after); !events.empty()) {
-        respond(jsonResponse(http::status::ok, { { "events", events }, { "store_revision", m_revision } }));
+        respondWith(respond, { { "events", events }, { "store_revision", m_revision } });
         return;
     }
     const auto id = m_nextWatch++;
@@ -190,8 +209,7 @@
         const auto events = eventsAfter(entry.second.kind, entry.second.after);
         if (events.empty())
             return false;
-        entry.second.respond(
-            jsonResponse(http::status::ok, { { "events", events }, { "store_revision", m_revision } }));
+        respondWith(entry.second.respond, { { "events", events }, { "store_revision", m_revision } });
         return true;
     });
 }
--- a/tests/platform/objectstandin.h
+++ b/tests/platform/objectstandin.h
@@ -18,6 +18,8 @@
     /// Writes an object, as the operator or an upstream does.
     auto put(const std::string& kind, const std::string& name, nlohmann::json spec, nlohmann::json status = nullptr)
         -> void;
+    /// Writes an object whose spec is the given text, byte for byte, as a faulty program does.
+    auto putText(const std::string& kind, const std::string& name, const std::string& specText) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
     /// Discards all past changes; pending watches and later watches from an earlier revision are answered 410.
     auto dropHistory() -> void;
@@ -50,6 +52,7 @@
     auto watch(const std::string& kind, std::uint64_t after, std::int64_t waitMs, Respond respond) -> void;
     auto eventsAfter(const std::string& kind, std::uint64_t after) -> nlohmann::json;
     auto notifyWatches() -> void;
+    auto respondWith(const Respond& respond, const nlohmann::json& body) -> void;
     auto expireWatch(std::uint64_t id) -> void;
 
     Ports::Scheduler& m_scheduler;
@@ -58,6 +61,8 @@
     std::uint64_t m_oldestRevision = 0;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<Change> m_changes;
+    /// Texts of putText() by the placeholder that stands for them in an object.
+    std::map<std::string, std::string> m_texts;
     std::map<std::uint64_t, Watch> m_watches;
     std::uint64_t m_nextWatch = 0;
     std::size_t m_pageSize = 500;
--- a/tests/platform/tst_objectapi.cpp
+++ b/tests/platform/tst_objectapi.cpp
@@ -1,6 +1,8 @@
 #include "platform/objectapi.h"
 
+#include "platform/objectmessages.h"
 #include "platform/objectstandin.h"
+#include "platform/oddtexts.h"
 #include "runtime/asioruntime.h"
 
 #include <boost/test/unit_test.hpp>
@@ -151,4 +153,90 @@
     BOOST_TEST((watched->get_future().get() == Core::ErrorKind::InvalidMessage));
 }
 
+BOOST_AUTO_TEST_SUITE(WithAnOddObjectAmongOthers)
+
+BOOST_AUTO_TEST_CASE(StillListsTheOthers)
+{
+    for (const auto& [problem, text] : PlatformTest::oddTexts()) {
+        objects.put("things", "a", 1);
+        objects.putText("things", "b", text);
+        objects.put("things", "c", 3);
+        const auto listed = list();
+        BOOST_REQUIRE_MESSAGE(listed.has_value(), problem);
+        BOOST_REQUIRE_MESSAGE(listed->items.size() == 3U, problem);
+        BOOST_TEST(listed->items[0].name == "a", problem);
+        BOOST_TEST(listed->items[1].name == "b", problem);
+        BOOST_TEST(listed->items[2].name == "c", problem);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(StillReportsChangesOfTheOthers)
+{
+    for (const auto& [problem, text] : PlatformTest::oddTexts()) {
+        const auto before = list();
+        BOOST_REQUIRE_MESSAGE(before.has_value(), problem);
+        objects.putText("things", "b", text);
+        objects.put("things", "c", 3);
+        const auto changes = watch(before->revision.value());
+        BOOST_REQUIRE_MESSAGE(changes.has_value(), problem);
+        BOOST_REQUIRE_MESSAGE(changes->changes.size() == 2U, problem);
+        BOOST_TEST(changes->changes[1].item.name == "c", problem);
+        BOOST_TEST((changes->revision > before->revision), problem);
+        objects.remove("things", "b");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatSendsOddAnswers)
+
+BOOST_AUTO_TEST_CASE(HasObjectsWithoutAReadableNameLeftOutAndCounted)
+{
+    const std::string named = R"({"metadata":{"name":"a","revision":4},"spec":1})";
+    for (const auto* odd :
+        { "7", "{}", R"({"metadata":7})", R"({"metadata":{"name":8}})", R"({"metadata":{"name":1e999}})" }) {
+        const auto page
+            = Platform::decodePage(R"({"items":[)" + std::string(odd) + "," + named + R"(],"store_revision":9})");
+        BOOST_REQUIRE_MESSAGE(page.has_value(), odd);
+        BOOST_TEST(page->list.items.size() == 1U, odd);
+        BOOST_TEST(page->list.unreadableItems == 1U, odd);
+        const auto changes = Platform::decodeChanges(R"({"events":[{"object":)" + std::string(odd)
+            + R"(,"deleted":false},{"object":)" + named + R"(,"deleted":true}],"store_revision":9})");
+        BOOST_REQUIRE_MESSAGE(changes.has_value(), odd);
+        BOOST_TEST(changes->changes.size() == 1U, odd);
+        BOOST_TEST(changes->unreadableItems == 1U, odd);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(GivesAnErrorWhenItsPagesDoNotEnd)
+{
+    /// Says after each page that there is another one.
+    class EndlessHandler : public HttpServer::HttpHandler {
+    public:
+        auto handle(HttpServer::HttpRequest, Respond respond) -> void override
+        {
+            HttpServer::HttpResponse response { boost::beast::http::status::ok, 11 };
+            response.body() = R"({"items":[{"metadata":{"name":"a"}}],"more":true,"store_revision":9})";
+            respond(std::move(response));
+        }
+        auto malformedResponse(boost::beast::http::status status, const std::string&)
+            -> HttpServer::HttpResponse override
+        {
+            return { status, 11 };
+        }
+    };
+    EndlessHandler endlessHandler;
+    HttpServer::Server endlessServer(runtime.context(), Core::Address("127.0.0.1:0"), endlessHandler);
+    Platform::ObjectApi other(client, Core::Address("127.0.0.1:" + std::to_string(endlessServer.port())), "things/own");
+    const auto listed = std::make_shared<std::promise<Core::ErrorKind>>();
+    other.list(things, [listed](const Core::Result<Ports::CollectionList>& result) {
+        listed->set_value(result ? Core::ErrorKind::Internal : result.error().kind);
+    });
+    auto kind = listed->get_future();
+    BOOST_REQUIRE((kind.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+    BOOST_TEST((kind.get() == Core::ErrorKind::InvalidMessage));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/tst_objectcodec.cpp
+++ b/tests/platform/tst_objectcodec.cpp
@@ -1,5 +1,7 @@
 #include "platform/objectcodec.h"
 
+#include "platform/oddtexts.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -52,6 +54,58 @@
     }
 }
 
+BOOST_AUTO_TEST_SUITE(OfAnotherWriter)
+
+BOOST_AUTO_TEST_CASE(NamesNoUpstreamWhenItsAddressCannotBeUsed)
+{
+    for (const auto* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+             "10.0.0.1:http", "10.0.0.1", "0.0.0.0:80", "300.0.0.1:80", "" }) {
+        const auto entry = codec.decodeUpstream(item(R"({"spec":{"address":")" + std::string(address)
+                                                    + R"(","born":1,"info":)" + info + R"(},"status":)" + status + "}"),
+            now);
+        BOOST_REQUIRE_MESSAGE(!entry, address);
+        BOOST_TEST((entry.error().kind == Core::ErrorKind::InvalidMessage), address);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(NamesNoUpstreamWhenANumberIsOutOfRange)
+{
+    for (const auto* slots : { "0", "-1", "65537", "4294967300", "1e30", "4.5", "true" }) {
+        const auto odd = R"({"service":"pegs","zone":"atl-a","slots":)" + std::string(slots) + "}";
+        BOOST_TEST(!codec.decodeUpstream(upstream(odd, status), now), slots);
+    }
+    for (const auto* coldTime : { "1e300s", "99999999999999999999s", "-1s", "infs", "nanms" }) {
+        const auto odd = R"({"state":"ready","seq":4,"cold_left":")" + std::string(coldTime) + R"("})";
+        BOOST_TEST(!codec.decodeUpstream(upstream(info, odd), now), coldTime);
+    }
+    for (const auto* start : { "1.5", "1e30", "18446744073709551615", "null" }) {
+        const auto entry = codec.decodeUpstream(item(R"({"spec":{"address":"10.0.0.1:80","born":)" + std::string(start)
+                                                    + R"(,"info":)" + info + R"(},"status":)" + status + "}"),
+            now);
+        BOOST_TEST(!entry, start);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(NamesNoUpstreamWhenItsNameCannotBeSentInAHeader)
+{
+    for (const auto* name : { "", "i 1", "i-1\r\nForged: 1", "i-\xff" }) {
+        auto odd = upstream(info, status);
+        odd.name = name;
+        BOOST_TEST(!codec.decodeUpstream(odd, now), name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(NamesNoUpstreamWhenAnyPartIsOdd)
+{
+    for (const auto& [problem, text] : PlatformTest::oddTexts()) {
+        BOOST_TEST(!codec.decodeUpstream(item(R"({"spec":)" + text + R"(,"status":null})"), now), problem);
+        BOOST_TEST(!codec.decodeUpstream(upstream(text, status), now), problem);
+        BOOST_TEST(!codec.decodeUpstream(upstream(info, text), now), problem);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(AConfiguration, CodecFixture)
@@ -104,4 +158,13 @@
     BOOST_TEST(read->peers.value() == "10.0.0.1:82");
 }
 
+BOOST_AUTO_TEST_CASE(IsRefusedWhenAnAddressCannotBeUsed)
+{
+    for (const auto* address : { "10.0.0.1:65536", "10.0.0.1:0", "nowhere", "" }) {
+        const auto entry = codec.decodeEntryVm(item(R"({"spec":{"start":1,"failureDomain":"atl-a","front":")"
+            + std::string(address) + R"(","heartbeats":"10.0.0.1:81","peers":"10.0.0.1:82"}})"));
+        BOOST_TEST(!entry, address);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/tst_process.cpp
+++ b/tests/platform/tst_process.cpp
@@ -1,3 +1,4 @@
+#include "platform/oddtexts.h"
 #include "platform/platformsite.h"
 
 #include <boost/test/unit_test.hpp>
@@ -99,6 +100,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnotherWriterLeavesAnOddEntry)
+
+BOOST_AUTO_TEST_CASE(KeepServingAndFollowing)
+{
+    int number = 0;
+    for (const auto& [problem, text] : PlatformTest::oddTexts()) {
+        for (const auto* collection : { "servers", "entryvms", "evacuations" })
+            site.objects().putText(collection, "odd-" + std::to_string(number), text);
+        const auto prefix = "/audit-" + std::to_string(number) + '/';
+        site.configure(static_cast<std::uint64_t>(10 + number), prefix);
+        for (int vm = 0; vm < 2; ++vm) {
+            const auto id = "r-" + std::to_string(number) + '-' + std::to_string(vm);
+            BOOST_TEST(holdsWithin(Core::Millis(2500), [&] { return statusOf(vm, id, prefix + "7") == 200; }), problem);
+        }
+        ++number;
+    }
+    // A process that starts lists the odd entries at once.
+    site.process(0).signal(SIGKILL);
+    site.process(0).wait();
+    site.startEntryVm(0);
+    site.waitUntilReady(0);
+    BOOST_TEST(holdsWithin(Core::Millis(3000),
+        [&] { return statusOf(0, "r-last", "/audit-" + std::to_string(number - 1) + "/7") == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAnUpstreamLeaves)
 
 BOOST_AUTO_TEST_CASE(StopSendingToItWithinTwoAndAHalfSeconds)
