Pass on a pause or a leave that an answer brings after the list has shown a restart

Ruled out: the take-over itself, which has a test.

Change: ServicePool::endExchange passes the signals on to the later incarnations of the upstream, as the take-over does.

--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -103,6 +103,8 @@
     if (state == nullptr)
         return {};
     const auto news = state->applySignals(report.signals, now);
+    if (news.isLeaving || report.signals.pause.count() > 0)
+        passSignalsOn(*state, now);
     state->endExchange(report.load, now);
     if (report.load)
         m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
@@ -122,6 +124,13 @@
     return news;
 }
 
+auto ServicePool::passSignalsOn(const UpstreamState& state, Core::Instant now) -> void
+{
+    const auto& target = state.entry().target;
+    for (auto later = m_states.upper_bound(target); later != m_states.end() && later->first.id == target.id; ++later)
+        later->second.inheritSignals(state, now);
+}
+
 auto ServicePool::probeAfterConnectionLoss(UpstreamState& state) const -> void
 {
     // A current list soon reports a restart. A stale list does not, and the upstream may be cold.
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -168,6 +168,8 @@
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
+    /// Applies what the upstream has said of itself to its later incarnations: the answer may be from the newest one.
+    auto passSignalsOn(const UpstreamState& state, Core::Instant now) -> void;
     /// Requests a probe of an upstream whose connection was lost: its process may have ended or been replaced by
     /// another.
     auto probeAfterConnectionLoss(UpstreamState& state) const -> void;
--- a/tests/auto/forwarding/tst_upstreamhealth.cpp
+++ b/tests/auto/forwarding/tst_upstreamhealth.cpp
@@ -313,6 +313,37 @@
     BOOST_TEST(choose("1").has_value());
 }
 
+/// Found by the soak with the seeds 600217 and 700451.
+BOOST_AUTO_TEST_CASE(KeepsItWhenTheAnswerComesAfterTheListHasShownTheRestart)
+{
+    list({ upstream("a1") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    auto restarted = upstream("a1");
+    restarted.target.start = Core::ProcessStartId(2);
+    list({ restarted });
+    endWithSignals(*choice, { false, Core::Millis(3000) });
+    BOOST_TEST(!choose("1"));
+    now += Core::Millis(3000);
+    BOOST_TEST(choose("1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsProbedWhenItSaysThatItLeavesAfterTheListHasShownTheRestart)
+{
+    list({ upstream("a1") });
+    const auto choice = choose("1");
+    BOOST_REQUIRE(choice);
+    auto restarted = upstream("a1");
+    restarted.target.start = Core::ProcessStartId(2);
+    list({ restarted });
+    endWithSignals(*choice, { true, {} });
+    BOOST_TEST(!choose("1"));
+    const auto due = pool.takeDueProbes(now);
+    BOOST_REQUIRE(due.size() == 1U);
+    pool.recordProbe(due.front(), Ports::HealthReport { due.front().id, true, {}, {} }, now);
+    BOOST_TEST(choose("1").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(LeavesItsRequestsToTheOthers)
 {
     list({ upstream("a1"), upstream("a2") });
