Read the load header's fourth figure and let it decide where requests go

Cause: a header with four figures was read as no load at all, so that on the newer deployments no upstream's load was known.

Change: the header yields the figures that are known, and ignores further ones. The fourth, the time that work takes on the upstream's machine now, scales the predicted wait and service time.

Unit tests: header cases, choice while slow, forgetting.

--- a/src/libs/core/units.h
+++ b/src/libs/core/units.h
@@ -26,6 +26,8 @@
 /// Number of requests that an upstream can run concurrently.
 using SlotCount = StrongType<struct SlotCountTag, std::uint32_t>;
 using ConnectionCount = StrongType<struct ConnectionCountTag, std::uint32_t>;
+/// Ratio in hundredths; 100 is a ratio of one.
+using Percent = StrongType<struct PercentTag, std::uint32_t>;
 /// Fraction of a whole, 0 to 1.
 using Share = StrongType<struct ShareTag, double>;
 
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -167,10 +167,12 @@
 {
     const auto& state = *candidate.state;
     candidate.occupancy = occupancy(state, now);
-    candidate.wait = waitAt(candidate.occupancy, state.slots());
+    const double workTimeFactor = state.workTimeFactor(now);
+    candidate.wait = scaled(waitAt(candidate.occupancy, state.slots()), workTimeFactor);
     // Uses the warm service time even for a cold object, because another entry VM may have warmed the cache.
-    candidate.serviceTime = candidate.cacheState == CacheState::NoObject ? m_serviceTime.mean(CacheState::NoObject)
-                                                                         : m_serviceTime.warm();
+    const auto usualTime = candidate.cacheState == CacheState::NoObject ? m_serviceTime.mean(CacheState::NoObject)
+                                                                        : m_serviceTime.warm();
+    candidate.serviceTime = scaled(usualTime, workTimeFactor);
     candidate.cost = candidate.wait + candidate.serviceTime + distanceCost(state.entry())
         + scaled(m_environment.settings.failureCost, state.failureShare());
 }
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -62,6 +62,8 @@
         // The reported load includes the request that it answers.
         m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
         m_reportedAt = now;
+        if (load->workTime)
+            m_workTime.record(*load->workTime, now);
     }
     --m_inFlight;
 }
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/objectkey.h"
 #include "forwarding/upstreamlist.h"
+#include "forwarding/worktimeestimator.h"
 
 #include <algorithm>
 #include <optional>
@@ -75,6 +76,8 @@
     [[nodiscard]] auto occupancy(double meanOfOthers, Core::Instant now) const -> double;
     /// Returns the number of requests from other entry VMs in the last load report.
     [[nodiscard]] auto othersLoad() const -> double { return m_othersLoad; }
+    /// Returns the factor by which work takes longer here than usual.
+    [[nodiscard]] auto workTimeFactor(Core::Instant now) const -> double { return m_workTime.factor(now); }
     /// Returns the number of slots; at least 1.
     [[nodiscard]] auto slots() const -> double { return std::max(1U, m_entry.slots.value()); }
     /// Returns the instant of the last activity if requests are in flight.
@@ -96,6 +99,7 @@
     UpstreamEntry m_entry;
     std::uint32_t m_inFlight = 0;
     double m_othersLoad = 0;
+    WorkTimeEstimator m_workTime;
     Core::Instant m_reportedAt;
     Core::Instant m_backoffUntil;
     /// End of the pause that the upstream has asked for.
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -41,6 +41,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     Core::SlotCount slots;
+    /// Time that work takes on the upstream's machine at the moment, in percent of its usual time; none if it does not
+    /// say. The machine is shared with others, so that the value changes many times a second.
+    std::optional<Core::Percent> workTime;
 };
 
 struct ExchangeCall {
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <vector>
 
 namespace HttpForward {
 
@@ -18,6 +19,10 @@
     const Core::Bytes healthBodyLimit { 64UL * 1024 };
     /// Longest pause that an upstream can ask for, so that a wrong value does not exclude it for good.
     constexpr std::chrono::seconds maximumPause { 120 };
+    /// Figures of a load report that are known; newer upstreams may send more.
+    constexpr std::size_t maximumFigures = 4;
+    /// A load report with a larger figure is not believed, so that a wrong value does not exclude the upstream.
+    const Core::Percent maximumWorkTime { 10'000 };
     constexpr int httpVersion = 11;
 
     class PendingExchange : public Ports::Exchange {
@@ -66,6 +71,18 @@
         return number;
     }
 
+    /// Parses figures that are separated by commas; one that is not a number is absent.
+    auto parseFigures(std::string_view text) -> std::vector<std::optional<std::uint32_t>>
+    {
+        std::vector<std::optional<std::uint32_t>> figures;
+        while (!text.empty() && figures.size() < maximumFigures) {
+            const auto end = std::min(text.find(','), text.size());
+            figures.push_back(parseNumber(text.substr(0, end)));
+            text.remove_prefix(std::min(end + 1, text.size()));
+        }
+        return figures;
+    }
+
     /// Parses a number of seconds, which may have a fraction. Returns zero for anything else, a date for example.
     auto parseRetryAfter(std::string_view text) -> Core::Duration
     {
@@ -172,17 +189,18 @@
 auto HttpExchangeClient::decodeLoad(const HttpClient::HttpResponse& response) const
     -> std::optional<Ports::ReportedLoad>
 {
-    const std::string_view text(response[m_names.load]);
-    const auto first = text.find(',');
-    const auto second = text.find(',', first + 1);
-    if (first == std::string_view::npos || second == std::string_view::npos)
-        return std::nullopt;
-    const auto running = parseNumber(text.substr(0, first));
-    const auto waiting = parseNumber(text.substr(first + 1, second - first - 1));
-    const auto slots = parseNumber(text.substr(second + 1));
+    const auto figures = parseFigures(response[m_names.load]);
+    const auto figure
+        = [&figures](std::size_t index) { return index < figures.size() ? figures[index] : std::nullopt; };
+    const auto running = figure(0);
+    const auto waiting = figure(1);
+    const auto slots = figure(2);
     if (!running || !waiting || !slots)
         return std::nullopt;
-    return Ports::ReportedLoad { *running, *waiting, Core::SlotCount(*slots) };
+    Ports::ReportedLoad load { *running, *waiting, Core::SlotCount(*slots) };
+    if (const auto workTime = figure(3); workTime && *workTime > 0 && *workTime <= maximumWorkTime.value())
+        load.workTime = Core::Percent(*workTime);
+    return load;
 }
 
 auto HttpExchangeClient::probeHealth(
--- a/tests/auto/forwarding/simulatedsite.cpp
+++ b/tests/auto/forwarding/simulatedsite.cpp
@@ -139,7 +139,11 @@
             for (int index = 0; index < upstreamsPerRegion.at(region); ++index) {
                 const std::string name = regionNames.at(region);
                 auto entry = upstream(name + std::to_string(index), name + (index % 2 == 0 ? "-a" : "-b"), name);
-                m_exchanges.add(entry.target.id, {});
+                UpstreamBehaviour behaviour;
+                behaviour.reportsWorkTime = m_pattern.reportsWorkTime;
+                m_exchanges.add(entry.target.id, behaviour);
+                if (m_pattern.hasSharedMachines)
+                    m_exchanges.at(entry.target.id).shareMachine();
                 m_entries[entry.target.id] = entry;
                 m_targets.push_back(entry.target);
             }
@@ -311,10 +315,25 @@
         m_cache.pop_back();
 }
 
+auto SimulatedUpstream::shareMachine() -> void
+{
+    constexpr double slowness = 4;
+    constexpr double burstMillis = 300;
+    constexpr double pauseMillis = 1500;
+    const bool isBurst = m_behaviour.slowness == 1;
+    setSlowness(isBurst ? slowness : 1);
+    std::exponential_distribution<double> length(1 / (isBurst ? burstMillis : pauseMillis));
+    m_time.schedule(Core::Millis(1 + std::llround(length(m_random))), [this] { shareMachine(); });
+}
+
 auto SimulatedUpstream::load() const -> Ports::ReportedLoad
 {
-    return { m_running, static_cast<std::uint32_t>(m_waiting.size()),
+    constexpr double percent = 100;
+    Ports::ReportedLoad load { m_running, static_cast<std::uint32_t>(m_waiting.size()),
         Core::SlotCount(static_cast<std::uint32_t>(m_behaviour.slots)) };
+    if (m_behaviour.reportsWorkTime)
+        load.workTime = Core::Percent(static_cast<std::uint32_t>(m_behaviour.slowness * percent));
+    return load;
 }
 
 auto SimulatedExchanges::add(const Core::UpstreamId& id, UpstreamBehaviour behaviour) -> void
--- a/tests/auto/forwarding/simulatedsite.h
+++ b/tests/auto/forwarding/simulatedsite.h
@@ -17,6 +17,7 @@
     /// Number of objects in the cache; the least recently used one is evicted.
     std::size_t cacheSize = 14;
     double slowness = 1;
+    bool reportsWorkTime = false;
 };
 
 /// Upstream in virtual time, with slots, a queue, a cache of objects and load reports.
@@ -27,6 +28,8 @@
     using Done = std::function<void(Ports::ExchangeResult)>;
     auto offer(const std::string& object, Done done) -> void;
     auto setSlowness(double factor) -> void { m_behaviour.slowness = factor; }
+    /// From now on others use the machine in bursts of a few hundred milliseconds.
+    auto shareMachine() -> void;
     /// Drops all requests from now on.
     auto stopResponding() -> void { m_isUnresponsive = true; }
 
@@ -103,6 +106,9 @@
     /// Number of upstreams that stop responding, and of those that become slow, in the middle of the run.
     int unresponsiveUpstreams = 0;
     int slowUpstreams = 0;
+    /// Whether others use the machines of the upstreams in short bursts, and whether the upstreams report it.
+    bool hasSharedMachines = false;
+    bool reportsWorkTime = false;
     /// Share of the requests that are less urgent requests to the same service.
     double lessUrgentShare = 0;
     Core::Millis length { 30'000 };
--- a/tests/auto/forwarding/tst_load.cpp
+++ b/tests/auto/forwarding/tst_load.cpp
@@ -74,4 +74,16 @@
     BOOST_TEST(product.urgentServedShare() >= 1 - allowedLoss);
 }
 
+BOOST_AUTO_TEST_CASE(IsServedBetterWhenUpstreamsReportThatOthersUseTheirMachines)
+{
+    auto shared = pattern("upstreams whose machines are slow in short bursts", 95);
+    shared.hasSharedMachines = true;
+    const auto silent = simulate(shared, Policy::Product);
+    shared.reportsWorkTime = true;
+    const auto reported = simulate(shared, Policy::Product);
+    BOOST_TEST_MESSAGE(
+        shared.name << "\n  " << describe("without reports", silent) << "\n  " << describe("with reports", reported));
+    BOOST_TEST(reported.inTargetShare() > silent.inTargetShare());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/forwarding/tst_servicepool.cpp
+++ b/tests/auto/forwarding/tst_servicepool.cpp
@@ -116,6 +116,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(WhoseMachineIsSlowNow, PoolFixture)
+
+auto reportWorkTime(PoolFixture& fixture, const Forwarding::Choice& choice, std::uint32_t percent) -> void
+{
+    Forwarding::ExchangeReport report;
+    report.target = choice.target;
+    report.duration = Core::Millis(200);
+    report.load = Ports::ReportedLoad { 1, 0, Core::SlotCount(4), Core::Percent(percent) };
+    fixture.pool.endExchange(report, fixture.now);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesRequestsToOthersWhileItIsSlow)
+{
+    list({ upstream("a1"), upstream("a2") });
+    const auto slow = choose("");
+    BOOST_REQUIRE(slow);
+    reportWorkTime(*this, *slow, 400);
+    for (int request = 0; request < 3; ++request) {
+        const auto choice = choose("");
+        BOOST_REQUIRE(choice);
+        BOOST_TEST((choice->target.id != slow->target.id));
+        end(*choice, "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsUsedAsBeforeWhenTheReportIsOld)
+{
+    list({ upstream("a1") });
+    const auto slow = choose("");
+    BOOST_REQUIRE(slow);
+    reportWorkTime(*this, *slow, 400);
+    const auto predictedNow = choose("");
+    BOOST_REQUIRE(predictedNow);
+    end(*predictedNow, "");
+    now += Core::Millis(3000);
+    const auto predictedLater = choose("");
+    BOOST_REQUIRE(predictedLater);
+    BOOST_TEST(predictedNow->predicted > predictedLater->predicted * 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(InARegionThatIsNoHome, PoolFixture)
 
 BOOST_AUTO_TEST_CASE(GetsNothing)
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -202,6 +202,33 @@
 
 BOOST_AUTO_TEST_SUITE(ReportsWhatTheUpstreamSaysOfItself)
 
+BOOST_AUTO_TEST_CASE(ThatItHasLoad)
+{
+    struct Case {
+        std::string header;
+        bool isReadable = false;
+        std::optional<std::uint32_t> workTime;
+    };
+    const std::vector<Case> cases { { "3,2,4", true, {} }, { "3,2,4,150", true, 150 }, { "3,2,4,150,7,8", true, 150 },
+        { "3,2,4,", true, {} }, { "3,2,4,slow", true, {} }, { "3,2,4,0", true, {} }, { "3,2,4,4294967295", true, {} },
+        { "3,2,4,99999999999", true, {} }, { "3,2", false, {} }, { "", false, {} }, { "3,,4", false, {} },
+        { "3,2,-4", false, {} }, { ",,,,,,,,", false, {} } };
+    for (const auto& [header, isReadable, workTime] : cases) {
+        ScriptedUpstream upstream(
+            { "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nLoad: " + header + "\r\nContent-Length: 0\r\n\r\n" });
+        const auto load = exchange(upstream.address(), "r1").load;
+        BOOST_REQUIRE_MESSAGE(load.has_value() == isReadable, header);
+        if (!load)
+            continue;
+        BOOST_TEST(load->running == 3U, header);
+        BOOST_TEST(load->waiting == 2U, header);
+        BOOST_TEST(load->slots.value() == 4U, header);
+        BOOST_REQUIRE_MESSAGE(load->workTime.has_value() == workTime.has_value(), header);
+        if (workTime)
+            BOOST_TEST(load->workTime->value() == *workTime, header);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ThatItIsLeaving)
 {
     ScriptedUpstream upstream({ "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
