Take no request in a planned stop that could not end before it

Read, and without a test of its own: once nothing was open, the process gave requests that were accepted at that moment only 250 ms.

Ruled out: the end of the listening socket and idle connections; a request that is not read is not passed on.

Accepted requests have the time until the stop's deadline.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -180,7 +180,9 @@
         m_entryVm.recordLifecycle("process.stopped", "all requests were answered");
         m_runtime.stop();
     });
-    m_shutdownTimer = m_runtime.after(shutdownMargin / 2, [this] {
+    // Requests that were accepted meanwhile still have the time until the deadline.
+    const auto left = std::max<Core::Duration>(m_shutdownDeadline - now, Core::Duration(0));
+    m_shutdownTimer = m_runtime.after(left + shutdownMargin / 2, [this] {
         m_entryVm.recordLifecycle(
             "process.stopped", std::to_string(m_frontServer.openRequests()) + " requests were aborted");
         m_runtime.stop();
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -56,7 +56,8 @@
     auto setUpstreams(const UpstreamEntries& entries, const EvacuatedDomains& evacuated) -> void;
     /// Sets this entry VM's share of the fleet-wide retry budget; it applies to each service separately.
     auto setRetryAllowance(const RetryAllowance& allowance) -> void;
-    /// Limits the deadline of new requests to the given instant, at which the process stops.
+    /// Announces that the process stops at the given instant. From now on requests whose deadline is later are refused
+    /// at once, because nobody could deliver their answers; no request is cut short.
     auto setShutdownDeadline(Core::Instant end) -> void;
     /// Forwards the request. The callback runs exactly once, on any thread.
     auto handle(ForwardRequest request, ForwardCallback callback) -> std::shared_ptr<OpenRequest>;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -57,11 +57,15 @@
     if (!findRoute())
         return;
     m_recorder.recordStart(m_route, m_service, m_configuration->version);
-    setDeadline(m_arrivedAt);
+    setDeadline();
     if (m_deadline <= m_arrivedAt) {
         refuse(RefusalReason::DeadlinePassed, "the deadline has already passed", {});
         return;
     }
+    if (m_deadline > m_forwarder.m_shutdownDeadline.load()) {
+        refuse(RefusalReason::ShuttingDown, "this VM stops before the request's deadline", minimumRetryAfter);
+        return;
+    }
     if (m_forwarder.m_crashGuard.isQuarantined(m_fingerprint)) {
         refuse(RefusalReason::RequestQuarantined, "the request is quarantined because it crashed upstreams", {});
         return;
@@ -93,11 +97,10 @@
     return true;
 }
 
-auto ForwardOperation::setDeadline(Core::Instant now) -> void
+auto ForwardOperation::setDeadline() -> void
 {
     const auto callerTimeout = m_request.callerTimeout.value_or(defaultCallerTimeout);
-    m_deadline = now + std::min<Core::Duration>(callerTimeout, m_route->timeout);
-    m_deadline = std::min(m_deadline, m_forwarder.m_shutdownDeadline.load());
+    m_deadline = m_arrivedAt + std::min<Core::Duration>(callerTimeout, m_route->timeout);
 }
 
 auto ForwardOperation::send() -> void
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -23,7 +23,7 @@
     };
 
     auto findRoute() -> bool;
-    auto setDeadline(Core::Instant now) -> void;
+    auto setDeadline() -> void;
     [[nodiscard]] auto hasCallerLeft() const -> bool { return m_request.caller && m_request.caller->isClosed(); }
     auto send() -> void;
     /// Returns the index of the new attempt, or nullopt if the operation is closed.
--- a/tests/platform/upstreamstandin.cpp
+++ b/tests/platform/upstreamstandin.cpp
@@ -37,6 +37,12 @@
     m_retryAfter = seconds;
 }
 
+auto UpstreamStandIn::setSlowRuns(Core::Millis time) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_slowTime = time;
+}
+
 auto UpstreamStandIn::refusals() -> int
 {
     const std::lock_guard lock(m_mutex);
@@ -81,13 +87,16 @@
     ++m_running;
     response.set("Server-Load", std::to_string(m_running) + ",0," + std::to_string(slots));
     auto timer = std::make_shared<std::unique_ptr<Ports::Timer>>();
-    *timer = m_scheduler.after(m_serviceTime, [this, respond = std::move(respond), response, timer] {
-        {
-            const std::lock_guard runLock(m_mutex);
-            --m_running;
-        }
-        respond(response);
-    });
+    constexpr int slowRunInterval = 3;
+    const bool isSlow = ++m_started % slowRunInterval == 0 && m_slowTime.count() > 0;
+    *timer
+        = m_scheduler.after(isSlow ? m_slowTime : m_serviceTime, [this, respond = std::move(respond), response, timer] {
+              {
+                  const std::lock_guard runLock(m_mutex);
+                  --m_running;
+              }
+              respond(response);
+          });
 }
 
 auto UpstreamStandIn::malformedResponse(http::status status, const std::string& detail) -> HttpServer::HttpResponse
--- a/tests/platform/upstreamstandin.h
+++ b/tests/platform/upstreamstandin.h
@@ -20,6 +20,8 @@
     auto setLeaving(bool isLeaving) -> void;
     /// Sets the value of Retry-After in refusals; empty for none.
     auto setRetryAfter(const std::string& seconds) -> void;
+    /// Takes the given time for every third run from now on.
+    auto setSlowRuns(Core::Millis time) -> void;
     /// Number of requests that were refused.
     [[nodiscard]] auto refusals() -> int;
     /// Number of runs of each request id.
@@ -37,6 +39,8 @@
     bool m_isRefusing = false;
     bool m_isLeaving = false;
     std::string m_retryAfter;
+    Core::Millis m_slowTime { 0 };
+    int m_started = 0;
     int m_refusals = 0;
     int m_running = 0;
     std::map<std::string, int> m_runs;
