Let a deployment's drain time set how long changes of the store gather

Ruled out: lists and configuration, a few calls a VM; pings, a tenth of the price each.

Change: the delay between an answer and the next watch is a fifth of the time in which an upstream that leaves must no longer be used: 500 ms as before on the small sites, 600 and 800 ms on the larger ones.

--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -67,7 +67,7 @@
 auto EntryVm::followerEnvironment() -> StoreSync::CollectionFollower::Environment
 {
     return { m_environment.clock, m_environment.store, m_environment.scheduler, m_environment.random,
-        m_environment.events, m_mirror };
+        m_environment.events, m_mirror, m_settings.batchingDelay };
 }
 
 auto EntryVm::startFollowing() -> void
--- a/src/libs/forwardinghost/entryvmsettings.h
+++ b/src/libs/forwardinghost/entryvmsettings.h
@@ -35,6 +35,8 @@
     Core::Millis stopTimeout { 5000 };
     /// Longest time for which callers may cache a look-up answer.
     Core::Millis lookupLifetime { 2000 };
+    /// Time for which changes of the store may gather before they are read together.
+    Core::Millis batchingDelay { 500 };
     /// Retry budget of the whole fleet for each service, over ten seconds.
     double retryRatio = 0.1;
     double retrySlack = 10;
--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -7,8 +7,6 @@
 namespace {
 
     constexpr Core::Millis watchTimeout { 28'000 };
-    /// Delay between an answer and the next watch, so that changes are batched: each call to the store has a cost.
-    constexpr Core::Millis batchingDelay { 500 };
     constexpr Core::Millis firstRetryDelay { 100 };
     constexpr Core::Millis maximumRetryDelay { 800 };
 
@@ -197,7 +195,7 @@
             { "revision", std::to_string(result->revision.value()) },
             { "unreadable", std::to_string(result->unreadableItems) }, { "applied", isApplied ? "yes" : "no" } } });
     recordRecovery();
-    schedule(batchingDelay, &CollectionFollower::watch);
+    schedule(m_environment.batchingDelay, &CollectionFollower::watch);
 }
 
 auto CollectionFollower::retryLater(const Core::Error& error) -> void
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -34,6 +34,9 @@
         Ports::RandomSource& random;
         Ports::EventSink& events;
         CollectionMirror& mirror;
+        /// Time between the answer to a watch and the next watch. Changes gather meanwhile, because each call to the
+        /// store has a cost; a change may be known this much later.
+        Core::Duration batchingDelay = Core::Millis(500);
         /// Called after each list that came from the store itself.
         std::function<void()> storeAnswered = [] {};
         /// Called at the first of several consecutive failures. From then on, changes in the store are not noticed.
--- a/tests/auto/storesync/tst_collectionfollower.cpp
+++ b/tests/auto/storesync/tst_collectionfollower.cpp
@@ -56,6 +56,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OfACollectionThatChangesAllTheTime)
+
+BOOST_AUTO_TEST_CASE(ReadsTheChangesOfEachDelayTogether)
+{
+    constexpr Core::Millis delay { 800 };
+    const auto patient = std::make_shared<StoreSync::CollectionFollower>(name, listener,
+        StoreSync::CollectionFollower::Environment { time, store, time, random, events, mirror, delay });
+    store.watches.clear();
+    patient->start();
+    constexpr int answers = 5;
+    for (std::uint64_t answer = 1; answer <= answers; ++answer) {
+        BOOST_REQUIRE(store.watches.size() == answer);
+        answerWatch(
+            Ports::CollectionChanges { { { item("c", answer + 2), false } }, Ports::StoreRevision(answer + 2) });
+        time.runFor(delay - Core::Millis(1));
+        BOOST_TEST(store.watches.size() == answer);
+        time.runFor(Core::Millis(1));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhoseWatchEndsWithoutAnAnswer)
 
 BOOST_AUTO_TEST_CASE(ListsAgainInsteadOfWatchingFromAnOldRevision)
--- a/tests/platform/platformsite.cpp
+++ b/tests/platform/platformsite.cpp
@@ -90,7 +90,9 @@
             { { "front", address(index, Front).value() }, { "ready", address(index, Ready).value() },
                 { "control", address(index, Control).value() }, { "directory", address(index, Directory).value() } } },
         { "limits", { { "cores", 2 }, { "memory_mb", 260 }, { "max_fds", 1000 } } },
-        { "bounds", { { "grace", "6s" }, { "ttl_max", "5s" }, { "retry_budget_ratio", 0.2 }, { "retry_slack", 60 } } },
+        { "bounds",
+            { { "grace", "6s" }, { "drain", "2500ms" }, { "ttl_max", "5s" }, { "retry_budget_ratio", 0.2 },
+                { "retry_slack", 60 } } },
         { "platform", { { "address", "127.0.0.1:" + std::to_string(m_objectServer.port()) } } } };
 }
 
--- a/tests/platform/tst_settings.cpp
+++ b/tests/platform/tst_settings.cpp
@@ -11,7 +11,7 @@
   "internal_port_range":[7540,7555],"seeds":["10.1.0.1:8544"],
   "listen":{"front":"10.1.0.1:8548","ready":"10.1.0.1:8542","control":"10.1.0.1:8544","directory":"10.1.0.1:8546"},
   "limits":{"cores":1,"memory_mb":260,"max_fds":4100},
-  "bounds":{"grace":"6s","ttl_max":"5s","retry_budget_ratio":0.2,"retry_slack":60},
+  "bounds":{"grace":"6s","drain":"4000ms","ttl_max":"5s","retry_budget_ratio":0.2,"retry_slack":60},
   "platform":{"address":"10.200.1.7:8541"},"something_new":[1,2]})";
 
 } // namespace
@@ -26,6 +26,7 @@
     BOOST_TEST(settings->host.heartbeats.value() == "10.1.0.1:7540");
     BOOST_TEST((settings->host.stopTimeout == Core::Millis(6000)));
     BOOST_TEST((settings->host.lookupLifetime == Core::Millis(2000)));
+    BOOST_TEST((settings->host.batchingDelay == Core::Millis(800)));
     BOOST_TEST(settings->regions.at(Core::FailureDomainId("atl-a")).value() == "atl");
 }
 
@@ -34,7 +35,8 @@
     const auto settings = Platform::decodeSettings(R"({"node":7,"bounds":{"grace":"6 minutes"}})");
     BOOST_REQUIRE(!settings);
     const auto text = describe(settings.error());
-    for (const auto* problem : { "/node", "/zone", "/listen/front", "/bounds/grace", "/platform/address", "SIGHUP" })
+    for (const auto* problem :
+        { "/node", "/zone", "/listen/front", "/bounds/grace", "/bounds/drain", "/platform/address", "SIGHUP" })
         BOOST_TEST(text.find(problem) != std::string::npos, problem << " in " << text);
 }
 
