--- a/tests/platform/tst_process.cpp
+++ b/tests/platform/tst_process.cpp
@@ -104,12 +104,13 @@
 
 BOOST_AUTO_TEST_CASE(KeepServingAndFollowing)
 {
-    int number = 0;
+    constexpr std::uint64_t firstVersion = 10;
+    std::uint64_t number = 0;
     for (const auto& [problem, text] : PlatformTest::oddTexts()) {
         for (const auto* collection : { "servers", "entryvms", "evacuations" })
             site.objects().putText(collection, "odd-" + std::to_string(number), text);
         const auto prefix = "/audit-" + std::to_string(number) + '/';
-        site.configure(static_cast<std::uint64_t>(10 + number), prefix);
+        site.configure(firstVersion + number, prefix);
         for (int vm = 0; vm < 2; ++vm) {
             const auto id = "r-" + std::to_string(number) + '-' + std::to_string(vm);
             BOOST_TEST(holdsWithin(Core::Millis(2500), [&] { return statusOf(vm, id, prefix + "7") == 200; }), problem);
