--- a/tests/platform/tst_process.cpp
+++ b/tests/platform/tst_process.cpp
@@ -231,6 +231,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenOneRestartsAfterAWithdrawal)
+
+/// Kills the second entry VM and then withdraws the route that it knew and an upstream that it used.
+struct Withdrawal {
+    explicit Withdrawal(PlatformSite& site)
+    {
+        site.process(1).signal(SIGKILL);
+        site.process(1).wait();
+        site.configure(9, "/audit/");
+        site.objects().remove("servers", "i-0");
+    }
+
+    static auto checkNothingWithdrawnIsUsed(SiteFixture& fixture) -> void
+    {
+        const auto before = fixture.site.upstream(0).runs().size();
+        constexpr int requests = 30;
+        for (int request = 0; request < requests; ++request)
+            BOOST_TEST(fixture.statusOf(1, "after-" + std::to_string(request), "/audit/7") == 200);
+        BOOST_TEST(fixture.statusOf(1, "withdrawn") == 404);
+        BOOST_TEST(fixture.site.upstream(0).runs().size() == before);
+    }
+};
+
+BOOST_AUTO_TEST_CASE(UsesNothingThatWasWithdrawn)
+{
+    const Withdrawal withdrawal(site);
+    site.startEntryVm(1);
+    site.waitUntilReady(1);
+    Withdrawal::checkNothingWithdrawnIsUsed(*this);
+}
+
+BOOST_AUTO_TEST_CASE(UsesNothingThatWasWithdrawnWhenItLearnsFromTheOtherOnly)
+{
+    const Withdrawal withdrawal(site);
+    BOOST_REQUIRE(holdsWithin(Core::Millis(2500), [this] { return statusOf(0, "r-1", "/audit/7") == 200; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    site.objects().setUnavailable(true);
+    site.startEntryVm(1);
+    site.waitUntilReady(1);
+    BOOST_REQUIRE(holdsWithin(Core::Millis(5000), [this] { return statusOf(1, "r-2", "/audit/7") == 200; }));
+    Withdrawal::checkNothingWithdrawnIsUsed(*this);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenOneIsStopped)
 
 BOOST_AUTO_TEST_CASE(CompletesOpenRequestsAndReportsNotReady)
