--- a/src/libs/forwarding/worktimeestimator.cpp
+++ b/src/libs/forwarding/worktimeestimator.cpp
@@ -1,6 +1,5 @@
 #include "forwarding/worktimeestimator.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace Forwarding {
--- a/tests/platform/tst_objectapi.cpp
+++ b/tests/platform/tst_objectapi.cpp
@@ -13,6 +13,30 @@
 
 const Ports::CollectionName things { "things" };
 
+/// Store that answers all lists, and all watches, with the same text.
+class FixedAnswers : public HttpServer::HttpHandler {
+public:
+    FixedAnswers(std::string toLists, std::string toWatches)
+        : m_toLists(std::move(toLists))
+        , m_toWatches(std::move(toWatches))
+    {
+    }
+    auto handle(HttpServer::HttpRequest request, Respond respond) -> void override
+    {
+        HttpServer::HttpResponse response { boost::beast::http::status::ok, 11 };
+        response.body() = request.target().find("watch") == std::string_view::npos ? m_toLists : m_toWatches;
+        respond(std::move(response));
+    }
+    auto malformedResponse(boost::beast::http::status status, const std::string&) -> HttpServer::HttpResponse override
+    {
+        return { status, 11 };
+    }
+
+private:
+    const std::string m_toLists;
+    const std::string m_toWatches;
+};
+
 struct StoreFixture {
     StoreFixture()
         : thread([this] { runtime.run(); })
@@ -122,21 +146,7 @@
 
 BOOST_AUTO_TEST_CASE(ThatSendsMalformedAnswersGivesAnError)
 {
-    class MalformedHandler : public HttpServer::HttpHandler {
-    public:
-        auto handle(HttpServer::HttpRequest request, Respond respond) -> void override
-        {
-            HttpServer::HttpResponse response { boost::beast::http::status::ok, 11 };
-            response.body() = request.target().find("watch") == std::string_view::npos ? R"({"items":[7]})" : "[";
-            respond(std::move(response));
-        }
-        auto malformedResponse(boost::beast::http::status status, const std::string&)
-            -> HttpServer::HttpResponse override
-        {
-            return { status, 11 };
-        }
-    };
-    MalformedHandler malformedHandler;
+    FixedAnswers malformedHandler(R"({"items":[7]})", "[");
     HttpServer::Server malformedServer(runtime.context(), Core::Address("127.0.0.1:0"), malformedHandler);
     Platform::ObjectApi other(
         client, Core::Address("127.0.0.1:" + std::to_string(malformedServer.port())), "things/own");
@@ -210,22 +220,8 @@
 
 BOOST_AUTO_TEST_CASE(GivesAnErrorWhenItsPagesDoNotEnd)
 {
-    /// Says after each page that there is another one.
-    class EndlessHandler : public HttpServer::HttpHandler {
-    public:
-        auto handle(HttpServer::HttpRequest, Respond respond) -> void override
-        {
-            HttpServer::HttpResponse response { boost::beast::http::status::ok, 11 };
-            response.body() = R"({"items":[{"metadata":{"name":"a"}}],"more":true,"store_revision":9})";
-            respond(std::move(response));
-        }
-        auto malformedResponse(boost::beast::http::status status, const std::string&)
-            -> HttpServer::HttpResponse override
-        {
-            return { status, 11 };
-        }
-    };
-    EndlessHandler endlessHandler;
+    // Each page says that there is another one.
+    FixedAnswers endlessHandler(R"({"items":[{"metadata":{"name":"a"}}],"more":true,"store_revision":9})", "{}");
     HttpServer::Server endlessServer(runtime.context(), Core::Address("127.0.0.1:0"), endlessHandler);
     Platform::ObjectApi other(client, Core::Address("127.0.0.1:" + std::to_string(endlessServer.port())), "things/own");
     const auto listed = std::make_shared<std::promise<Core::ErrorKind>>();
