--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -21,11 +21,6 @@
         { { "Host", host }, { "Attempt-Id", id }, { "Request-Deadline", "3000" } }, "", 4 });
 }
 
-auto describe(const Reply& reply) -> std::string
-{
-    return reply.status == 0 ? reply.problem : std::to_string(reply.status);
-}
-
 auto run(Record& record) -> int
 {
     Store store;
@@ -116,13 +111,4 @@
 
 } // namespace
 
-auto main(int count, char** arguments) -> int
-{
-    Record record(count > 1 ? arguments[1] : "record.txt");
-    try {
-        return run(record);
-    } catch (const std::exception& error) {
-        std::fprintf(stderr, "%s\n", error.what());
-        return 2;
-    }
-}
+auto main(int count, char** arguments) -> int { return Review::runCase(count, arguments, run); }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -14,12 +14,6 @@
 constexpr double configBound = 2.5;
 constexpr double measured = 12;
 
-struct Count {
-    int asked = 0;
-    int served = 0;
-    std::map<std::string, int> answers;
-};
-
 struct Traffic {
     std::atomic<bool> isOn { true };
     std::atomic<bool> isMeasured { false };
@@ -39,9 +33,7 @@
         if (isMeasured) {
             const std::lock_guard lock(traffic.mutex);
             auto& count = isStatus ? traffic.status : traffic.reports;
-            ++count.asked;
-            count.served += reply.status == 200 ? 1 : 0;
-            ++count.answers[reply.status == 0 ? reply.problem : std::to_string(reply.status)];
+            count.add(reply);
             if (isStatus && reply.status == 503)
                 traffic.refusal = reply.body;
         }
@@ -51,14 +43,6 @@
     }
 }
 
-auto describe(const std::string& name, const Count& count) -> std::string
-{
-    std::string text = name + ": " + std::to_string(count.served) + " of " + std::to_string(count.asked) + " served;";
-    for (const auto& [answer, number] : count.answers)
-        text += " " + answer + ": " + std::to_string(number);
-    return text;
-}
-
 auto run(Record& record) -> int
 {
     Store store;
@@ -116,8 +100,8 @@
     traffic.isOn = false;
     for (auto& client : clients)
         client.join();
-    record.line(describe("/audit/ (the first route)", traffic.reports));
-    record.line(describe("/status/ (added later)", traffic.status));
+    record.line(traffic.reports.describe("/audit/ (the first route)"));
+    record.line(traffic.status.describe("/status/ (added later)"));
     if (!traffic.refusal.empty())
         record.line("a refusal says: " + traffic.refusal.substr(0, traffic.refusal.find('\n')));
     if (traffic.reports.asked < 20 || (hasTrouble() && traffic.status.asked < 20))
@@ -133,13 +117,4 @@
 
 } // namespace
 
-auto main(int count, char** arguments) -> int
-{
-    Record record(count > 1 ? arguments[1] : "record.txt");
-    try {
-        return run(record);
-    } catch (const std::exception& error) {
-        std::fprintf(stderr, "%s\n", error.what());
-        return 2;
-    }
-}
+auto main(int count, char** arguments) -> int { return Review::runCase(count, arguments, run); }
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -45,6 +46,21 @@
         return listener;
     }
 
+    /// Listens on a port below those that the system takes for outgoing connections, so that an endpoint that starts
+    /// again finds its port free.
+    auto listenOnAnyPort(const std::string& ip) -> int
+    {
+        constexpr int first = 10'000;
+        constexpr int count = 10'000;
+        static std::atomic<int> next { ::getpid() * 61 % count };
+        for (int tries = 0; tries < count; ++tries) {
+            const int listener = listenOn(ip, first + next++ % count);
+            if (listener >= 0)
+                return listener;
+        }
+        return -1;
+    }
+
     auto portOf(int listener) -> int
     {
         sockaddr_in address {};
@@ -243,7 +259,7 @@
 
 Server::Server(const std::string& ip, int port, Serve serve)
     : m_serve(std::move(serve))
-    , m_listener(listenOn(ip, port))
+    , m_listener(port == 0 ? listenOnAnyPort(ip) : listenOn(ip, port))
 {
     if (m_listener < 0)
         throw std::runtime_error("cannot listen on " + ip + ':' + std::to_string(port));
@@ -661,6 +677,7 @@
     m_process = ::fork();
     if (m_process != 0)
         return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, 1);
     ::dup2(output, 2);
@@ -754,6 +771,63 @@
         { "base_version", version - 1 }, { "hosts", { { { "host", host }, { "paths", routes } } } } };
 }
 
+auto describe(const Reply& reply) -> std::string
+{
+    return reply.status == 0 ? reply.problem : std::to_string(reply.status);
+}
+
+auto Count::add(const Reply& reply) -> void
+{
+    ++asked;
+    served += reply.status == 200 ? 1 : 0;
+    ++answers[Review::describe(reply)];
+}
+
+auto Count::describe(const std::string& route) const -> std::string
+{
+    std::string text = route + ": " + std::to_string(served) + " of " + std::to_string(asked) + " served;";
+    for (const auto& [answer, number] : answers)
+        text += " " + answer + ": " + std::to_string(number);
+    return text;
+}
+
+auto Traffic::runClient(const Machine& machine, const std::string& name, double pause) -> void
+{
+    for (int index = 0; isOn; ++index) {
+        const auto id = name + '-' + std::to_string(index);
+        {
+            const std::lock_guard lock(mutex);
+            sent[id] = now();
+        }
+        const auto reply = send({ machine.ip(), machine.front(), "GET", "/stock/" + id,
+            { { "Host", host }, { "Attempt-Id", id }, { "Request-Deadline", "3000" } }, "", 4 });
+        {
+            const std::lock_guard lock(mutex);
+            count.add(reply);
+        }
+        sleepFor(pause);
+    }
+}
+
+auto Traffic::mostInOneSecond(Endpoint& endpoint, Record& record) -> int
+{
+    auto arrivals = endpoint.arrivals();
+    std::erase_if(arrivals, [this](const Arrival& arrival) {
+        return !arrival.isCold || arrival.outcome == "421" || !sent.contains(arrival.id);
+    });
+    int most = 0;
+    for (const auto& first : arrivals) {
+        record.line(
+            "    " + endpoint.id() + " at " + std::to_string(first.time) + " " + first.id + " " + first.outcome);
+        const double begin = sent.at(first.id);
+        most = std::max(most, static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& one) {
+            return sent.at(one.id) >= begin && one.time < begin + 1;
+        })));
+    }
+    record.line(endpoint.id() + ": at most " + std::to_string(most) + " requests in one second while cold");
+    return most;
+}
+
 auto cannotRun(Record& record, const std::string& why) -> void
 {
     record.line("cannot run: " + why);
@@ -761,4 +835,15 @@
     throw std::runtime_error(why);
 }
 
+auto runCase(int count, char** arguments, const std::function<int(Record&)>& run) -> int
+{
+    Record record(count > 1 ? arguments[1] : "record.txt");
+    try {
+        return run(record);
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+        return 2;
+    }
+}
+
 } // namespace Review
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -257,8 +257,35 @@
 auto route(const RouteText& text) -> json;
 auto configuration(int version, const json& services, const json& routes) -> json;
 
-/// Ends the program with 2, "could not run".
+/// Requests that were asked on one route, and their answers.
+struct Count {
+    int asked = 0;
+    int served = 0;
+    std::map<std::string, int> answers;
+
+    auto add(const Reply& reply) -> void;
+    [[nodiscard]] auto describe(const std::string& route) const -> std::string;
+};
+auto describe(const Reply& reply) -> std::string;
+
+/// Clients that send look-ups to one VM each, one after the other, with a pause, until the end.
+struct Traffic {
+    std::atomic<bool> isOn { true };
+    std::mutex mutex;
+    /// When each request was sent.
+    std::map<std::string, double> sent;
+    Count count;
+
+    auto runClient(const Machine& machine, const std::string& name, double pause) -> void;
+    /// Returns the most requests that were sent and arrived inside one second at the endpoint while it was cold, for
+    /// FAILBACK, and writes them to the record. Requests that got 421 do not count.
+    auto mostInOneSecond(Endpoint& endpoint, Record& record) -> int;
+};
+
+/// Ends the case with 2, "could not run".
 [[noreturn]] auto cannotRun(Record& record, const std::string& why) -> void;
+/// Runs the case with the record that the command line names. Returns the exit code: what the case returned, or 2.
+auto runCase(int count, char** arguments, const std::function<int(Record&)>& run) -> int;
 
 constexpr auto host = "desk.example";
 
