--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -110,26 +110,32 @@
         return;
     }
     const auto now = m_environment.clock.now();
+    const auto choice = m_context->pool.choose(makeQuery(m_tried, now), now);
+    if (choice)
+        startExchange(*choice, now);
+    else
+        refuseChoice(choice.error());
+}
+
+auto ForwardOperation::makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery
+{
     ChoiceQuery query;
     query.request = m_request.id;
     if (m_route->hasObjectAffinity)
         query.object = m_request.object;
     query.homes = &m_route->homes;
-    query.tried = &m_tried;
+    query.tried = &tried;
     query.timeLeft = m_deadline - now;
     query.targetLatency = m_route->targetLatency;
     query.priority = m_route->priority;
-    const auto choice = m_context->pool.choose(query, now);
-    if (choice)
-        startExchange(*choice, now);
-    else
-        refuseChoice(choice.error());
+    return query;
 }
 
-auto ForwardOperation::openAttempt(const Choice& choice, Core::Instant now) -> std::optional<std::size_t>
+auto ForwardOperation::openAttempt(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged)
+    -> std::optional<std::size_t>
 {
     const std::lock_guard lock(m_mutex);
-    if (m_isClosed)
+    if (m_isClosed || (hedged && (m_isDone || m_attempts[*hedged].hasEnded || !hasAttemptsLeft())))
         return std::nullopt;
     Core::invariant(m_route->isIdempotent || !m_mayHaveRun, "forwarding.runs-once");
     m_attempts.push_back({ choice, now, nullptr, false });
@@ -138,9 +144,9 @@
     return m_attempts.size() - 1;
 }
 
-auto ForwardOperation::startExchange(const Choice& choice, Core::Instant now) -> void
+auto ForwardOperation::startExchange(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged) -> void
 {
-    const auto attempt = openAttempt(choice, now);
+    const auto attempt = openAttempt(choice, now, hedged);
     if (!attempt) {
         releaseChoice(choice, now);
         return;
@@ -161,18 +167,22 @@
         if (!m_attempts[index].hasEnded)
             m_attempts[index].exchange = exchange;
         isDone = m_isDone;
-        if (!isDone && m_route->isIdempotent && m_sends < m_route->attempts) {
-            m_responseTimer
-                = m_environment.scheduler.after(m_context->pool.responseTimeLimit(), [weak = weak_from_this(), index] {
-                      if (const auto operation = weak.lock())
-                          operation->onResponseTimeout(index);
-                  });
-        }
+        if (!isDone && m_route->isIdempotent && hasAttemptsLeft())
+            armResponseTimer(index);
     }
     if (isDone)
         exchange->cancel();
 }
 
+auto ForwardOperation::armResponseTimer(std::size_t index) -> void
+{
+    m_responseTimer
+        = m_environment.scheduler.after(m_context->pool.responseTimeLimit(), [weak = weak_from_this(), index] {
+              if (const auto operation = weak.lock())
+                  operation->onResponseTimeout(index);
+          });
+}
+
 auto ForwardOperation::isStillWanted(const Ports::UpstreamTarget& target) -> bool
 {
     {
@@ -217,10 +227,12 @@
     reportEnd(attempt, result, now);
     if (isDone)
         return;
-    if (result.outcome == ExchangeOutcome::Answered)
+    if (result.outcome == ExchangeOutcome::Answered) {
         finish(result.answer);
-    else if (isLast)
+        cancelExchanges();
+    } else if (isLast) {
         retryOrRefuse(result);
+    }
 }
 
 auto ForwardOperation::reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void
@@ -248,20 +260,51 @@
 
 auto ForwardOperation::onResponseTimeout(std::size_t index) -> void
 {
-    Attempt attempt;
+    Choice silent;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_isDone || m_attempts[index].hasEnded)
+        if (m_isDone || m_isClosed || m_attempts[index].hasEnded)
             return;
-        attempt = m_attempts[index];
+        silent = m_attempts[index].choice;
+    }
+    const auto now = m_environment.clock.now();
+    if (m_context->pool.isUnresponsive(silent.target, now))
+        hedge(index, silent, now);
+}
+
+auto ForwardOperation::hedge(std::size_t index, const Choice& silent, Core::Instant now) -> void
+{
+    if (m_forwarder.m_crashGuard.isQuarantined(m_fingerprint))
+        return;
+    std::vector<Core::UpstreamId> tried;
+    {
+        const std::lock_guard lock(m_mutex);
+        tried = m_tried;
     }
-    if (attempt.exchange && m_context->pool.isUnresponsive(attempt.choice.target, m_environment.clock.now()))
-        attempt.exchange->cancel();
+    auto query = makeQuery(tried, now);
+    query.isHedge = true;
+    const auto choice = m_context->pool.choose(query, now);
+    if (!choice) {
+        m_recorder.recordSilence(silent, toString(choice.error().reason));
+        return;
+    }
+    if (!m_context->retryBudget.tryTake(m_forwarder.retryAllowance(), now)) {
+        releaseChoice(*choice, now);
+        m_recorder.recordSilence(silent, "budget-exhausted");
+        return;
+    }
+    m_recorder.recordSilence(silent, "sent to " + choice->target.id.value());
+    startExchange(*choice, now, index);
+}
+
+auto ForwardOperation::hasAttemptsLeft() const -> bool
+{
+    return m_sends < m_route->attempts && m_attempts.size() < maximumAttempts;
 }
 
 auto ForwardOperation::mayRetry(ExchangeOutcome outcome, Core::Instant now) -> bool
 {
-    if (now >= m_deadline || m_sends >= m_route->attempts || m_attempts.size() >= maximumAttempts)
+    if (now >= m_deadline || !hasAttemptsLeft())
         return false;
     if (outcome == ExchangeOutcome::Withdrawn)
         return true;
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -26,20 +26,31 @@
     auto setDeadline() -> void;
     [[nodiscard]] auto hasCallerLeft() const -> bool { return m_request.caller && m_request.caller->isClosed(); }
     auto send() -> void;
-    /// Returns the index of the new attempt, or nullopt if the operation is closed.
-    auto openAttempt(const Choice& choice, Core::Instant now) -> std::optional<std::size_t>;
-    auto startExchange(const Choice& choice, Core::Instant now) -> void;
+    /// Returns the query for an upstream that is not among `tried`, which must outlive it.
+    [[nodiscard]] auto makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery;
+    /// Returns the index of the new attempt. Returns nullopt if the operation is closed, or if the attempt would hedge
+    /// one that has ended.
+    auto openAttempt(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged)
+        -> std::optional<std::size_t>;
+    /// `hedged` is the index of the attempt that stays open beside the new one, if there is one.
+    auto startExchange(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged = std::nullopt)
+        -> void;
+    auto armResponseTimer(std::size_t index) -> void;
     /// Releases a chosen upstream to which nothing was sent.
     auto releaseChoice(const Choice& choice, Core::Instant now) -> void;
     /// Returns true if the request may still be written to the chosen upstream. Abandons it if the caller has left.
     [[nodiscard]] auto isStillWanted(const Ports::UpstreamTarget& target) -> bool;
     auto onResult(std::size_t index, const Ports::ExchangeResult& result) -> void;
     auto onResponseTimeout(std::size_t index) -> void;
+    /// Sends the request to another upstream too. The silent one may still answer, so its exchange stays open.
+    auto hedge(std::size_t index, const Choice& silent, Core::Instant now) -> void;
     auto onDeadline() -> void;
     /// Retries the request if that is safe, allowed and still useful. Otherwise replies with what is known of the
     /// outcome.
     auto retryOrRefuse(const Ports::ExchangeResult& result) -> void;
     [[nodiscard]] auto mayRetry(Ports::ExchangeOutcome outcome, Core::Instant now) -> bool;
+    /// Returns true if the route allows one more upstream.
+    [[nodiscard]] auto hasAttemptsLeft() const -> bool;
     auto reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void;
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const ChoiceFailure& failure) -> void;
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -76,6 +76,13 @@
             { "predictedMs", millis(choice.predicted) } } });
 }
 
+auto RequestRecorder::recordSilence(const Choice& silent, const std::string& hedge) -> void
+{
+    m_events.record({ Ports::EventKind("upstream.silent"), m_request.id,
+        { { "upstream", silent.target.id.value() }, { "service", m_service.value() },
+            { "predictedMs", millis(silent.predicted) }, { "hedge", hedge } } });
+}
+
 auto RequestRecorder::recordSignals(const Ports::UpstreamTarget& target, const Ports::UpstreamSignals& news) -> void
 {
     if (!news.isLeaving && news.pause.count() == 0)
--- a/src/libs/forwarding/requestrecorder.h
+++ b/src/libs/forwarding/requestrecorder.h
@@ -25,6 +25,9 @@
     /// Records the route and service that were selected under the given configuration version.
     auto recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration) -> void;
     auto recordExchange(const Choice& choice, const Ports::ExchangeResult& result, Core::Duration duration) -> void;
+    /// Records that the upstream has not answered for longer than expected, and what became of sending the request to
+    /// another one as well.
+    auto recordSilence(const Choice& silent, const std::string& hedge) -> void;
     /// Records what an upstream has said of itself for the first time.
     auto recordSignals(const Ports::UpstreamTarget& target, const Ports::UpstreamSignals& news) -> void;
     auto recordEnd(const ForwardReply& reply, const RequestEnd& end) -> void;
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -44,6 +44,8 @@
     Core::Duration targetLatency {};
     /// 0 is the most urgent.
     int priority = 0;
+    /// The request is open at another upstream that has fallen silent. It is not turned away if there is no room.
+    bool isHedge = false;
 };
 
 /// Chosen upstream, with the values that decided the choice.
@@ -64,6 +66,8 @@
     DeadlineUnreachable,
 };
 
+[[nodiscard]] auto toString(ChoiceFailureReason reason) -> std::string;
+
 struct ChoiceFailure {
     ChoiceFailureReason reason = ChoiceFailureReason::NoUpstream;
     /// Number of upstreams that were considered.
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -28,6 +28,19 @@
 
 } // namespace
 
+auto toString(ChoiceFailureReason reason) -> std::string
+{
+    switch (reason) {
+    case ChoiceFailureReason::NoUpstream:
+        return "no-upstream";
+    case ChoiceFailureReason::Busy:
+        return "busy";
+    case ChoiceFailureReason::DeadlineUnreachable:
+        break;
+    }
+    return "deadline-unreachable";
+}
+
 auto ServicePool::mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool
 {
     const auto& entry = state.entry();
@@ -181,7 +194,7 @@
 {
     const std::lock_guard lock(m_mutex);
     auto choice = chooseLocked(query, now);
-    if (!choice || choice->predicted > query.targetLatency)
+    if (!query.isHedge && (!choice || choice->predicted > query.targetLatency))
         m_queueAdmission.recordShortage(query.priority, now);
     return choice;
 }
--- a/tests/auto/forwarding/tst_forwardoperation.cpp
+++ b/tests/auto/forwarding/tst_forwardoperation.cpp
@@ -66,6 +66,19 @@
     std::vector<Forwarding::ForwardReply> replies;
 };
 
+struct SilentUpstream : ForwarderFixture {
+    /// Sends a request and waits until it has been sent to a second upstream as well.
+    auto sendUntilSilent() -> void
+    {
+        send();
+        time.runFor(Core::Millis(1500));
+        BOOST_REQUIRE(exchanges.exchanges.size() == 2U);
+        BOOST_TEST((exchange(0).call.target.id != exchange(1).call.target.id));
+        BOOST_TEST((exchange(1).call.timeLeft < Core::Millis(1000)));
+        BOOST_TEST(!exchange(0).isCancelled);
+    }
+};
+
 struct NonIdempotentRoute : ForwarderFixture {
     NonIdempotentRoute()
     {
@@ -153,8 +166,101 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(WhoseUpstreamFallsSilent, SilentUpstream)
+
+/// Review case 1: work longer than the response time limit was broken off although its upstream was sound.
+BOOST_AUTO_TEST_CASE(StaysOpenThereWhileNoOtherCanTakeIt)
+{
+    forwarder.setUpstreams(byId({ upstream("a1") }), {});
+    send();
+    time.runFor(Core::Millis(1900));
+    BOOST_TEST(!exchange(0).isCancelled);
+    BOOST_TEST(replies.empty());
+    BOOST_TEST(events.count("upstream.silent") == 1U);
+    exchanges.end(0, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(StaysOpenThereWhenTheRetryBudgetIsExhausted)
+{
+    forwarder.setRetryAllowance({ 0, 0 });
+    send();
+    time.runFor(Core::Millis(1900));
+    BOOST_TEST(exchanges.exchanges.size() == 1U);
+    BOOST_TEST(!exchange(0).isCancelled);
+}
+
+BOOST_AUTO_TEST_CASE(IsSentToAnotherAsWellWhoseAnswerIsTaken)
+{
+    sendUntilSilent();
+    exchanges.end(1, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+    BOOST_TEST(exchange(0).isCancelled);
+    exchanges.end(0, ExchangeOutcome::Cancelled);
+    BOOST_TEST(replies.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheAnswerOfTheSilentOneIfThatIsFirst)
+{
+    sendUntilSilent();
+    exchanges.end(0, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+    BOOST_TEST(exchange(1).isCancelled);
+    exchanges.end(1, ExchangeOutcome::Cancelled);
+    BOOST_TEST(replies.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForTheSilentOneWhenTheOtherRefusesIt)
+{
+    sendUntilSilent();
+    exchanges.end(1, ExchangeOutcome::NotRun);
+    BOOST_TEST(replies.empty());
+    exchanges.end(0, ExchangeOutcome::Answered);
+    BOOST_TEST(isAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(IsRefusedWithAnUnknownOutcomeWhenBothFail)
+{
+    sendUntilSilent();
+    exchanges.end(1, ExchangeOutcome::NotRun);
+    exchanges.end(0, ExchangeOutcome::Lost);
+    BOOST_TEST(exchanges.exchanges.size() == 2U);
+    BOOST_TEST((refusal().outcome == RunOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(IsCancelledEverywhereAtItsTimeout)
+{
+    send();
+    time.runFor(stockRoute().timeout);
+    BOOST_REQUIRE(exchanges.exchanges.size() == 2U);
+    BOOST_TEST(exchange(0).isCancelled);
+    BOOST_TEST(exchange(1).isCancelled);
+    BOOST_TEST((refusal().reason == RefusalReason::UpstreamTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(LeavesTheSilentUpstreamWithoutNewRequests)
+{
+    send();
+    const auto silent = exchange(0).call.target.id;
+    time.runFor(Core::Millis(1500));
+    for (int request = 0; request < 6; ++request) {
+        send("r" + std::to_string(request));
+        BOOST_TEST((exchanges.exchanges.back()->call.target.id != silent));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ThatMustRunOnce, NonIdempotentRoute)
 
+BOOST_AUTO_TEST_CASE(IsNotSentToAnotherUpstreamWhenItsOwnFallsSilent)
+{
+    send();
+    time.runFor(Core::Millis(1900));
+    BOOST_TEST(exchanges.exchanges.size() == 1U);
+    BOOST_TEST(!exchange(0).isCancelled);
+}
+
 BOOST_AUTO_TEST_CASE(IsNeverSentAgainAfterItMayHaveRun)
 {
     for (const auto outcome : { ExchangeOutcome::Lost, ExchangeOutcome::Invalid, ExchangeOutcome::TimedOut }) {
@@ -371,6 +477,26 @@
     BOOST_TEST(refusal().retryAfter.count() > 0);
 }
 
+/// Review case 1: a stopping VM answered 502 for requests that sound upstreams were at work on.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpWhileAllUpstreamsAreAtWork)
+{
+    auto route = stockRoute();
+    route.hasObjectAffinity = false;
+    configure(route);
+    for (int request = 0; request < 12; ++request)
+        send("r" + std::to_string(request));
+    BOOST_REQUIRE(exchanges.exchanges.size() == 12U);
+    time.runFor(Core::Millis(400));
+    forwarder.setShutdownDeadline(time.now() + Core::Millis(6000));
+    time.runFor(Core::Millis(1500));
+    BOOST_TEST(replies.empty());
+    for (std::size_t request = 0; request < 12; ++request) {
+        BOOST_TEST(!exchange(request).isCancelled);
+        exchanges.end(request, ExchangeOutcome::Answered);
+    }
+    BOOST_TEST(replies.size() == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(IsNotCutShortWhenTheStopIsAnnouncedLater)
 {
     send();
