--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -3,10 +3,17 @@
 #include "fleet/rendezvous.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace EntryFleet {
 
+namespace {
+
+    /// Upper bound on the entry VMs that are known although the store doesn't list them.
+    constexpr std::size_t maximumIntroduced = 64;
+
+} // namespace
+
 EntryFleet::EntryFleet(EntryVmEntry self, Environment environment)
     : m_self(std::move(self))
     , m_environment(environment)
@@ -20,28 +27,65 @@
 
 auto EntryFleet::put(const EntryVmEntry& entry) -> void
 {
-    if (entry.id == m_self.id)
+    if (entry.id == m_self.id) {
+        m_isListed = entry.start == m_self.start;
         return;
-    auto& member = m_members[entry.id];
-    // The store's entry outlives its process, so a new start counts as alive only after its first heartbeat.
-    if (member.entry.start != entry.start) {
-        member.lastHeartbeat = m_environment.clock.now() - heartbeatTimeout;
-        member.isLeaving = false;
     }
+    const auto now = m_environment.clock.now();
+    const auto [found, isNew] = m_members.try_emplace(entry.id);
+    auto& member = found->second;
+    // An earlier start is an old registration: its process has ended, or the store took the later one's not yet.
+    if (isNew || entry.start > member.currentStart)
+        track(member, entry.start, now);
     member.entry = entry;
+    member.isListed = true;
+}
+
+auto EntryFleet::track(Member& member, Core::ProcessStartId start, Core::Instant now) -> void
+{
+    member.currentStart = start;
+    member.knownSince = now;
+    // The store's entry outlives its process.
+    member.lastHeartbeat = now - heartbeatTimeout;
+    member.isLeaving = false;
+}
+
+auto EntryFleet::isCurrent(const Member& member, const Heartbeat& heartbeat, Core::Instant now) -> bool
+{
+    if (heartbeat.start >= member.currentStart)
+        return true;
+    // A heartbeat of an earlier process can arrive late. The clock of an entry VM can also step back before its process
+    // restarts; then the later start stays silent.
+    return now - std::max(member.knownSince, member.lastHeartbeat) >= heartbeatTimeout;
 }
 
 auto EntryFleet::replaceAll(const std::vector<EntryVmEntry>& entries) -> void
 {
-    const std::lock_guard lock(m_mutex);
-    std::set<Core::EntryVmId> listed;
-    for (const auto& entry : entries) {
-        listed.insert(entry.id);
-        put(entry);
+    bool isFirstList = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isListed = false;
+        for (auto& [id, member] : m_members)
+            member.isListed = false;
+        for (const auto& entry : entries)
+            put(entry);
+        const auto now = m_environment.clock.now();
+        forgetUnlisted(now);
+        isFirstList = !std::exchange(m_hasList, true) && m_isStarted;
+        if (isFirstList)
+            deferOwnership(now);
     }
-    std::erase_if(m_members, [&](const auto& item) { return !listed.contains(item.first); });
+    if (isFirstList)
+        sendHeartbeats();
+}
+
+auto EntryFleet::forgetUnlisted(Core::Instant now) -> void
+{
+    std::erase_if(m_members, [&](const auto& item) { return !item.second.isListed && !isAlive(item.second, now); });
 }
 
+auto EntryFleet::deferOwnership(Core::Instant now) -> void { m_ownershipStart = now + 2 * heartbeatInterval; }
+
 auto EntryFleet::upsert(const EntryVmEntry& entry) -> void
 {
     const std::lock_guard lock(m_mutex);
@@ -54,22 +98,67 @@
     m_members.erase(id);
 }
 
+auto EntryFleet::senderOf(const Heartbeat& heartbeat) -> Member*
+{
+    const auto found = m_members.find(heartbeat.sender);
+    if (found != m_members.end())
+        return &found->second;
+    const auto& introduction = heartbeat.introduction;
+    if (!introduction || introduction->id != heartbeat.sender || !isRegionalPeer(*introduction))
+        return nullptr;
+    const auto introduced
+        = std::count_if(m_members.begin(), m_members.end(), [](const auto& item) { return !item.second.isListed; });
+    if (static_cast<std::size_t>(introduced) >= maximumIntroduced)
+        return nullptr;
+    auto& member = m_members[heartbeat.sender];
+    member.entry = *introduction;
+    track(member, heartbeat.start, m_environment.clock.now());
+    return &member;
+}
+
 auto EntryFleet::receive(const Heartbeat& heartbeat) -> void
+{
+    if (apply(heartbeat))
+        forward(heartbeat);
+}
+
+auto EntryFleet::apply(const Heartbeat& heartbeat) -> bool
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_members.find(heartbeat.sender);
-    if (found == m_members.end() || found->second.entry.start != heartbeat.start)
-        return;
-    found->second.lastHeartbeat = m_environment.clock.now();
-    found->second.isLeaving = heartbeat.isLeaving;
+    const auto now = m_environment.clock.now();
+    auto* member = senderOf(heartbeat);
+    if (member == nullptr || !isCurrent(*member, heartbeat, now))
+        return false;
+    if (member->currentStart != heartbeat.start)
+        track(*member, heartbeat.start, now);
+    member->lastHeartbeat = now;
+    member->isLeaving = heartbeat.isLeaving;
+    return !member->isListed && heartbeat.introduction && !heartbeat.isForwarded;
+}
+
+auto EntryFleet::forward(Heartbeat heartbeat) -> void
+{
+    std::vector<Core::Address> addresses;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [id, member] : m_members) {
+            if (!member.isListed && id != heartbeat.sender)
+                addresses.push_back(member.entry.heartbeats);
+        }
+    }
+    heartbeat.isForwarded = true;
+    for (const auto& address : addresses)
+        m_environment.heartbeats.send(address, heartbeat);
 }
 
 auto EntryFleet::start() -> void
 {
     {
         const std::lock_guard lock(m_mutex);
+        m_isStarted = true;
         m_lastCycle = m_environment.clock.now();
-        m_ownershipStart = m_lastCycle + 2 * heartbeatInterval;
+        if (m_hasList)
+            deferOwnership(m_lastCycle);
     }
     runHeartbeatCycle();
 }
@@ -84,6 +173,7 @@
         wasPaused = detectPause(now);
         m_lastCycle = now;
         recordLivenessChanges(now);
+        forgetUnlisted(now);
         m_timer = m_environment.scheduler.after(heartbeatInterval, [this] { runHeartbeatCycle(); });
     }
     if (wasPaused)
@@ -97,7 +187,8 @@
         return false;
     for (auto& [id, member] : m_members)
         member.lastHeartbeat = std::min(now, member.lastHeartbeat + gap);
-    m_ownershipStart = now + 2 * heartbeatInterval;
+    if (m_hasList)
+        deferOwnership(now);
     m_environment.events.record({ Ports::EventKind("process.held-up"), {},
         { { "heldUpMs", std::to_string(std::chrono::duration_cast<Core::Millis>(gap).count()) } } });
     return true;
@@ -111,10 +202,12 @@
 auto EntryFleet::sendHeartbeats() -> void
 {
     std::vector<Core::Address> addresses;
-    Heartbeat heartbeat { m_self.id, m_self.start, false };
+    Heartbeat heartbeat { m_self.id, m_self.start, false, std::nullopt, false };
     {
         const std::lock_guard lock(m_mutex);
         heartbeat.isLeaving = m_isLeaving;
+        if (!m_isListed)
+            heartbeat.introduction = m_self;
         for (const auto& [id, member] : m_members) {
             if (isRegionalPeer(member.entry))
                 addresses.push_back(member.entry.heartbeats);
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -15,6 +15,8 @@
 
 /// Tracks the other entry VMs: the store lists them, and heartbeats show which of those in the same region are alive.
 /// Only entry VMs of the same region exchange heartbeats, so that the cost for each does not grow with the whole fleet.
+/// A process that the store doesn't list yet, because it turns the entry VM away, introduces itself by its heartbeats:
+/// the others would own the same upstreams beside it otherwise.
 class EntryFleet : public Forwarding::EntryVmView {
 public:
     static constexpr Core::Millis heartbeatInterval { 700 };
@@ -35,6 +37,7 @@
 
     EntryFleet(EntryVmEntry self, Environment environment);
 
+    /// Applies the store's list. Ownership of upstreams starts some time after the first list.
     auto replaceAll(const std::vector<EntryVmEntry>& entries) -> void;
     auto upsert(const EntryVmEntry& entry) -> void;
     auto remove(const Core::EntryVmId& id) -> void;
@@ -57,7 +60,12 @@
 private:
     struct Member {
         EntryVmEntry entry;
+        /// Start of the process that is tracked; the store may list an earlier one.
+        Core::ProcessStartId currentStart;
+        /// Time at which that process became known.
+        Core::Instant knownSince;
         Core::Instant lastHeartbeat;
+        bool isListed = false;
         bool isLeaving = false;
         bool wasAlive = false;
     };
@@ -67,6 +75,20 @@
     [[nodiscard]] auto acceptsCallers(const Member& member, Core::Instant now) const -> bool;
     [[nodiscard]] auto isRegionalPeer(const EntryVmEntry& entry) const -> bool;
     auto put(const EntryVmEntry& entry) -> void;
+    /// Tracks the process with that start from now on; it counts as alive after its first heartbeat.
+    static auto track(Member& member, Core::ProcessStartId start, Core::Instant now) -> void;
+    /// Returns true if the heartbeat is from the tracked process or from one that has succeeded it.
+    [[nodiscard]] static auto isCurrent(const Member& member, const Heartbeat& heartbeat, Core::Instant now) -> bool;
+    /// Applies the heartbeat. Returns true if the others need to be told of its sender.
+    auto apply(const Heartbeat& heartbeat) -> bool;
+    /// Returns the sender's member, which a heartbeat with an introduction adds; null if it is unknown.
+    auto senderOf(const Heartbeat& heartbeat) -> Member*;
+    /// Passes a heartbeat of an unlisted entry VM on to the other unlisted ones, which can't know of each other.
+    auto forward(Heartbeat heartbeat) -> void;
+    /// Forgets entry VMs that are neither listed nor alive.
+    auto forgetUnlisted(Core::Instant now) -> void;
+    /// Defers the ownership of upstreams until the others' heartbeats should have arrived.
+    auto deferOwnership(Core::Instant now) -> void;
     auto runHeartbeatCycle() -> void;
     /// Returns true if this process was paused since the last cycle. In that case, excludes the pause from the others'
     /// heartbeat timeouts and defers the ownership of upstreams.
@@ -81,6 +103,10 @@
     const Environment m_environment;
     mutable std::mutex m_mutex;
     std::map<Core::EntryVmId, Member> m_members;
+    /// The store lists this process, so that the others know of it.
+    bool m_isListed = false;
+    bool m_hasList = false;
+    bool m_isStarted = false;
     bool m_isLeaving = false;
     Core::Instant m_lastCycle;
     /// This entry VM owns no upstream before this instant, because heartbeats of the others may not have arrived yet.
--- a/src/libs/entryfleet/entryvmentry.h
+++ b/src/libs/entryfleet/entryvmentry.h
@@ -3,6 +3,8 @@
 #include "core/ids.h"
 #include "core/units.h"
 
+#include <optional>
+
 namespace EntryFleet {
 
 /// Registration of an entry VM in the store.
@@ -24,6 +26,10 @@
     Core::EntryVmId sender;
     Core::ProcessStartId start;
     bool isLeaving = false;
+    /// Registration of the sender, as long as the store may not list it.
+    std::optional<EntryVmEntry> introduction;
+    /// The heartbeat was passed on by another entry VM. It is not passed on again.
+    bool isForwarded = false;
 };
 
 /// Sends heartbeats to other entry VMs without a guarantee of delivery.
--- a/tests/auto/entryfleet/tst_entryfleet.cpp
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -120,6 +120,60 @@
     return entry;
 }
 
+/// Four entry VMs of one region. All of them were just started, with a start that the store doesn't list.
+struct FourFreshEntryVms {
+    static constexpr std::int64_t ownStart = 2;
+
+    FourFreshEntryVms()
+    {
+        for (int number = 1; number <= 4; ++number) {
+            const auto self = entryVm("atl-" + std::to_string(number), "atl", ownStart);
+            fleets.push_back(std::make_unique<EntryFleet::EntryFleet>(
+                self, EntryFleet::EntryFleet::Environment { time, time, events, channel }));
+            channel.receivers[self.heartbeats] = fleets.back().get();
+        }
+        for (const auto& fleet : fleets)
+            fleet->start();
+    }
+
+    /// Hands the first entry VMs, as many as given, of an old list to all of them.
+    auto list(int count, std::int64_t start = 1) -> void
+    {
+        std::vector<EntryVmEntry> entries;
+        for (int number = 1; number <= count; ++number)
+            entries.push_back(entryVm("atl-" + std::to_string(number), "atl", start));
+        for (const auto& fleet : fleets)
+            fleet->replaceAll(entries);
+    }
+
+    auto ownersOf(const std::string& id) const -> std::ptrdiff_t
+    {
+        return std::count_if(
+            fleets.begin(), fleets.end(), [&](const auto& fleet) { return fleet->isOwner(coldUpstream(id)); });
+    }
+
+    auto mostOwnersWithin(Core::Duration duration) -> std::ptrdiff_t
+    {
+        std::ptrdiff_t most = 0;
+        for (const auto end = time.now() + duration; time.now() < end; time.runFor(Core::Millis(50))) {
+            for (int upstream = 0; upstream < 40; ++upstream)
+                most = std::max(most, ownersOf("u" + std::to_string(upstream)));
+        }
+        return most;
+    }
+
+    auto checkOneOwnerEach() const -> void
+    {
+        for (int upstream = 0; upstream < 40; ++upstream)
+            BOOST_TEST(ownersOf("u" + std::to_string(upstream)) == 1);
+    }
+
+    TestSupport::VirtualTime time;
+    NullEventSink events;
+    DirectChannel channel;
+    std::vector<std::unique_ptr<EntryFleet::EntryFleet>> fleets;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EntryVmsOfARegion, ThreeEntryVms)
@@ -190,9 +244,22 @@
 BOOST_AUTO_TEST_CASE(IgnoreHeartbeatsOfItsPreviousStart)
 {
     one.upsert(entryVm("atl-2", "atl", 2));
-    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(1), false });
+    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(1), false, std::nullopt, false });
     BOOST_TEST(one.callerAddresses().size() == 1U);
-    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(2), false });
+    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(2), false, std::nullopt, false });
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CountOneWhoseClockSteppedBackOnceItsPreviousStartIsSilent)
+{
+    channel.silent.insert(Core::EntryVmId("atl-2"));
+    one.upsert(entryVm("atl-2", "atl", 0));
+    const EntryFleet::Heartbeat heartbeat { Core::EntryVmId("atl-2"), Core::ProcessStartId(0), false, std::nullopt,
+        false };
+    for (int cycle = 0; cycle < 6; ++cycle) {
+        time.runFor(EntryFleet::EntryFleet::heartbeatInterval);
+        one.receive(heartbeat);
+    }
     BOOST_TEST(one.callerAddresses().size() == 2U);
 }
 
@@ -207,6 +274,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(EntryVmsThatRestartWhileTheStoreTurnsThemAway, FourFreshEntryVms)
+
+/// Review case 2: each of them took the others for dead and itself for the one owner of every cold upstream.
+BOOST_AUTO_TEST_CASE(OwnEachColdUpstreamOnce)
+{
+    list(4);
+    BOOST_TEST(mostOwnersWithin(Core::Millis(3000)) == 1);
+    checkOneOwnerEach();
+}
+
+BOOST_AUTO_TEST_CASE(AreNamedToCallers)
+{
+    list(4);
+    time.runFor(Core::Millis(3000));
+    for (const auto& fleet : fleets)
+        BOOST_TEST(fleet->callerAddresses().size() == 4U);
+}
+
+/// Review case 2: the list came from other entry VMs seconds after the start.
+BOOST_AUTO_TEST_CASE(OwnNothingBeforeTheyHaveHeardTheOthers)
+{
+    time.runFor(Core::Millis(5300));
+    list(4);
+    BOOST_TEST(mostOwnersWithin(Core::Millis(100)) == 0);
+    BOOST_TEST(mostOwnersWithin(Core::Millis(2900)) == 1);
+    checkOneOwnerEach();
+}
+
+BOOST_AUTO_TEST_CASE(OwnEachColdUpstreamOnceAlthoughSomeWereNeverListed)
+{
+    time.runFor(Core::Millis(5300));
+    list(2);
+    BOOST_TEST(mostOwnersWithin(Core::Millis(3000)) == 1);
+    checkOneOwnerEach();
+}
+
+BOOST_AUTO_TEST_CASE(OwnEachColdUpstreamOnceWhenAnEarlierRegistrationIsWrittenLate)
+{
+    list(4, 0);
+    time.runFor(Core::Millis(3000));
+    list(4, 1);
+    BOOST_TEST(mostOwnersWithin(Core::Millis(3000)) == 1);
+    checkOneOwnerEach();
+}
+
+BOOST_AUTO_TEST_CASE(LeaveTheUpstreamsOfOneThatEndsToTheOthers)
+{
+    list(2);
+    time.runFor(Core::Millis(3000));
+    channel.silent.insert(Core::EntryVmId("atl-3"));
+    time.runFor(EntryFleet::EntryFleet::heartbeatTimeout + EntryFleet::EntryFleet::heartbeatInterval);
+    channel.receivers.erase(Core::Address("atl-3:81"));
+    fleets.erase(fleets.begin() + 2);
+    checkOneOwnerEach();
+    BOOST_TEST(fleets.front()->callerAddresses().size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AnEntryVmThatWasPaused, TwoEntryVmsOfARegion)
 
 BOOST_AUTO_TEST_CASE(ListsTheOthersForCallersAsBefore)
@@ -246,17 +372,35 @@
 
 BOOST_AUTO_TEST_CASE(IsDecodedAsItWasEncoded)
 {
-    const auto read = DatagramPeer::decodeHeartbeat(
-        DatagramPeer::encodeHeartbeat({ Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true }));
+    const auto read = DatagramPeer::decodeHeartbeat(DatagramPeer::encodeHeartbeat(
+        { Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true, std::nullopt, false }));
     BOOST_REQUIRE(read);
     BOOST_TEST(read->sender.value() == "atl-1");
     BOOST_TEST(read->start.value() == 77);
     BOOST_TEST(read->isLeaving);
+    BOOST_TEST(!read->introduction.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(IsDecodedWithItsIntroduction)
+{
+    const auto entry = entryVm("atl-1", "atl", 77);
+    const auto read
+        = DatagramPeer::decodeHeartbeat(DatagramPeer::encodeHeartbeat({ entry.id, entry.start, false, entry, true }));
+    BOOST_REQUIRE(read);
+    BOOST_REQUIRE(read->introduction.has_value());
+    BOOST_TEST(read->introduction->id.value() == "atl-1");
+    BOOST_TEST(read->introduction->start.value() == 77);
+    BOOST_TEST(read->introduction->failureDomain.value() == "atl-a");
+    BOOST_TEST(read->introduction->region.value() == "atl");
+    BOOST_TEST(read->introduction->front.value() == "atl-1:80");
+    BOOST_TEST(read->introduction->heartbeats.value() == "atl-1:81");
+    BOOST_TEST(read->introduction->peers.value() == "atl-1:82");
+    BOOST_TEST(read->isForwarded);
 }
 
 BOOST_AUTO_TEST_CASE(ThatIsMalformedIsRejected)
 {
-    for (const std::string bytes : { "", "x", "\xff\xff", "\x83\x01\x02\x03" })
+    for (const std::string bytes : { "", "x", "\xff\xff", "\x83\x01\x02\x03", "\x84\x61x\x01\xf4\x81\x01" })
         BOOST_TEST(!DatagramPeer::decodeHeartbeat(bytes));
 }
 
