--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -121,6 +121,7 @@
 {
     ChoiceQuery query;
     query.request = m_request.id;
+    query.route = m_route->id;
     if (m_route->hasObjectAffinity)
         query.object = m_request.object;
     query.homes = &m_route->homes;
@@ -176,11 +177,11 @@
 
 auto ForwardOperation::armResponseTimer(std::size_t index) -> void
 {
-    m_responseTimer
-        = m_environment.scheduler.after(m_context->pool.responseTimeLimit(), [weak = weak_from_this(), index] {
-              if (const auto operation = weak.lock())
-                  operation->onResponseTimeout(index);
-          });
+    m_responseTimer = m_environment.scheduler.after(
+        m_attempts[index].choice.exchange.responseTimeLimit, [weak = weak_from_this(), index] {
+            if (const auto operation = weak.lock())
+                operation->onResponseTimeout(index);
+        });
 }
 
 auto ForwardOperation::isStillWanted(const Ports::UpstreamTarget& target) -> bool
@@ -201,6 +202,7 @@
 {
     ExchangeReport report;
     report.target = choice.target;
+    report.exchange = choice.exchange;
     report.outcome = ExchangeOutcome::Cancelled;
     (void)m_context->pool.endExchange(report, now);
 }
@@ -239,6 +241,8 @@
 {
     ExchangeReport report;
     report.target = attempt.choice.target;
+    report.exchange = attempt.choice.exchange;
+    report.route = m_route->id;
     if (m_route->hasObjectAffinity)
         report.object = m_request.object;
     report.outcome = result.outcome;
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -10,9 +10,6 @@
 
     using Ports::ExchangeOutcome;
 
-    /// An upstream counts as unresponsive after this multiple of the cold service time without an answer.
-    constexpr int responseTimeFactor = 2;
-    constexpr Core::Millis minimumResponseTimeLimit { 700 };
     /// Weight of the newest report in the moving average of the load from other entry VMs.
     constexpr double loadSmoothingFactor = 0.1;
     constexpr auto earliestStart = std::numeric_limits<std::int64_t>::min();
@@ -79,17 +76,6 @@
     m_settings = settings;
 }
 
-auto ServicePool::responseTimeLimitLocked() const -> Core::Duration
-{
-    return std::max<Core::Duration>(minimumResponseTimeLimit, m_serviceTime.cold() * responseTimeFactor);
-}
-
-auto ServicePool::isUnresponsive(const UpstreamState& state, Core::Instant now) const -> bool
-{
-    const auto unresponsiveSince = state.unresponsiveSince();
-    return unresponsiveSince && now - *unresponsiveSince >= responseTimeLimitLocked();
-}
-
 auto ServicePool::findState(const Ports::UpstreamTarget& target) -> UpstreamState*
 {
     const auto found = m_states.find(target);
@@ -105,7 +91,7 @@
     const auto news = state->applySignals(report.signals, now);
     if (news.isLeaving || report.signals.pause.count() > 0)
         passSignalsOn(*state, now);
-    state->endExchange(report.load, now);
+    state->endExchange(report.exchange, report.load, now);
     if (report.load)
         m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
     if (const auto signal = healthSignalOf(report))
@@ -116,6 +102,7 @@
         probeAfterConnectionLoss(*state);
     if (report.outcome == ExchangeOutcome::Answered && !report.isUpstreamError) {
         m_serviceTime.record(report.duration, report.cacheState);
+        m_routeTimes.record(report.route, report.duration, report.cacheState, now);
         if (!report.object.value().empty())
             state->recordCachedObject(report.object, now);
     }
@@ -219,7 +206,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto* state = findState(target);
-    return state != nullptr && isUnresponsive(*state, now);
+    return state != nullptr && state->isUnresponsive(now);
 }
 
 auto ServicePool::acceptsRequests(const Ports::UpstreamTarget& target, Core::Instant now) -> bool
@@ -231,10 +218,4 @@
     return !m_evacuated.contains(state->entry().failureDomain);
 }
 
-auto ServicePool::responseTimeLimit() const -> Core::Duration
-{
-    const std::lock_guard lock(m_mutex);
-    return responseTimeLimitLocked();
-}
-
 } // namespace Forwarding
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -3,6 +3,7 @@
 #include "forwarding/placementsettings.h"
 #include "forwarding/queueadmission.h"
 #include "forwarding/replicaplanner.h"
+#include "forwarding/routeservicetimes.h"
 #include "forwarding/routingconfiguration.h"
 #include "forwarding/servicetimeestimator.h"
 #include "forwarding/upstreamnotice.h"
@@ -33,6 +34,7 @@
 /// Attributes of a request that determine the choice of an upstream.
 struct ChoiceQuery {
     Core::RequestId request;
+    RouteId route;
     /// Empty if the request concerns no object.
     ObjectKey object;
     /// Regions that may serve the request; null or empty allows all.
@@ -55,6 +57,7 @@
     CacheState cacheState = CacheState::NoObject;
     double occupancy = 0;
     Core::Duration predicted {};
+    OpenExchange exchange;
 };
 
 enum class ChoiceFailureReason : std::uint8_t {
@@ -81,6 +84,9 @@
 /// Result of one exchange with a chosen upstream.
 struct ExchangeReport {
     Ports::UpstreamTarget target;
+    /// As in the choice of the upstream.
+    OpenExchange exchange;
+    RouteId route;
     ObjectKey object;
     Ports::ExchangeOutcome outcome = Ports::ExchangeOutcome::Answered;
     bool isUpstreamError = false;
@@ -132,8 +138,6 @@
     [[nodiscard]] auto isUnresponsive(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
     /// Returns true unless the upstream is leaving, has asked for a pause, or its failure domain is being evacuated.
     [[nodiscard]] auto acceptsRequests(const Ports::UpstreamTarget& target, Core::Instant now) -> bool;
-    /// Returns the time without an answer after which an upstream counts as unresponsive.
-    [[nodiscard]] auto responseTimeLimit() const -> Core::Duration;
 
 private:
     /// Upstream that may serve the request, with the predictions for it.
@@ -153,9 +157,10 @@
     using States = std::map<Ports::UpstreamTarget, UpstreamState>;
 
     auto chooseLocked(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
-    [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates;
+    [[nodiscard]] auto candidatesFor(const ChoiceQuery& query, const RouteServiceTime& routeTime, Core::Instant now)
+        -> Candidates;
     [[nodiscard]] auto mayServe(const UpstreamState& state, const ChoiceQuery& query, Core::Instant now) const -> bool;
-    auto predict(Candidate& candidate, Core::Instant now) const -> void;
+    auto predict(Candidate& candidate, const RouteServiceTime& routeTime, Core::Instant now) const -> void;
     /// Keeps only the candidates that may serve the object: first those that have it cached, then those that it may be
     /// replicated to, each group sorted by cost. Returns the size of the first group.
     [[nodiscard]] auto orderByAffinity(Candidates& candidates, const ObjectKey& object) const -> std::size_t;
@@ -166,9 +171,10 @@
     /// time.
     auto considerReplica(Candidates& candidates, std::size_t warmCount, const ChoiceQuery& query, Core::Instant now)
         -> void;
+    /// Returns true if the candidate is predicted to answer in time, or if the prediction is due for a trial.
+    [[nodiscard]] static auto fits(
+        const Candidate& candidate, const ChoiceQuery& query, RouteServiceTime& routeTime, Core::Instant now) -> bool;
     [[nodiscard]] auto hasCapacity(const Candidate& candidate, int priority, Core::Instant now) const -> bool;
-    [[nodiscard]] auto isUnresponsive(const UpstreamState& state, Core::Instant now) const -> bool;
-    [[nodiscard]] auto responseTimeLimitLocked() const -> Core::Duration;
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
@@ -194,7 +200,9 @@
     bool m_isListStale = false;
     /// Includes upstreams that are no longer listed until their last exchange ends.
     States m_states;
+    /// Time over all routes, which decides how long a queue takes and what a replica costs.
     ServiceTimeEstimator m_serviceTime;
+    RouteServiceTimes m_routeTimes;
     ReplicaPlanner m_planner;
     QueueAdmission m_queueAdmission;
     /// Moving average of the load from other entry VMs on an upstream, in requests per slot.
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -52,7 +52,7 @@
         return false;
     if (state.isBusy() && isUnverified(state, now))
         return false;
-    return !isUnresponsive(state, now);
+    return !state.isUnresponsive(now);
 }
 
 auto ServicePool::occupancy(const UpstreamState& state, Core::Instant now) const -> double
@@ -60,7 +60,8 @@
     return state.occupancy(m_othersPerSlot * state.slots(), now);
 }
 
-auto ServicePool::candidatesFor(const ChoiceQuery& query, Core::Instant now) -> Candidates
+auto ServicePool::candidatesFor(const ChoiceQuery& query, const RouteServiceTime& routeTime, Core::Instant now)
+    -> Candidates
 {
     const bool hasObject = !query.object.value().empty();
     const auto& key = hasObject ? query.object.value() : query.request.value();
@@ -73,7 +74,7 @@
         candidate.score = Fleet::rendezvousScore(key, target.id.value());
         if (hasObject)
             candidate.cacheState = state.hasCached(query.object) ? CacheState::Warm : CacheState::Cold;
-        predict(candidate, now);
+        predict(candidate, routeTime, now);
         candidates.push_back(candidate);
     }
     return candidates;
@@ -176,16 +177,15 @@
     return {};
 }
 
-auto ServicePool::predict(Candidate& candidate, Core::Instant now) const -> void
+auto ServicePool::predict(Candidate& candidate, const RouteServiceTime& routeTime, Core::Instant now) const -> void
 {
     const auto& state = *candidate.state;
     candidate.occupancy = occupancy(state, now);
     const double workTimeFactor = state.workTimeFactor(now);
     candidate.wait = scaled(waitAt(candidate.occupancy, state.slots()), workTimeFactor);
     // Uses the warm service time even for a cold object, because another entry VM may have warmed the cache.
-    const auto usualTime = candidate.cacheState == CacheState::NoObject ? m_serviceTime.mean(CacheState::NoObject)
-                                                                        : m_serviceTime.warm();
-    candidate.serviceTime = scaled(usualTime, workTimeFactor);
+    const auto assumedState = candidate.cacheState == CacheState::NoObject ? CacheState::NoObject : CacheState::Warm;
+    candidate.serviceTime = scaled(routeTime.mean(assumedState), workTimeFactor);
     candidate.cost = candidate.wait + candidate.serviceTime + distanceCost(state.entry())
         + scaled(m_environment.settings.failureCost, state.failureShare());
 }
@@ -202,7 +202,8 @@
 auto ServicePool::chooseLocked(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult
 {
     m_serviceTime.setInitialEstimate(query.targetLatency);
-    auto candidates = candidatesFor(query, now);
+    auto& routeTime = m_routeTimes.at(query.route, query.targetLatency, now);
+    auto candidates = candidatesFor(query, routeTime, now);
     if (candidates.empty())
         return tl::unexpected(ChoiceFailure { ChoiceFailureReason::NoUpstream, 0, shortestPause(query, now) });
     if (query.object.value().empty()) {
@@ -221,20 +222,29 @@
             continue;
         if (candidate.cacheState == CacheState::Cold && &candidate != &candidates.front())
             continue;
-        if (candidate.wait + candidate.serviceTime > query.timeLeft)
+        if (!fits(candidate, query, routeTime, now))
             return tl::unexpected(
                 ChoiceFailure { ChoiceFailureReason::DeadlineUnreachable, candidates.size(), minimumWait });
         if (state.isCold(now))
             state.takeColdAllowance(m_settings.coldRate, now);
         if (isUnverified(state, now))
             state.requestProbe();
-        state.beginExchange(now);
+        const OpenExchange exchange { now, routeTime.responseTimeLimit() };
+        state.beginExchange(exchange);
         return Choice { state.entry().target, state.entry().failureDomain, candidate.cacheState, candidate.occupancy,
-            candidate.wait + candidate.serviceTime };
+            candidate.wait + candidate.serviceTime, exchange };
     }
     return tl::unexpected(ChoiceFailure { ChoiceFailureReason::Busy, candidates.size(), minimumWait });
 }
 
+auto ServicePool::fits(
+    const Candidate& candidate, const ChoiceQuery& query, RouteServiceTime& routeTime, Core::Instant now) -> bool
+{
+    if (candidate.wait + candidate.serviceTime <= query.timeLeft)
+        return true;
+    return candidate.wait < query.timeLeft && !query.isHedge && routeTime.tryTrial(now);
+}
+
 auto ServicePool::shortestPause(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration
 {
     std::optional<Core::Instant> first;
--- a/src/libs/forwarding/servicetimeestimator.cpp
+++ b/src/libs/forwarding/servicetimeestimator.cpp
@@ -48,6 +48,12 @@
     m_cold.micros = std::max(m_cold.micros, m_warm.micros * minimumColdRatio);
 }
 
+auto ServiceTimeEstimator::replaceWithNext() -> void
+{
+    for (auto* mean : { &m_warm, &m_cold, &m_noObject })
+        mean->samples = 0;
+}
+
 auto ServiceTimeEstimator::Mean::add(double value) -> void
 {
     ++samples;
--- a/src/libs/forwarding/servicetimeestimator.h
+++ b/src/libs/forwarding/servicetimeestimator.h
@@ -20,6 +20,8 @@
     /// Sets the initial estimates that apply until times are recorded; only the first call has an effect.
     auto setInitialEstimate(Core::Duration targetLatency) -> void;
     auto record(Core::Duration time, CacheState cacheState) -> void;
+    /// Lets the next recorded time of each cache state replace the estimate for it.
+    auto replaceWithNext() -> void;
     [[nodiscard]] auto mean(CacheState cacheState) const -> Core::Duration;
     [[nodiscard]] auto warm() const -> Core::Duration { return mean(CacheState::Warm); }
     [[nodiscard]] auto cold() const -> Core::Duration { return mean(CacheState::Cold); }
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -48,24 +48,24 @@
     m_coldUntil = std::max(m_coldUntil, entry.coldUntil);
 }
 
-auto UpstreamState::beginExchange(Core::Instant now) -> void
-{
-    if (m_inFlight++ == 0)
-        m_lastActivity = now;
-}
+auto UpstreamState::beginExchange(const OpenExchange& exchange) -> void { m_openExchanges.push_back(exchange); }
 
-auto UpstreamState::endExchange(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
+auto UpstreamState::endExchange(
+    const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
 {
     if (load) {
-        m_lastActivity = now;
+        m_lastLoadReport = now;
         m_lastAnswer = now;
         // The reported load includes the request that it answers.
-        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - m_inFlight);
+        const auto own = static_cast<double>(m_openExchanges.size());
+        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - own);
         m_reportedAt = now;
         if (load->workTime)
             m_workTime.record(*load->workTime, now);
     }
-    --m_inFlight;
+    const auto ended = std::find(m_openExchanges.begin(), m_openExchanges.end(), exchange);
+    if (ended != m_openExchanges.end())
+        m_openExchanges.erase(ended);
 }
 
 auto UpstreamState::applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals
@@ -94,7 +94,7 @@
 {
     // The list may show the same incarnation again, for example after an outage of the store.
     const bool saysLeaving = m_saysLeavingAt && now - *m_saysLeavingAt < leavingRetention;
-    return !m_isListed && m_inFlight == 0 && !m_isProbing && !saysLeaving && !isPaused(now);
+    return !m_isListed && !isBusy() && !m_isProbing && !saysLeaving && !isPaused(now);
 }
 
 auto UpstreamState::recordHealthSignal(HealthSignal signal, Core::Instant now) -> void
@@ -249,14 +249,15 @@
 {
     const double halfLives = static_cast<double>((now - m_reportedAt).count())
         / static_cast<double>(std::chrono::duration_cast<Core::Duration>(loadHalfLife).count());
-    return m_inFlight + meanOfOthers + (m_othersLoad - meanOfOthers) * std::exp2(-halfLives);
+    const auto own = static_cast<double>(m_openExchanges.size());
+    return own + meanOfOthers + (m_othersLoad - meanOfOthers) * std::exp2(-halfLives);
 }
 
-auto UpstreamState::unresponsiveSince() const -> std::optional<Core::Instant>
+auto UpstreamState::isUnresponsive(Core::Instant now) const -> bool
 {
-    if (m_inFlight == 0)
-        return std::nullopt;
-    return m_lastActivity;
+    return std::any_of(m_openExchanges.begin(), m_openExchanges.end(), [&](const OpenExchange& exchange) {
+        return now - std::max(exchange.startedAt, m_lastLoadReport) >= exchange.responseTimeLimit;
+    });
 }
 
 auto UpstreamState::hasColdAllowance(Core::Instant now) const -> bool { return now >= m_coldAllowanceAt; }
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -10,6 +10,15 @@
 
 namespace Forwarding {
 
+/// Exchange with an upstream that has no answer yet.
+struct OpenExchange {
+    Core::Instant startedAt;
+    /// Time without an answer after which the upstream counts as unresponsive.
+    Core::Duration responseTimeLimit {};
+
+    friend auto operator==(const OpenExchange&, const OpenExchange&) -> bool = default;
+};
+
 /// State that this entry VM tracks for one incarnation of an upstream, from start to end of its process.
 class UpstreamState {
 public:
@@ -25,8 +34,9 @@
     auto inheritSignals(const UpstreamState& earlier, Core::Instant now) -> void;
     /// Marks the upstream as no longer listed; its open exchanges continue.
     auto markUnlisted() -> void { m_isListed = false; }
-    auto beginExchange(Core::Instant now) -> void;
-    auto endExchange(const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void;
+    auto beginExchange(const OpenExchange& exchange) -> void;
+    auto endExchange(const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now)
+        -> void;
     /// Applies what the upstream says of itself. Returns the part that was news.
     auto applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals;
     auto recordHealthSignal(HealthSignal signal, Core::Instant now) -> void;
@@ -61,7 +71,7 @@
     /// Returns true if the last answer is so old that the upstream may have restarted since.
     [[nodiscard]] auto mayHaveRestarted(Core::Instant now) const -> bool;
     [[nodiscard]] auto isUnverified() const -> bool { return m_isUnverified; }
-    [[nodiscard]] auto isBusy() const -> bool { return m_inFlight > 0; }
+    [[nodiscard]] auto isBusy() const -> bool { return !m_openExchanges.empty(); }
     [[nodiscard]] auto isCold(Core::Instant now) const -> bool { return now < m_coldUntil; }
     [[nodiscard]] auto isProbeDue(Core::Instant now) const -> bool;
     /// Returns true if requests wait for the result of the due probe.
@@ -80,8 +90,8 @@
     [[nodiscard]] auto workTimeFactor(Core::Instant now) const -> double { return m_workTime.factor(now); }
     /// Returns the number of slots; at least 1.
     [[nodiscard]] auto slots() const -> double { return std::max(1U, m_entry.slots.value()); }
-    /// Returns the instant of the last activity if requests are in flight.
-    [[nodiscard]] auto unresponsiveSince() const -> std::optional<Core::Instant>;
+    /// Returns true if an open exchange has waited for longer than its limit since the last answer.
+    [[nodiscard]] auto isUnresponsive(Core::Instant now) const -> bool;
     /// Returns true if the rate limit of the cold upstream permits a request now.
     [[nodiscard]] auto hasColdAllowance(Core::Instant now) const -> bool;
     /// Charges one request to the rate limit of the cold upstream.
@@ -97,7 +107,7 @@
     auto recordFailedProbe(Core::ErrorKind kind, Core::Instant now) -> bool;
 
     UpstreamEntry m_entry;
-    std::uint32_t m_inFlight = 0;
+    std::vector<OpenExchange> m_openExchanges;
     double m_othersLoad = 0;
     WorkTimeEstimator m_workTime;
     Core::Instant m_reportedAt;
@@ -107,8 +117,8 @@
     /// Time at which the upstream first said, in an answer, that it leaves. Holds until the end of this incarnation.
     std::optional<Core::Instant> m_saysLeavingAt;
     Core::Instant m_coldUntil;
-    /// Time of the last load report, or the start of the first request in flight if that is later.
-    Core::Instant m_lastActivity;
+    /// Time of the last answer that reported a load.
+    Core::Instant m_lastLoadReport;
     Core::Instant m_lastAnswer;
     Core::Instant m_coldAllowanceAt;
     Core::Instant m_probeAt;
--- a/tests/auto/forwarding/poolfixture.h
+++ b/tests/auto/forwarding/poolfixture.h
@@ -34,6 +34,7 @@
     {
         Forwarding::ExchangeReport report;
         report.target = choice.target;
+        report.exchange = choice.exchange;
         report.object = Forwarding::ObjectKey(object);
         report.outcome = outcome;
         report.duration = Core::Millis(200);
@@ -47,6 +48,7 @@
     {
         Forwarding::ExchangeReport report;
         report.target = choice.target;
+        report.exchange = choice.exchange;
         report.outcome = Ports::ExchangeOutcome::NotRun;
         report.signals = signals;
         return pool.endExchange(report, now);
--- a/tests/auto/forwarding/simulatedsite.cpp
+++ b/tests/auto/forwarding/simulatedsite.cpp
@@ -14,9 +14,18 @@
     constexpr std::array<int, 3> upstreamsPerRegion { 6, 2, 6 };
     constexpr std::array<int, 3> entryVmsPerRegion { 4, 3, 3 };
 
-    class NullExchange : public Ports::Exchange {
+    class SimulatedExchange : public Ports::Exchange {
     public:
-        auto cancel() -> void override { }
+        SimulatedExchange(SimulatedUpstream& upstream, SimulatedUpstream::JobPointer job)
+            : m_upstream(upstream)
+            , m_job(std::move(job))
+        {
+        }
+        auto cancel() -> void override { m_upstream.drop(m_job); }
+
+    private:
+        SimulatedUpstream& m_upstream;
+        SimulatedUpstream::JobPointer m_job;
     };
 
     /// Sends each request once, to a random upstream or the one with the fewest outstanding requests.
@@ -255,29 +264,54 @@
 {
 }
 
-auto SimulatedUpstream::offer(const std::string& object, Done done) -> void
+auto SimulatedUpstream::offer(const JobPointer& job) -> void
 {
     if (m_isUnresponsive)
         return;
     if (m_running < static_cast<std::uint32_t>(m_behaviour.slots)) {
-        start({ object, std::move(done) });
+        start(job);
         return;
     }
     if (m_waiting.size() < m_behaviour.queue) {
-        m_waiting.push_back({ object, std::move(done) });
+        m_waiting.push_back(job);
         return;
     }
+    job->hasEnded = true;
     Ports::ExchangeResult refused;
     refused.outcome = Ports::ExchangeOutcome::NotRun;
     refused.load = load();
-    done(refused);
+    job->done(refused);
 }
 
-auto SimulatedUpstream::start(Job job) -> void
+auto SimulatedUpstream::start(const JobPointer& job) -> void
 {
     ++m_running;
-    const auto time = serviceTime(job.object);
-    m_time.schedule(time, [this, job = std::move(job)] { finish(job); });
+    job->isRunning = true;
+    m_time.schedule(serviceTime(job->object), [this, job] { finish(job); });
+}
+
+auto SimulatedUpstream::startNext() -> void
+{
+    --m_running;
+    if (m_waiting.empty() || m_isUnresponsive)
+        return;
+    const auto next = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    start(next);
+}
+
+auto SimulatedUpstream::drop(const JobPointer& job) -> void
+{
+    if (job->hasEnded)
+        return;
+    job->hasEnded = true;
+    if (job->isRunning)
+        startNext();
+    else
+        std::erase(m_waiting, job);
+    Ports::ExchangeResult cancelled;
+    cancelled.outcome = Ports::ExchangeOutcome::Cancelled;
+    job->done(cancelled);
 }
 
 auto SimulatedUpstream::serviceTime(const std::string& object) -> Core::Duration
@@ -289,22 +323,18 @@
         static_cast<double>(mean.count()) * std::max(0.3, spread) * m_behaviour.slowness));
 }
 
-auto SimulatedUpstream::finish(const Job& job) -> void
+auto SimulatedUpstream::finish(const JobPointer& job) -> void
 {
-    if (m_isUnresponsive)
+    if (m_isUnresponsive || job->hasEnded)
         return;
-    cacheObject(job.object);
+    job->hasEnded = true;
+    cacheObject(job->object);
     Ports::ExchangeResult answered;
     answered.outcome = Ports::ExchangeOutcome::Answered;
     answered.answer = std::make_shared<TextMessage>("answer");
     answered.load = load();
-    --m_running;
-    if (!m_waiting.empty()) {
-        auto next = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        start(std::move(next));
-    }
-    job.done(answered);
+    startNext();
+    job->done(answered);
 }
 
 auto SimulatedUpstream::cacheObject(const std::string& object) -> void
@@ -344,8 +374,10 @@
 auto SimulatedExchanges::start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange>
 {
     const auto& object = static_cast<const TextMessage&>(*call.request).text;
-    m_upstreams.at(call.target.id)->offer(object, std::move(callback));
-    return std::make_shared<NullExchange>();
+    auto& upstream = *m_upstreams.at(call.target.id);
+    auto job = std::make_shared<SimulatedUpstream::Job>(SimulatedUpstream::Job { object, std::move(callback) });
+    upstream.offer(job);
+    return std::make_shared<SimulatedExchange>(upstream, std::move(job));
 }
 
 auto SimulatedExchanges::probeHealth(const Ports::UpstreamTarget& target, const std::string&, HealthCallback callback)
--- a/tests/auto/forwarding/simulatedsite.h
+++ b/tests/auto/forwarding/simulatedsite.h
@@ -20,13 +20,24 @@
     bool reportsWorkTime = false;
 };
 
-/// Upstream in virtual time, with slots, a queue, a cache of objects and load reports.
+/// Upstream in virtual time, with slots, a queue, a cache of objects and load reports. It drops a request whose
+/// exchange is cancelled.
 class SimulatedUpstream {
 public:
     SimulatedUpstream(TestSupport::VirtualTime& time, UpstreamBehaviour behaviour);
 
     using Done = std::function<void(Ports::ExchangeResult)>;
-    auto offer(const std::string& object, Done done) -> void;
+    struct Job {
+        std::string object;
+        Done done;
+        bool isRunning = false;
+        bool hasEnded = false;
+    };
+    using JobPointer = std::shared_ptr<Job>;
+
+    auto offer(const JobPointer& job) -> void;
+    /// Ends the job without an answer, and frees its slot or its place in the queue.
+    auto drop(const JobPointer& job) -> void;
     auto setSlowness(double factor) -> void { m_behaviour.slowness = factor; }
     /// From now on others use the machine in bursts of a few hundred milliseconds.
     auto shareMachine() -> void;
@@ -34,13 +45,9 @@
     auto stopResponding() -> void { m_isUnresponsive = true; }
 
 private:
-    struct Job {
-        std::string object;
-        Done done;
-    };
-
-    auto start(Job job) -> void;
-    auto finish(const Job& job) -> void;
+    auto start(const JobPointer& job) -> void;
+    auto startNext() -> void;
+    auto finish(const JobPointer& job) -> void;
     auto serviceTime(const std::string& object) -> Core::Duration;
     auto cacheObject(const std::string& object) -> void;
     [[nodiscard]] auto load() const -> Ports::ReportedLoad;
@@ -49,7 +56,7 @@
     UpstreamBehaviour m_behaviour;
     std::mt19937_64 m_random { 7 };
     std::uint32_t m_running = 0;
-    std::deque<Job> m_waiting;
+    std::deque<JobPointer> m_waiting;
     std::list<std::string> m_cache;
     bool m_isUnresponsive = false;
 };
--- a/tests/auto/forwarding/tst_forwardoperation.cpp
+++ b/tests/auto/forwarding/tst_forwardoperation.cpp
@@ -88,6 +88,51 @@
     }
 };
 
+/// Two routes to one service: reports that take long, and quick questions with a short timeout.
+struct TwoRoutesOfOneService : ForwarderFixture {
+    static constexpr Core::Millis longWork { 1600 };
+    static constexpr Core::Millis shortWork { 50 };
+
+    TwoRoutesOfOneService() { configureBoth(Core::Millis(8000)); }
+
+    auto configureBoth(Core::Duration reportTimeout) -> void
+    {
+        auto reports = stockRoute();
+        reports.id = Forwarding::RouteId("report");
+        reports.pathPrefix = "/report/";
+        reports.hasObjectAffinity = false;
+        reports.timeout = reportTimeout;
+        reports.targetLatency = Core::Millis(2000);
+        auto questions = reports;
+        questions.id = Forwarding::RouteId("question");
+        questions.pathPrefix = "/question/";
+        questions.timeout = Core::Millis(1000);
+        questions.targetLatency = Core::Millis(200);
+        forwarder.setConfiguration(configurationWith({ reports, questions }));
+    }
+
+    /// Sends one request and answers it after the given time. Returns false if it was refused.
+    auto ask(const std::string& path, Core::Duration work) -> bool
+    {
+        replies.clear();
+        const auto before = exchanges.exchanges.size();
+        send("r" + std::to_string(requests++), path);
+        if (exchanges.exchanges.size() == before)
+            return false;
+        time.runFor(work);
+        exchanges.end(before, ExchangeOutcome::Answered);
+        return isAnswered();
+    }
+
+    auto askForReports(int count) -> void
+    {
+        for (int report = 0; report < count; ++report)
+            BOOST_TEST(ask("/report/1", longWork));
+    }
+
+    int requests = 0;
+};
+
 struct UnconfiguredForwarder : ForwarderFixture {
     UnconfiguredForwarder()
         : bare({ time, time, random, exchanges, events, metrics, { localLocation, entryVms, {} } })
@@ -307,6 +352,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(OfARouteThatSharesItsService, TwoRoutesOfOneService)
+
+/// Review case 4: the time that other routes' requests take kept every request of a quick route from being sent.
+BOOST_AUTO_TEST_CASE(IsNotJudgedByTheWorkOfOtherRoutes)
+{
+    askForReports(8);
+    for (int question = 0; question < 8; ++question)
+        BOOST_TEST(ask("/question/1", shortWork));
+}
+
+/// Review case 4: the same estimate decides when an upstream counts as unresponsive.
+BOOST_AUTO_TEST_CASE(IsSentToUpstreamsThatWorkOnLongRequestsOfAnotherRoute)
+{
+    BOOST_TEST(ask("/question/1", shortWork));
+    for (int report = 0; report < 3; ++report)
+        send("report" + std::to_string(report), "/report/1");
+    time.runFor(Core::Millis(1000));
+    BOOST_TEST(ask("/question/1", shortWork));
+}
+
+/// Review case 4: nothing was sent that could have corrected the estimate.
+BOOST_AUTO_TEST_CASE(IsTriedOnceInAWhileWhenTheEstimateKeepsAllFromBeingSent)
+{
+    askForReports(8);
+    configureBoth(Core::Millis(1000));
+    BOOST_TEST(!ask("/report/1", shortWork));
+    BOOST_TEST((refusal().reason == RefusalReason::DeadlineUnreachable));
+    int served = 0;
+    for (int attempt = 0; attempt < 50; ++attempt) {
+        time.runFor(Core::Millis(100));
+        served += ask("/report/1", shortWork) ? 1 : 0;
+    }
+    BOOST_TEST(served > 25);
+}
+
+BOOST_AUTO_TEST_CASE(IsTriedMoreAndMoreRarelyWhileTheTrialsFail)
+{
+    askForReports(8);
+    configureBoth(Core::Millis(1000));
+    const auto before = exchanges.exchanges.size();
+    for (int attempt = 0; attempt < 300; ++attempt) {
+        time.runFor(Core::Millis(100));
+        send("r" + std::to_string(attempt), "/report/1");
+    }
+    const auto trials = exchanges.exchanges.size() - before;
+    BOOST_TEST(trials >= 2U);
+    BOOST_TEST(trials <= 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhoseCallerDisconnects, ForwarderFixture)
 
 BOOST_AUTO_TEST_CASE(IsCancelledAtTheUpstreamAtOnce)
--- a/tests/auto/forwarding/tst_servicepool.cpp
+++ b/tests/auto/forwarding/tst_servicepool.cpp
@@ -122,6 +122,7 @@
 {
     Forwarding::ExchangeReport report;
     report.target = choice.target;
+    report.exchange = choice.exchange;
     report.duration = Core::Millis(200);
     report.load = Ports::ReportedLoad { 1, 0, Core::SlotCount(4), Core::Percent(percent) };
     fixture.pool.endExchange(report, fixture.now);
