--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -92,6 +92,8 @@
     if (news.isLeaving || report.signals.pause.count() > 0)
         passSignalsOn(*state, now);
     state->endExchange(report.exchange, report.load, now);
+    if (report.outcome == ExchangeOutcome::Answered || report.outcome == ExchangeOutcome::NotRun)
+        state->recordActivity(now);
     if (report.load)
         m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
     if (const auto signal = healthSignalOf(report))
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -54,7 +54,6 @@
     const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
 {
     if (load) {
-        m_lastLoadReport = now;
         m_lastAnswer = now;
         // The reported load includes the request that it answers.
         const auto own = static_cast<double>(m_openExchanges.size());
@@ -256,7 +255,7 @@
 auto UpstreamState::isUnresponsive(Core::Instant now) const -> bool
 {
     return std::any_of(m_openExchanges.begin(), m_openExchanges.end(), [&](const OpenExchange& exchange) {
-        return now - std::max(exchange.startedAt, m_lastLoadReport) >= exchange.responseTimeLimit;
+        return now - std::max(exchange.startedAt, m_lastActivity) >= exchange.responseTimeLimit;
     });
 }
 
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -37,6 +37,8 @@
     auto beginExchange(const OpenExchange& exchange) -> void;
     auto endExchange(const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now)
         -> void;
+    /// Records that the upstream has answered a request, whether or not it ran it.
+    auto recordActivity(Core::Instant now) -> void { m_lastActivity = now; }
     /// Applies what the upstream says of itself. Returns the part that was news.
     auto applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals;
     auto recordHealthSignal(HealthSignal signal, Core::Instant now) -> void;
@@ -117,8 +119,9 @@
     /// Time at which the upstream first said, in an answer, that it leaves. Holds until the end of this incarnation.
     std::optional<Core::Instant> m_saysLeavingAt;
     Core::Instant m_coldUntil;
-    /// Time of the last answer that reported a load.
-    Core::Instant m_lastLoadReport;
+    /// Time of the last answer to a request.
+    Core::Instant m_lastActivity;
+    /// Time of the last answer that shows that the process is the known one.
     Core::Instant m_lastAnswer;
     Core::Instant m_coldAllowanceAt;
     Core::Instant m_probeAt;
--- a/tests/auto/forwarding/tst_forwardoperation.cpp
+++ b/tests/auto/forwarding/tst_forwardoperation.cpp
@@ -283,6 +283,20 @@
     BOOST_TEST((refusal().reason == RefusalReason::UpstreamTimeout));
 }
 
+/// Review case 1: an upstream that reports no load was taken for dead while it answered one request after the other.
+BOOST_AUTO_TEST_CASE(IsSentNowhereElseWhileItAnswersOthersWithoutALoadReport)
+{
+    forwarder.setUpstreams(byId({ upstream("a1") }), {});
+    send("slow");
+    for (int request = 0; request < 6; ++request) {
+        send("r" + std::to_string(request));
+        time.runFor(Core::Millis(300));
+        BOOST_REQUIRE(exchanges.exchanges.size() == static_cast<std::size_t>(request) + 2);
+        exchanges.end(exchanges.exchanges.size() - 1, ExchangeOutcome::Answered);
+    }
+    BOOST_TEST(events.count("upstream.silent") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(LeavesTheSilentUpstreamWithoutNewRequests)
 {
     send();
