--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -32,31 +32,7 @@
         return;
     }
     const auto now = m_environment.clock.now();
-    const auto [found, isNew] = m_members.try_emplace(entry.id);
-    auto& member = found->second;
-    // An earlier start is an old registration: its process has ended, or the store took the later one's not yet.
-    if (isNew || entry.start > member.currentStart)
-        track(member, entry.start, now);
-    member.entry = entry;
-    member.isListed = true;
-}
-
-auto EntryFleet::track(Member& member, Core::ProcessStartId start, Core::Instant now) -> void
-{
-    member.currentStart = start;
-    member.knownSince = now;
-    // The store's entry outlives its process.
-    member.lastHeartbeat = now - heartbeatTimeout;
-    member.isLeaving = false;
-}
-
-auto EntryFleet::isCurrent(const Member& member, const Heartbeat& heartbeat, Core::Instant now) -> bool
-{
-    if (heartbeat.start >= member.currentStart)
-        return true;
-    // A heartbeat of an earlier process can arrive late. The clock of an entry VM can also step back before its process
-    // restarts; then the later start stays silent.
-    return now - std::max(member.knownSince, member.lastHeartbeat) >= heartbeatTimeout;
+    m_members.try_emplace(entry.id, entry, now).first->second.list(entry, now);
 }
 
 auto EntryFleet::replaceAll(const std::vector<EntryVmEntry>& entries) -> void
@@ -66,7 +42,7 @@
         const std::lock_guard lock(m_mutex);
         m_isListed = false;
         for (auto& [id, member] : m_members)
-            member.isListed = false;
+            member.markUnlisted();
         for (const auto& entry : entries)
             put(entry);
         const auto now = m_environment.clock.now();
@@ -81,7 +57,7 @@
 
 auto EntryFleet::forgetUnlisted(Core::Instant now) -> void
 {
-    std::erase_if(m_members, [&](const auto& item) { return !item.second.isListed && !isAlive(item.second, now); });
+    std::erase_if(m_members, [&](const auto& item) { return !item.second.isListed() && !isAlive(item.second, now); });
 }
 
 auto EntryFleet::deferOwnership(Core::Instant now) -> void { m_ownershipStart = now + 2 * heartbeatInterval; }
@@ -107,13 +83,10 @@
     if (!introduction || introduction->id != heartbeat.sender || !isRegionalPeer(*introduction))
         return nullptr;
     const auto introduced
-        = std::count_if(m_members.begin(), m_members.end(), [](const auto& item) { return !item.second.isListed; });
+        = std::count_if(m_members.begin(), m_members.end(), [](const auto& item) { return !item.second.isListed(); });
     if (static_cast<std::size_t>(introduced) >= maximumIntroduced)
         return nullptr;
-    auto& member = m_members[heartbeat.sender];
-    member.entry = *introduction;
-    track(member, heartbeat.start, m_environment.clock.now());
-    return &member;
+    return &m_members.try_emplace(heartbeat.sender, *introduction, m_environment.clock.now()).first->second;
 }
 
 auto EntryFleet::receive(const Heartbeat& heartbeat) -> void
@@ -125,15 +98,10 @@
 auto EntryFleet::apply(const Heartbeat& heartbeat) -> bool
 {
     const std::lock_guard lock(m_mutex);
-    const auto now = m_environment.clock.now();
     auto* member = senderOf(heartbeat);
-    if (member == nullptr || !isCurrent(*member, heartbeat, now))
+    if (member == nullptr || !member->receive(heartbeat, m_environment.clock.now()))
         return false;
-    if (member->currentStart != heartbeat.start)
-        track(*member, heartbeat.start, now);
-    member->lastHeartbeat = now;
-    member->isLeaving = heartbeat.isLeaving;
-    return !member->isListed && heartbeat.introduction && !heartbeat.isForwarded;
+    return !member->isListed() && heartbeat.introduction && !heartbeat.isForwarded;
 }
 
 auto EntryFleet::forward(Heartbeat heartbeat) -> void
@@ -142,8 +110,8 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const auto& [id, member] : m_members) {
-            if (!member.isListed && id != heartbeat.sender)
-                addresses.push_back(member.entry.heartbeats);
+            if (!member.isListed() && id != heartbeat.sender)
+                addresses.push_back(member.entry().heartbeats);
         }
     }
     heartbeat.isForwarded = true;
@@ -186,7 +154,7 @@
     if (gap <= maximumCycleGap)
         return false;
     for (auto& [id, member] : m_members)
-        member.lastHeartbeat = std::min(now, member.lastHeartbeat + gap);
+        member.excludePause(gap, now);
     if (m_hasList)
         deferOwnership(now);
     m_environment.events.record({ Ports::EventKind("process.held-up"), {},
@@ -209,8 +177,8 @@
         if (!m_isListed)
             heartbeat.introduction = m_self;
         for (const auto& [id, member] : m_members) {
-            if (isRegionalPeer(member.entry))
-                addresses.push_back(member.entry.heartbeats);
+            if (isRegionalPeer(member.entry()))
+                addresses.push_back(member.entry().heartbeats);
         }
     }
     for (const auto& address : addresses)
@@ -228,24 +196,25 @@
 
 auto EntryFleet::isAlive(const Member& member, Core::Instant now) const -> bool
 {
-    return observedUntil(now) - member.lastHeartbeat < heartbeatTimeout;
+    return member.isAlive(observedUntil(now));
 }
 
 auto EntryFleet::acceptsCallers(const Member& member, Core::Instant now) const -> bool
 {
-    return isRegionalPeer(member.entry) && !member.isLeaving && isAlive(member, now);
+    return isRegionalPeer(member.entry()) && !member.isLeaving() && isAlive(member, now);
 }
 
 auto EntryFleet::recordLivenessChanges(Core::Instant now) -> void
 {
     for (auto& [id, member] : m_members) {
-        if (!isRegionalPeer(member.entry) || member.wasAlive == isAlive(member, now))
+        const bool isAliveNow = isAlive(member, now);
+        if (!isRegionalPeer(member.entry()) || !member.setWasAlive(isAliveNow))
             continue;
-        member.wasAlive = !member.wasAlive;
-        m_environment.events.record({ Ports::EventKind(member.wasAlive ? "member.alive" : "member.suspected"), {},
-            { { "vm", id.value() }, { "failureDomain", member.entry.failureDomain.value() },
+        m_environment.events.record({ Ports::EventKind(isAliveNow ? "member.alive" : "member.suspected"), {},
+            { { "vm", id.value() }, { "failureDomain", member.entry().failureDomain.value() },
                 { "silentMs",
-                    std::to_string(std::chrono::duration_cast<Core::Millis>(now - member.lastHeartbeat).count()) } } });
+                    std::to_string(
+                        std::chrono::duration_cast<Core::Millis>(now - member.lastHeartbeat()).count()) } } });
     }
 }
 
@@ -258,7 +227,7 @@
         addresses.push_back(m_self.front);
     for (const auto& [id, member] : m_members) {
         if (acceptsCallers(member, now))
-            addresses.push_back(member.entry.front);
+            addresses.push_back(member.entry().front);
     }
     return addresses;
 }
@@ -270,8 +239,8 @@
     std::vector<Core::Address> preferred;
     std::vector<Core::Address> others;
     for (const auto& [id, member] : m_members) {
-        const bool isPreferred = isRegionalPeer(member.entry) && isAlive(member, now);
-        (isPreferred ? preferred : others).push_back(member.entry.peers);
+        const bool isPreferred = isRegionalPeer(member.entry()) && isAlive(member, now);
+        (isPreferred ? preferred : others).push_back(member.entry().peers);
     }
     preferred.insert(preferred.end(), others.begin(), others.end());
     return preferred;
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entryfleet/entryvmentry.h"
+#include "entryfleet/member.h"
 #include "forwarding/servicepool.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
@@ -21,7 +21,7 @@
 public:
     static constexpr Core::Millis heartbeatInterval { 700 };
     /// Time without a heartbeat after which an entry VM is left out of look-up answers.
-    static constexpr Core::Millis heartbeatTimeout { 2300 };
+    static constexpr Core::Millis heartbeatTimeout { Member::heartbeatTimeout };
     /// Longest time between two heartbeat cycles of a running process. A longer gap means that the process was paused
     /// and missed heartbeats of the others.
     static constexpr Core::Millis maximumCycleGap { 2 * heartbeatInterval };
@@ -52,33 +52,17 @@
     [[nodiscard]] auto callerAddresses() const -> std::vector<Core::Address>;
     /// Returns the peer addresses of the other entry VMs: first the live ones of the region, then all others.
     [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
-    /// Returns the number of entry VMs that the store lists, including this one.
+    /// Returns the number of entry VMs that are listed or have introduced themselves, including this one.
     [[nodiscard]] auto listedCount() const -> std::size_t;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
     [[nodiscard]] auto regionalCount() const -> std::size_t override;
 
 private:
-    struct Member {
-        EntryVmEntry entry;
-        /// Start of the process that is tracked; the store may list an earlier one.
-        Core::ProcessStartId currentStart;
-        /// Time at which that process became known.
-        Core::Instant knownSince;
-        Core::Instant lastHeartbeat;
-        bool isListed = false;
-        bool isLeaving = false;
-        bool wasAlive = false;
-    };
-
     [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
     /// Returns true if the member is another entry VM of the region that is alive and not leaving.
     [[nodiscard]] auto acceptsCallers(const Member& member, Core::Instant now) const -> bool;
     [[nodiscard]] auto isRegionalPeer(const EntryVmEntry& entry) const -> bool;
     auto put(const EntryVmEntry& entry) -> void;
-    /// Tracks the process with that start from now on; it counts as alive after its first heartbeat.
-    static auto track(Member& member, Core::ProcessStartId start, Core::Instant now) -> void;
-    /// Returns true if the heartbeat is from the tracked process or from one that has succeeded it.
-    [[nodiscard]] static auto isCurrent(const Member& member, const Heartbeat& heartbeat, Core::Instant now) -> bool;
     /// Applies the heartbeat. Returns true if the others need to be told of its sender.
     auto apply(const Heartbeat& heartbeat) -> bool;
     /// Returns the sender's member, which a heartbeat with an introduction adds; null if it is unknown.
