--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -28,7 +28,7 @@
 auto EntryFleet::put(const EntryVmEntry& entry) -> void
 {
     if (entry.id == m_self.id) {
-        m_isListed = entry.start == m_self.start;
+        m_isSelfListed = entry.start == m_self.start;
         return;
     }
     const auto now = m_environment.clock.now();
@@ -40,7 +40,7 @@
     bool isFirstList = false;
     {
         const std::lock_guard lock(m_mutex);
-        m_isListed = false;
+        m_isSelfListed = false;
         for (auto& [id, member] : m_members)
             member.markUnlisted();
         for (const auto& entry : entries)
@@ -170,11 +170,11 @@
 auto EntryFleet::sendHeartbeats() -> void
 {
     std::vector<Core::Address> addresses;
-    Heartbeat heartbeat { m_self.id, m_self.start, false, std::nullopt, false };
+    Heartbeat heartbeat { m_self.id, m_self.start, false };
     {
         const std::lock_guard lock(m_mutex);
         heartbeat.isLeaving = m_isLeaving;
-        if (!m_isListed)
+        if (!m_isSelfListed)
             heartbeat.introduction = m_self;
         for (const auto& [id, member] : m_members) {
             if (isRegionalPeer(member.entry()))
@@ -255,7 +255,7 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(others) + (m_isLeaving ? 0 : 1));
 }
 
-auto EntryFleet::listedCount() const -> std::size_t
+auto EntryFleet::knownCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
     return m_members.size() + 1;
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -53,7 +53,7 @@
     /// Returns the peer addresses of the other entry VMs: first the live ones of the region, then all others.
     [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
     /// Returns the number of entry VMs that are listed or have introduced themselves, including this one.
-    [[nodiscard]] auto listedCount() const -> std::size_t;
+    [[nodiscard]] auto knownCount() const -> std::size_t;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
     [[nodiscard]] auto regionalCount() const -> std::size_t override;
 
@@ -88,7 +88,7 @@
     mutable std::mutex m_mutex;
     std::map<Core::EntryVmId, Member> m_members;
     /// The store lists this process, so that the others know of it.
-    bool m_isListed = false;
+    bool m_isSelfListed = false;
     bool m_hasList = false;
     bool m_isStarted = false;
     bool m_isLeaving = false;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -132,14 +132,14 @@
     return query;
 }
 
-auto ForwardOperation::openAttempt(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged)
+auto ForwardOperation::openAttempt(const Choice& choice, std::optional<std::size_t> hedged)
     -> std::optional<std::size_t>
 {
     const std::lock_guard lock(m_mutex);
     if (m_isClosed || (hedged && (m_isDone || m_attempts[*hedged].hasEnded || !hasAttemptsLeft())))
         return std::nullopt;
     Core::invariant(m_route->isIdempotent || !m_mayHaveRun, "forwarding.runs-once");
-    m_attempts.push_back({ choice, now, nullptr, false });
+    m_attempts.push_back({ choice, nullptr, false });
     m_tried.push_back(choice.target.id);
     ++m_sends;
     return m_attempts.size() - 1;
@@ -147,7 +147,7 @@
 
 auto ForwardOperation::startExchange(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged) -> void
 {
-    const auto attempt = openAttempt(choice, now, hedged);
+    const auto attempt = openAttempt(choice, hedged);
     if (!attempt) {
         releaseChoice(choice, now);
         return;
@@ -249,7 +249,7 @@
     report.isUpstreamError = result.isUpstreamError;
     report.reusedConnection = result.reusedConnection;
     report.load = result.load;
-    report.duration = now - attempt.startedAt;
+    report.duration = now - attempt.choice.exchange.startedAt;
     report.cacheState = attempt.choice.cacheState;
     report.signals = result.signals;
     m_recorder.recordSignals(report.target, m_context->pool.endExchange(report, now));
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -17,7 +17,6 @@
     /// One exchange with an upstream.
     struct Attempt {
         Choice choice;
-        Core::Instant startedAt;
         std::shared_ptr<Ports::Exchange> exchange;
         bool hasEnded = false;
     };
@@ -30,8 +29,7 @@
     [[nodiscard]] auto makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery;
     /// Returns the index of the new attempt. Returns nullopt if the operation is closed, or if the attempt would hedge
     /// one that has ended.
-    auto openAttempt(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged)
-        -> std::optional<std::size_t>;
+    auto openAttempt(const Choice& choice, std::optional<std::size_t> hedged) -> std::optional<std::size_t>;
     /// `hedged` is the index of the attempt that stays open beside the new one, if there is one.
     auto startExchange(const Choice& choice, Core::Instant now, std::optional<std::size_t> hedged = std::nullopt)
         -> void;
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -56,8 +56,7 @@
     if (load) {
         m_lastAnswer = now;
         // The reported load includes the request that it answers.
-        const auto own = static_cast<double>(m_openExchanges.size());
-        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - own);
+        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - ownLoad());
         m_reportedAt = now;
         if (load->workTime)
             m_workTime.record(*load->workTime, now);
@@ -248,8 +247,7 @@
 {
     const double halfLives = static_cast<double>((now - m_reportedAt).count())
         / static_cast<double>(std::chrono::duration_cast<Core::Duration>(loadHalfLife).count());
-    const auto own = static_cast<double>(m_openExchanges.size());
-    return own + meanOfOthers + (m_othersLoad - meanOfOthers) * std::exp2(-halfLives);
+    return ownLoad() + meanOfOthers + (m_othersLoad - meanOfOthers) * std::exp2(-halfLives);
 }
 
 auto UpstreamState::isUnresponsive(Core::Instant now) const -> bool
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -100,6 +100,8 @@
     auto takeColdAllowance(double perSecond, Core::Instant now) -> void;
 
 private:
+    /// Returns the number of requests that this entry VM has open at the upstream.
+    [[nodiscard]] auto ownLoad() const -> double { return static_cast<double>(m_openExchanges.size()); }
     auto evictOldestObject() -> void;
     /// Records that the known process is still running.
     auto markVerified(Core::Instant now) -> void;
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -168,7 +168,7 @@
 
 auto EntryVm::applyRetryAllowance() -> void
 {
-    const auto entryVms = static_cast<double>(m_fleet.listedCount());
+    const auto entryVms = static_cast<double>(m_fleet.knownCount());
     m_forwarder.setRetryAllowance(
         { m_settings.retryRatio * usedAllowanceShare, m_settings.retrySlack * usedAllowanceShare / entryVms });
 }
--- a/src/plugins/datagrampeer/datagrampeer.cpp
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -54,7 +54,7 @@
 {
     return Cbor::unpack(payload, "a heartbeat", [](const nlohmann::json& value) {
         EntryFleet::Heartbeat heartbeat { Core::EntryVmId(value.at(0).get<std::string>()),
-            Core::ProcessStartId(value.at(1).get<std::int64_t>()), value.at(2).get<bool>(), std::nullopt, false };
+            Core::ProcessStartId(value.at(1).get<std::int64_t>()), value.at(2).get<bool>() };
         if (value.size() > introductionIndex) {
             heartbeat.introduction = decodeIntroduction(heartbeat, value.at(introductionIndex));
             heartbeat.isForwarded = value.at(introductionIndex).at(forwardedIndex).get<bool>();
--- a/tests/auto/entryfleet/tst_entryfleet.cpp
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -244,9 +244,9 @@
 BOOST_AUTO_TEST_CASE(IgnoreHeartbeatsOfItsPreviousStart)
 {
     one.upsert(entryVm("atl-2", "atl", 2));
-    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(1), false, std::nullopt, false });
+    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(1), false });
     BOOST_TEST(one.callerAddresses().size() == 1U);
-    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(2), false, std::nullopt, false });
+    one.receive({ Core::EntryVmId("atl-2"), Core::ProcessStartId(2), false });
     BOOST_TEST(one.callerAddresses().size() == 2U);
 }
 
@@ -254,8 +254,7 @@
 {
     channel.silent.insert(Core::EntryVmId("atl-2"));
     one.upsert(entryVm("atl-2", "atl", 0));
-    const EntryFleet::Heartbeat heartbeat { Core::EntryVmId("atl-2"), Core::ProcessStartId(0), false, std::nullopt,
-        false };
+    const EntryFleet::Heartbeat heartbeat { Core::EntryVmId("atl-2"), Core::ProcessStartId(0), false };
     for (int cycle = 0; cycle < 6; ++cycle) {
         time.runFor(EntryFleet::EntryFleet::heartbeatInterval);
         one.receive(heartbeat);
@@ -372,8 +371,8 @@
 
 BOOST_AUTO_TEST_CASE(IsDecodedAsItWasEncoded)
 {
-    const auto read = DatagramPeer::decodeHeartbeat(DatagramPeer::encodeHeartbeat(
-        { Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true, std::nullopt, false }));
+    const auto read = DatagramPeer::decodeHeartbeat(
+        DatagramPeer::encodeHeartbeat({ Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true }));
     BOOST_REQUIRE(read);
     BOOST_TEST(read->sender.value() == "atl-1");
     BOOST_TEST(read->start.value() == 77);
