Answer the connections that wait to be accepted when a server shuts down

No log line told of them.

Cause: the listening socket was closed with connections in its queue, which resets them; one that had just been accepted was closed unread, and so was a new connection whose request was on its way. A VM that gets its processor time in parts always has some.

Change: before it closes the listening socket, the server accepts what waits there and serves it; a connection that has not carried a request has half a second for its first. The callback of shutDown() also waits for the end of accepting and for refusals that are being written.

Test: tst_httpserver, AServerThatShutsDown, with the server's thread held up.

--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -25,6 +25,8 @@
         /// Time for which the rest of a request is read and discarded after an error response: closing a connection
         /// with unread input resets it, and the client can lose the response.
         constexpr Core::Millis discardTime { 500 };
+        /// Time that a new connection has for its first request when the server shuts down.
+        constexpr Core::Millis firstRequestTime { 500 };
         constexpr std::size_t discardLimit = 4UL * 1024 * 1024;
         constexpr std::size_t readAheadBytes = 512;
         /// Bytes that may wait to be parsed, in addition to a header of the maximum size.
@@ -160,8 +162,12 @@
     auto Connection::closeIfIdle() -> void
     {
         asio::post(executor(), [self = shared_from_this()] {
-            if (self->m_isIdle && !self->hasInput())
+            if (!self->m_isIdle || self->hasInput())
+                return;
+            if (self->m_hasServed)
                 self->m_socket.cancel();
+            else
+                self->armTimeout(firstRequestTime);
         });
     }
 
@@ -179,11 +185,12 @@
     {
         if (hasInput())
             co_return true;
-        if (m_environment.server->isShuttingDown)
+        const bool isShuttingDown = m_environment.server->isShuttingDown;
+        if (isShuttingDown && m_hasServed)
             co_return false;
         m_isIdle = true;
         m_limits = m_environment.server->limits.load();
-        armTimeout(m_limits->idleTimeout);
+        armTimeout(isShuttingDown ? firstRequestTime : m_limits->idleTimeout);
         Error error;
         // A late event for bytes that have been read already ends the wait as well.
         do
@@ -221,6 +228,7 @@
         const bool isWritten = co_await write(response);
         --openRequests;
         releaseBody();
+        m_hasServed = true;
         co_return isWritten&& response.keep_alive();
     }
 
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -47,7 +47,8 @@
         /// Writes the overloaded response and closes the connection.
         static auto refuse(std::shared_ptr<Connection> self) -> boost::asio::awaitable<void>;
 
-        /// Closes the connection unless a request has begun to arrive. Thread-safe.
+        /// Closes the connection unless a request has begun to arrive. A connection that has not served any waits a
+        /// little longer for its first. Thread-safe.
         auto closeIfIdle() -> void;
         /// Sets the response to the request in flight; std::nullopt means that the handler failed. Thread-safe.
         auto deliver(std::optional<HttpResponse> response) -> void;
@@ -93,6 +94,7 @@
         std::uint64_t m_timeoutGeneration = 0;
         bool m_hasTimedOut = false;
         bool m_isIdle = false;
+        bool m_hasServed = false;
         /// Cancelled to resume the coroutine.
         boost::asio::steady_timer m_signal;
         bool m_isResponseDelivered = false;
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -4,7 +4,6 @@
 #include "runtime/endpoints.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -39,13 +38,17 @@
         setLimits(limits);
     }
 
-    auto start() -> void { asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached); }
+    auto start() -> void
+    {
+        asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()),
+            [self = shared_from_this()](const std::exception_ptr&) { self->endAccepting(); });
+    }
 
     [[nodiscard]] auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
 
     auto shutDown(std::function<void()> done) -> void
     {
-        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] { self->m_acceptor.close(); });
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] { self->closeAcceptor(); });
         std::vector<std::shared_ptr<Connection>> connections;
         {
             const std::lock_guard lock(m_mutex);
@@ -85,6 +88,29 @@
         }
     }
 
+    /// Accepts the connections that wait in the listening socket's queue, because closing it resets them.
+    auto closeAcceptor() -> void
+    {
+        Error error;
+        m_acceptor.non_blocking(true, error);
+        for (int accepted = 0; !error && accepted < Tcp::acceptor::max_listen_connections; ++accepted) {
+            detail::Socket socket(asio::make_strand(m_context));
+            m_acceptor.accept(socket, error);
+            if (!error)
+                startConnection(std::move(socket));
+        }
+        m_acceptor.close(error);
+    }
+
+    auto endAccepting() -> void
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isAccepting = false;
+        }
+        finishShutDownIfEmpty();
+    }
+
     auto startConnection(detail::Socket socket) -> void
     {
         const Connection::Environment environment { m_handler, m_state };
@@ -105,8 +131,6 @@
     auto admit(const std::shared_ptr<Connection>& connection) -> Admission
     {
         const std::lock_guard lock(m_mutex);
-        if (m_state->isShuttingDown)
-            return Admission::Closed;
         if (m_connections.size() < m_maximumConnections) {
             m_connections.insert(connection);
             return Admission::Served;
@@ -119,8 +143,11 @@
 
     auto endRefusal() -> void
     {
-        const std::lock_guard lock(m_mutex);
-        --m_openRefusals;
+        {
+            const std::lock_guard lock(m_mutex);
+            --m_openRefusals;
+        }
+        finishShutDownIfEmpty();
     }
 
     auto remove(const std::shared_ptr<Connection>& connection) -> void
@@ -137,7 +164,7 @@
         std::function<void()> done;
         {
             const std::lock_guard lock(m_mutex);
-            if (!m_state->isShuttingDown || !m_connections.empty())
+            if (!m_state->isShuttingDown || m_isAccepting || m_openRefusals > 0 || !m_connections.empty())
                 return;
             done = std::exchange(m_shutDownCallback, nullptr);
         }
@@ -151,6 +178,7 @@
     const std::size_t m_maximumConnections;
     std::shared_ptr<detail::ServerState> m_state = std::make_shared<detail::ServerState>();
     std::mutex m_mutex;
+    bool m_isAccepting = true;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::size_t m_openRefusals = 0;
     std::function<void()> m_shutDownCallback;
--- /dev/null
+++ b/tests/auto/httpserver/tst_shutdown.cpp
@@ -0,0 +1,120 @@
+#include "httpserver/httpserver.h"
+#include "runtime/asioruntime.h"
+#include "standins/rawconnection.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Answers "done" at once.
+class ImmediateHandler : public HttpServer::HttpHandler {
+public:
+    auto handle(HttpServer::HttpRequest, Respond respond) -> void override
+    {
+        HttpServer::HttpResponse response { http::status::ok, 11 };
+        response.body() = "done";
+        respond(std::move(response));
+    }
+
+    auto malformedResponse(http::status status, const std::string&) -> HttpServer::HttpResponse override
+    {
+        return { status, 11 };
+    }
+};
+
+/// Server on a single thread, which a test can hold up as a VM without processor time does.
+struct SingleThreadedServer {
+    SingleThreadedServer()
+        : thread([this] { runtime.run(); })
+    {
+    }
+    ~SingleThreadedServer()
+    {
+        runtime.stop();
+        thread.join();
+    }
+    SingleThreadedServer(const SingleThreadedServer&) = delete;
+    auto operator=(const SingleThreadedServer&) -> SingleThreadedServer& = delete;
+
+    /// Blocks the server's thread until the returned promise is set.
+    auto holdThread() -> std::promise<void>
+    {
+        std::promise<void> release;
+        std::promise<void> held;
+        runtime.post([&held, released = release.get_future().share()] {
+            held.set_value();
+            released.wait();
+        });
+        held.get_future().wait();
+        return release;
+    }
+
+    auto shutDown() -> std::future<void>
+    {
+        auto done = std::make_shared<std::promise<void>>();
+        auto end = done->get_future();
+        server.shutDown([done = std::move(done)] { done->set_value(); });
+        return end;
+    }
+
+    Runtime::AsioRuntime runtime { 1 };
+    ImmediateHandler handler;
+    HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), handler };
+    std::thread thread;
+};
+
+constexpr auto request = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AServerThatShutsDown, SingleThreadedServer)
+
+BOOST_AUTO_TEST_SUITE(WhileConnectionsWaitToBeAccepted)
+
+/// Closing the listening socket reset the connections in its queue.
+BOOST_AUTO_TEST_CASE(AnswersTheirRequests)
+{
+    auto release = holdThread();
+    std::vector<StandIns::RawConnection> connections;
+    for (int count = 0; count < 8; ++count) {
+        connections.emplace_back(server.port());
+        connections.back().send(request);
+    }
+    const auto end = shutDown();
+    release.set_value();
+    for (auto& connection : connections)
+        BOOST_TEST(connection.readToEnd().ends_with("done"));
+    end.wait();
+}
+
+BOOST_AUTO_TEST_CASE(AnswersARequestThatFollowsItsConnection)
+{
+    auto release = holdThread();
+    StandIns::RawConnection connection(server.port());
+    const auto end = shutDown();
+    release.set_value();
+    connection.send(request);
+    BOOST_TEST(connection.readToEnd().ends_with("done"));
+    end.wait();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithAnIdleConnection)
+
+BOOST_AUTO_TEST_CASE(ClosesItAndEnds)
+{
+    StandIns::RawConnection connection(server.port());
+    connection.send(request);
+    BOOST_TEST(connection.readUntil("done").ends_with("done"));
+    const auto end = shutDown();
+    BOOST_TEST(connection.readToEnd().empty());
+    end.wait();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
