Deliver the last answer of a connection before closing it

What callers would see: an answer that breaks off, though its upstream gave it whole.

Cause: after an answer that ends the connection the server closed it at once. If the client has sent more by then, the close resets the connection and the kernel drops what is left of the answer in the send buffer. In a planned stop each answer ends its connection, and clients with kept connections send more.

Change: the server shuts down its side and reads and discards what comes until the client closes, half a second at most, as it did after error responses (RFC 9112, section 9.6).

--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -22,8 +22,8 @@
 
         using Error = boost::system::error_code;
 
-        /// Time for which the rest of a request is read and discarded after an error response: closing a connection
-        /// with unread input resets it, and the client can lose the response.
+        /// Time for which input is read and discarded before a connection is closed: closing it with unread input
+        /// resets it, and the client can lose the response (RFC 9112, section 9.6).
         constexpr Core::Millis discardTime { 500 };
         /// Time that a new connection has for its first request when the server shuts down.
         constexpr Core::Millis firstRequestTime { 500 };
@@ -229,6 +229,8 @@
         --openRequests;
         releaseBody();
         m_hasServed = true;
+        if (isWritten && !response.keep_alive())
+            co_await discardInput();
         co_return isWritten&& response.keep_alive();
     }
 
--- a/tests/auto/httpserver/tst_shutdown.cpp
+++ b/tests/auto/httpserver/tst_shutdown.cpp
@@ -9,13 +9,15 @@
 
 namespace http = boost::beast::http;
 
-/// Answers "done" at once.
+/// Answers "done" at once, or a body of the given size for the path /large.
 class ImmediateHandler : public HttpServer::HttpHandler {
 public:
-    auto handle(HttpServer::HttpRequest, Respond respond) -> void override
+    static constexpr std::size_t largeSize = 384UL * 1024;
+
+    auto handle(HttpServer::HttpRequest request, Respond respond) -> void override
     {
         HttpServer::HttpResponse response { http::status::ok, 11 };
-        response.body() = "done";
+        response.body() = request.target() == "/large" ? std::string(largeSize, 'x') : std::string("done");
         respond(std::move(response));
     }
 
@@ -103,6 +105,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhileAClientHasSentMoreThanItsRequest)
+
+/// Closing a connection with unread input reset it, and the rest of the answer was lost.
+BOOST_AUTO_TEST_CASE(DeliversTheWholeAnswerFirst)
+{
+    server.startDraining();
+    StandIns::RawConnection connection(server.port());
+    connection.send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    auto answer = connection.readUntil("\r\n\r\n");
+    connection.send(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    answer += connection.readToEnd();
+    BOOST_TEST(answer.size() > ImmediateHandler::largeSize);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithAnIdleConnection)
 
 BOOST_AUTO_TEST_CASE(ClosesItAndEnds)
