Close the front after the drain time of a planned stop, not at a quiet moment

Cause: the end of a stop was found by asking every 100 ms whether no request was open, those that are being refused included. Under load there is no such moment.

Change: the listening socket is closed 2.5 s after the signal, when look-up answers have expired; the process ends when the last connection does, without polling. A new line, process.front-closed, says what was open then. A VM that is closed fails new connections at once, so that their callers go to another VM.

The process test pauses the process with SIGSTOP while requests come, over the moment at which the front closes.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -17,10 +17,9 @@
     constexpr Core::Millis deadPeerTimeout { 2000 };
     constexpr Core::Millis connectTimeout { 700 };
     /// Callers with an old look-up answer may still connect for this time after the shutdown starts.
-    constexpr Core::Millis minimumDrainTime { 2500 };
+    constexpr Core::Millis drainTime { 2500 };
     /// Time reserved before the process is killed, for writing answers and exiting.
     constexpr Core::Millis shutdownMargin { 500 };
-    constexpr Core::Millis shutdownPollInterval { 100 };
 
     auto storeLimits() -> HttpClient::Limits
     {
@@ -159,34 +158,27 @@
 {
     if (std::exchange(m_isShuttingDown, true))
         return;
-    const auto now = m_clock.now();
-    m_minimumDrainEnd = now + minimumDrainTime;
-    m_shutdownDeadline = now + m_settings.stopTimeout - shutdownMargin;
-    m_entryVm.recordLifecycle("process.stopping", std::to_string(m_frontServer.openRequests()) + " open requests");
-    m_entryVm.leave(m_shutdownDeadline);
+    const auto timeToAnswer = std::max(m_settings.stopTimeout - shutdownMargin, Core::Millis(0));
+    m_entryVm.recordLifecycle("process.stopping", openRequests() + " open requests");
+    m_entryVm.leave(m_clock.now() + timeToAnswer);
     m_frontServer.startDraining();
-    continueShutdown();
+    m_closeFrontTimer = m_runtime.after(std::min(drainTime, timeToAnswer), [this] { closeFront(); });
+    m_abortTimer = m_runtime.after(
+        timeToAnswer + shutdownMargin / 2, [this] { stop(openRequests() + " requests were aborted"); });
 }
 
-auto ForwardingProcess::continueShutdown() -> void
+auto ForwardingProcess::closeFront() -> void
 {
-    const auto now = m_clock.now();
-    const bool isDrained = now >= m_minimumDrainEnd && m_frontServer.openRequests() == 0;
-    if (!isDrained && now < m_shutdownDeadline) {
-        m_shutdownTimer = m_runtime.after(shutdownPollInterval, [this] { continueShutdown(); });
-        return;
-    }
-    m_frontServer.shutDown([this] {
-        m_entryVm.recordLifecycle("process.stopped", "all requests were answered");
-        m_runtime.stop();
-    });
-    // Requests that were accepted meanwhile still have the time until the deadline.
-    const auto left = std::max<Core::Duration>(m_shutdownDeadline - now, Core::Duration(0));
-    m_shutdownTimer = m_runtime.after(left + shutdownMargin / 2, [this] {
-        m_entryVm.recordLifecycle(
-            "process.stopped", std::to_string(m_frontServer.openRequests()) + " requests were aborted");
-        m_runtime.stop();
-    });
+    m_entryVm.recordLifecycle("process.front-closed", openRequests() + " open requests");
+    m_frontServer.shutDown([this] { stop("all requests were answered"); });
 }
 
+auto ForwardingProcess::stop(const std::string& detail) -> void
+{
+    m_entryVm.recordLifecycle("process.stopped", detail);
+    m_runtime.stop();
+}
+
+auto ForwardingProcess::openRequests() const -> std::string { return std::to_string(m_frontServer.openRequests()); }
+
 } // namespace App
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -36,8 +36,10 @@
     auto awaitSignal() -> void;
     auto reloadSettings() -> void;
     auto startShutdown() -> void;
-    /// Ends the process when it is drained or the shutdown deadline has passed.
-    auto continueShutdown() -> void;
+    /// Takes no more connections. The process ends when the open ones are done.
+    auto closeFront() -> void;
+    auto stop(const std::string& detail) -> void;
+    [[nodiscard]] auto openRequests() const -> std::string;
 
     const ForwardingHost::EntryVmSettings m_settings;
     const ReadSettings m_reload;
@@ -66,10 +68,9 @@
     HttpServer::Server m_adminServer;
     PeerStream::PeerStreamServer m_peerServer;
     std::unique_ptr<Ports::Timer> m_idlePeerTimer;
-    std::unique_ptr<Ports::Timer> m_shutdownTimer;
+    std::unique_ptr<Ports::Timer> m_closeFrontTimer;
+    std::unique_ptr<Ports::Timer> m_abortTimer;
     bool m_isShuttingDown = false;
-    Core::Instant m_minimumDrainEnd;
-    Core::Instant m_shutdownDeadline;
     boost::asio::signal_set m_signals;
 };
 
--- a/tests/platform/tst_plannedstops.cpp
+++ b/tests/platform/tst_plannedstops.cpp
@@ -88,8 +88,56 @@
     std::vector<std::thread> callers;
 };
 
+/// Site of one entry VM without load, whose process a test can pause.
+struct IdleSite {
+    static constexpr int callers = 8;
+
+    IdleSite()
+    {
+        site.configure(3);
+        site.startEntryVm(0);
+        site.waitUntilReady(0);
+    }
+
+    /// Sends one booking each on new connections and returns how they ended.
+    auto bookOnNewConnections() -> std::vector<KeptConnection::End>
+    {
+        std::vector<KeptConnection::End> ends(callers);
+        std::vector<std::jthread> threads;
+        for (int caller = 0; caller < callers; ++caller) {
+            threads.emplace_back([this, caller, &end = ends.at(static_cast<std::size_t>(caller))] {
+                int status = 0;
+                end = KeptConnection(site.front(0)).send("late-" + std::to_string(caller), status);
+            });
+        }
+        threads.clear();
+        return ends;
+    }
+
+    PlatformSite site { DRAGONFLYWINCH_BINARY, { 1, 3, Core::Millis(20) } };
+};
+
 } // namespace
 
+BOOST_FIXTURE_TEST_SUITE(APlannedStopOfAVmThatIsPaused, IdleSite)
+
+/// Connections that waited to be accepted when the front closed were reset.
+BOOST_AUTO_TEST_CASE(AnswersTheRequestsThatCameMeanwhile)
+{
+    site.process(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    site.process(0).signal(SIGSTOP);
+    std::jthread wakeUp([this] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+        site.process(0).signal(SIGCONT);
+    });
+    for (const auto end : bookOnNewConnections())
+        BOOST_TEST((end == KeptConnection::End::Answered));
+    BOOST_TEST(site.process(0).wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(APlannedStopUnderLoad, LoadedSite)
 
 BOOST_AUTO_TEST_CASE(LeavesNoBookingWithoutAnAnswer)
