Count the time of a planned stop from the signal's delivery

Cause: all times of a stop were counted from the moment at which the process handled the signal, 0.09 to 0.45 s after SIGTERM in these runs. The platform counts from SIGTERM. A VM whose events wait for longer takes requests that it can't answer before it is killed.

Change: a signal listener of the runtime notes the time in the signal handler and passes it on through its pipe; the stop's times follow from it. process.stopping says how late it was handled. The listener is made before the front listens, so that a signal that comes while the process starts no longer ends it (read, without a test of its own).

Ruled out: a thread that waits for signals would be as late on one core; signalfd gives no times.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -62,6 +62,7 @@
     : m_settings(std::move(settings))
     , m_reload(std::move(reload))
     , m_runtime(m_settings.threads)
+    , m_signals(m_runtime.context(), { SIGTERM, SIGINT, SIGHUP })
     , m_storeClient(m_runtime.context(), storeLimits())
     , m_upstreamClient(m_runtime.context(), upstreamLimits(m_settings))
     , m_telemetry({ m_settings.id }, m_clock,
@@ -92,7 +93,6 @@
     , m_lookupServer(m_runtime.context(), m_settings.lookup, *m_lookup)
     , m_adminServer(m_runtime.context(), m_settings.metrics, m_telemetry.admin())
     , m_peerServer(m_runtime.context(), m_settings.peers, m_peerHandlers, m_peerTraffic)
-    , m_signals(m_runtime.context(), SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -101,7 +101,7 @@
 auto ForwardingProcess::run() -> void
 {
     m_entryVm.recordLifecycle("process.started", "listening on " + m_settings.front.value());
-    awaitSignal();
+    m_signals.start([this](int signal, Core::Instant deliveredAt) { handleSignal(signal, deliveredAt); });
     registerPeerHandlers();
     m_datagrams.start([this](const EntryFleet::Heartbeat& heartbeat) { m_entryVm.fleet().receive(heartbeat); });
     m_entryVm.start();
@@ -132,17 +132,12 @@
     });
 }
 
-auto ForwardingProcess::awaitSignal() -> void
+auto ForwardingProcess::handleSignal(int signal, Core::Instant deliveredAt) -> void
 {
-    m_signals.async_wait([this](boost::system::error_code error, int signal) {
-        if (error)
-            return;
-        if (signal == SIGHUP)
-            reloadSettings();
-        else
-            startShutdown();
-        awaitSignal();
-    });
+    if (signal == SIGHUP)
+        reloadSettings();
+    else
+        startShutdown(deliveredAt);
 }
 
 auto ForwardingProcess::reloadSettings() -> void
@@ -154,17 +149,24 @@
         m_entryVm.recordLifecycle("settings.reloaded", "addresses and limits apply from the next start");
 }
 
-auto ForwardingProcess::startShutdown() -> void
+auto ForwardingProcess::startShutdown(Core::Instant signalledAt) -> void
 {
     if (std::exchange(m_isShuttingDown, true))
         return;
+    // The platform kills the process at a fixed time after the signal, however late the signal is handled.
+    const auto now = m_clock.now();
+    const auto after = [this, now, signalledAt](Core::Millis time, Ports::Scheduler::Task task) {
+        return m_runtime.after(std::max<Core::Duration>(signalledAt + time - now, Core::Duration(0)), std::move(task));
+    };
     const auto timeToAnswer = std::max(m_settings.stopTimeout - shutdownMargin, Core::Millis(0));
-    m_entryVm.recordLifecycle("process.stopping", openRequests() + " open requests");
-    m_entryVm.leave(m_clock.now() + timeToAnswer);
+    const auto delay = std::chrono::duration_cast<Core::Millis>(now - signalledAt);
+    m_entryVm.recordLifecycle("process.stopping",
+        openRequests() + " open requests, " + std::to_string(delay.count()) + " ms after the signal");
+    m_entryVm.leave(signalledAt + timeToAnswer);
     m_frontServer.startDraining();
-    m_closeFrontTimer = m_runtime.after(std::min(drainTime, timeToAnswer), [this] { closeFront(); });
-    m_abortTimer = m_runtime.after(
-        timeToAnswer + shutdownMargin / 2, [this] { stop(openRequests() + " requests were aborted"); });
+    m_closeFrontTimer = after(std::min(drainTime, timeToAnswer), [this] { closeFront(); });
+    m_abortTimer
+        = after(timeToAnswer + shutdownMargin / 2, [this] { stop(openRequests() + " requests were aborted"); });
 }
 
 auto ForwardingProcess::closeFront() -> void
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -12,8 +12,7 @@
 #include "peerstream/peerstreamclient.h"
 #include "peerstream/peerstreamserver.h"
 #include "runtime/asioruntime.h"
-
-#include <boost/asio/signal_set.hpp>
+#include "runtime/signallistener.h"
 
 namespace App {
 
@@ -33,9 +32,10 @@
     [[nodiscard]] auto lookupReply() const -> LookupReply;
     auto registerPeerHandlers() -> void;
     auto scheduleIdlePeerClosing() -> void;
-    auto awaitSignal() -> void;
+    auto handleSignal(int signal, Core::Instant deliveredAt) -> void;
     auto reloadSettings() -> void;
-    auto startShutdown() -> void;
+    /// `signalledAt` is when the signal that asks for the shutdown was delivered.
+    auto startShutdown(Core::Instant signalledAt) -> void;
     /// Takes no more connections. The process ends when the open ones are done.
     auto closeFront() -> void;
     auto stop(const std::string& detail) -> void;
@@ -46,6 +46,7 @@
     Runtime::SystemClock m_clock;
     Runtime::SystemRandom m_random;
     Runtime::AsioRuntime m_runtime;
+    Runtime::SignalListener m_signals;
     HttpClient::Client m_storeClient;
     HttpClient::Client m_upstreamClient;
     ProcessTelemetry m_telemetry;
@@ -71,7 +72,6 @@
     std::unique_ptr<Ports::Timer> m_closeFrontTimer;
     std::unique_ptr<Ports::Timer> m_abortTimer;
     bool m_isShuttingDown = false;
-    boost::asio::signal_set m_signals;
 };
 
 } // namespace App
