Answer look-ups that wait when a stopping VM ends

What callers saw: a look-up that a VM has not read when its planned stop ends is reset.

Cause, the same as for the front: the process ended as soon as the front was done, with the look-up server's listening socket and connections as they were.

Change: the look-up server ends its connections with their answers during the stop, and shuts down after the front, before the process ends.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -164,6 +164,7 @@
         openRequests() + " open requests, " + std::to_string(delay.count()) + " ms after the signal");
     m_entryVm.leave(signalledAt + timeToAnswer);
     m_frontServer.startDraining();
+    m_lookupServer.startDraining();
     m_closeFrontTimer = after(std::min(drainTime, timeToAnswer), [this] { closeFront(); });
     m_abortTimer
         = after(timeToAnswer + shutdownMargin / 2, [this] { stop(openRequests() + " requests were aborted"); });
@@ -172,7 +173,12 @@
 auto ForwardingProcess::closeFront() -> void
 {
     m_entryVm.recordLifecycle("process.front-closed", openRequests() + " open requests");
-    m_frontServer.shutDown([this] { stop("all requests were answered"); });
+    m_frontServer.shutDown([this] { closeLookup(); });
+}
+
+auto ForwardingProcess::closeLookup() -> void
+{
+    m_lookupServer.shutDown([this] { stop("all requests were answered"); });
 }
 
 auto ForwardingProcess::stop(const std::string& detail) -> void
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -36,8 +36,10 @@
     auto reloadSettings() -> void;
     /// `signalledAt` is when the signal that asks for the shutdown was delivered.
     auto startShutdown(Core::Instant signalledAt) -> void;
-    /// Takes no more connections. The process ends when the open ones are done.
+    /// Takes no more connections of callers. The look-up server follows when the open ones are done, then the process
+    /// ends.
     auto closeFront() -> void;
+    auto closeLookup() -> void;
     auto stop(const std::string& detail) -> void;
     [[nodiscard]] auto openRequests() const -> std::string;
 
--- a/tests/platform/tst_plannedstops.cpp
+++ b/tests/platform/tst_plannedstops.cpp
@@ -99,19 +99,23 @@
         site.waitUntilReady(0);
     }
 
-    /// Sends one booking each on new connections and returns how they ended.
-    auto bookOnNewConnections() -> std::vector<KeptConnection::End>
+    /// Sends SIGTERM and pauses the process over the moment at which it would take no more connections. Meanwhile, runs
+    /// the call once for each caller, at the same time. Returns the number of calls that returned true.
+    auto stopWhilePaused(const std::function<bool(int caller)>& call) -> int
     {
-        std::vector<KeptConnection::End> ends(callers);
-        std::vector<std::jthread> threads;
-        for (int caller = 0; caller < callers; ++caller) {
-            threads.emplace_back([this, caller, &end = ends.at(static_cast<std::size_t>(caller))] {
-                int status = 0;
-                end = KeptConnection(site.front(0)).send("late-" + std::to_string(caller), status);
-            });
+        site.process(0).signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+        site.process(0).signal(SIGSTOP);
+        std::atomic<int> successes { 0 };
+        {
+            std::vector<std::jthread> threads;
+            for (int caller = 0; caller < callers; ++caller)
+                threads.emplace_back([&, caller] { successes += call(caller) ? 1 : 0; });
+            std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+            site.process(0).signal(SIGCONT);
         }
-        threads.clear();
-        return ends;
+        BOOST_TEST(site.process(0).wait() == 0);
+        return successes;
     }
 
     PlatformSite site { DRAGONFLYWINCH_BINARY, { 1, 3, Core::Millis(20) } };
@@ -121,19 +125,21 @@
 
 BOOST_FIXTURE_TEST_SUITE(APlannedStopOfAVmThatIsPaused, IdleSite)
 
-/// Connections that waited to be accepted when the front closed were reset.
+/// Connections that waited to be accepted were reset.
 BOOST_AUTO_TEST_CASE(AnswersTheRequestsThatCameMeanwhile)
 {
-    site.process(0).signal(SIGTERM);
-    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
-    site.process(0).signal(SIGSTOP);
-    std::jthread wakeUp([this] {
-        std::this_thread::sleep_for(std::chrono::milliseconds(1800));
-        site.process(0).signal(SIGCONT);
-    });
-    for (const auto end : bookOnNewConnections())
-        BOOST_TEST((end == KeptConnection::End::Answered));
-    BOOST_TEST(site.process(0).wait() == 0);
+    const auto book = [this](int caller) {
+        int status = 0;
+        KeptConnection connection(site.front(0));
+        return connection.send("late-" + std::to_string(caller), status) == KeptConnection::End::Answered;
+    };
+    BOOST_TEST(stopWhilePaused(book) == callers);
+}
+
+/// The process ended without a look at its look-up server.
+BOOST_AUTO_TEST_CASE(AnswersTheLookUpsThatCameMeanwhile)
+{
+    BOOST_TEST(stopWhilePaused([this](int) { return site.lookup(0).has_value(); }) == callers);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
