Peek at sockets in one place

An interrupted peek counts as no input in both now; the client took it for a closed connection.

Not a change otherwise: tst_httpserver, tst_httpforward, tst_httpupstream and tst_platformprocess pass.

--- a/src/plugins/httpclient/connectionpool.cpp
+++ b/src/plugins/httpclient/connectionpool.cpp
@@ -1,9 +1,9 @@
 #include "httpclient/connectionpool.h"
 
 #include "runtime/socketoptions.h"
+#include "runtime/socketpeek.h"
 
 #include <boost/asio/post.hpp>
-#include <sys/socket.h>
 
 namespace HttpClient {
 
@@ -34,9 +34,7 @@
 
     auto Connection::isStillOpen() -> bool
     {
-        char byte = 0;
-        const auto count = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return Runtime::peek(stream.socket().native_handle()) == Runtime::PeekResult::Nothing;
     }
 
     PendingExchange::PendingExchange(ConnectionPointer connection)
--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <sys/socket.h>
 
 namespace HttpServer {
 
@@ -195,7 +194,7 @@
         // A late event for bytes that have been read already ends the wait as well.
         do
             co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        while (!error && peek() == PeekResult::Nothing);
+        while (!error && peek() == Runtime::PeekResult::Nothing);
         m_isIdle = false;
         co_return !error;
     }
@@ -375,17 +374,9 @@
         co_await m_signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    auto Connection::isClosedByClient() -> bool { return peek() == PeekResult::Closed; }
+    auto Connection::isClosedByClient() -> bool { return peek() == Runtime::PeekResult::Closed; }
 
-    auto Connection::peek() -> PeekResult
-    {
-        char byte = 0;
-        const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (count > 0)
-            return PeekResult::Bytes;
-        const bool isEmpty = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-        return isEmpty ? PeekResult::Nothing : PeekResult::Closed;
-    }
+    auto Connection::peek() -> Runtime::PeekResult { return Runtime::peek(m_socket.native_handle()); }
 
     auto Connection::closesAfterResponse() const -> bool
     {
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver/clientdisconnectnotifier.h"
+#include "runtime/socketpeek.h"
 
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
@@ -61,9 +62,6 @@
     private:
         using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-        /// What waits to be read from the socket.
-        enum class PeekResult : std::uint8_t { Nothing, Bytes, Closed };
-
         auto waitForRequest() -> boost::asio::awaitable<bool>;
         auto serveRequest() -> boost::asio::awaitable<bool>;
         auto readRequest(Parser& parser) -> boost::asio::awaitable<boost::system::error_code>;
@@ -79,7 +77,7 @@
         auto discardInput() -> boost::asio::awaitable<void>;
         auto armTimeout(Core::Duration timeout) -> void;
         auto hasInput() -> bool;
-        auto peek() -> PeekResult;
+        auto peek() -> Runtime::PeekResult;
         /// Reads what the client sends while its request is in flight, up to a limit, and notifies if it disconnects.
         auto readAhead(std::shared_ptr<ClientDisconnectNotifier> client) -> void;
         auto stopReadingAhead() -> boost::asio::awaitable<void>;
