--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwardoperation.h"
 
 #include "core/invariant.h"
+#include "forwarding/refusals.h"
 
 #include <algorithm>
 
@@ -12,9 +13,6 @@
     using Core::RunOutcome;
     using Ports::ExchangeOutcome;
 
-    constexpr Core::Millis minimumRetryAfter { 100 };
-    /// The retry delay is at most the caller's timeout divided by this.
-    constexpr int retryAfterDivisor = 3;
     /// Upper bound on the attempts of a request, including connections that could not be opened.
     constexpr std::size_t maximumAttempts = 4;
     constexpr Core::Millis defaultCallerTimeout { 30'000 };
@@ -33,12 +31,6 @@
         return outcome == ExchangeOutcome::NotSent || outcome == ExchangeOutcome::Withdrawn;
     }
 
-    auto describeFailure(const std::string& problem, const ChoiceFailure& failure) -> std::string
-    {
-        return "the " + std::to_string(failure.candidates) + " upstreams weighed " + problem + "; the least wait is "
-            + std::to_string(std::chrono::duration_cast<Core::Millis>(failure.wait).count()) + " ms";
-    }
-
 } // namespace
 
 ForwardOperation::ForwardOperation(Forwarder& forwarder, ForwardRequest request, ForwardCallback callback)
@@ -333,28 +325,13 @@
 
 auto ForwardOperation::refuseChoice(const ChoiceFailure& failure) -> void
 {
-    switch (failure.reason) {
-    case ChoiceFailureReason::NoUpstream:
-        refuse(RefusalReason::NoUpstream, "the service has no usable upstream",
-            std::max<Core::Duration>(failure.wait, minimumRetryAfter));
-        return;
-    case ChoiceFailureReason::Busy:
-        refuse(RefusalReason::Overloaded, describeFailure("are full", failure), failure.wait);
-        return;
-    case ChoiceFailureReason::DeadlineUnreachable:
-        refuse(RefusalReason::DeadlineUnreachable, describeFailure("cannot answer in time", failure), failure.wait);
-        return;
-    }
+    auto cause = refusalCauseOf(failure);
+    refuse(cause.reason, std::move(cause.message), cause.wait);
 }
 
 auto ForwardOperation::retryAfter(Core::Duration wait) const -> Core::Duration
 {
-    // Jitter of up to the length of the minimum delay spreads the callers' retries. The cap leaves a caller enough time
-    // for its retry to be served.
-    const auto minimum = std::max<Core::Duration>(wait, minimumRetryAfter);
-    const auto spread = static_cast<Core::Duration::rep>(m_environment.random.next() % 1024) * minimum / 1024;
-    const auto maximum = m_request.callerTimeout.value_or(defaultCallerTimeout) / retryAfterDivisor;
-    return std::min(minimum + spread, maximum);
+    return retryDelay(wait, m_request.callerTimeout.value_or(defaultCallerTimeout), m_environment.random);
 }
 
 auto ForwardOperation::refuse(RefusalReason reason, std::string message, Core::Duration wait) -> void
