--- a/src/plugins/runtime/signallistener.cpp
+++ b/src/plugins/runtime/signallistener.cpp
@@ -19,7 +19,7 @@
     constexpr std::int64_t nanosecondsPerSecond = 1'000'000'000;
     constexpr int noDescriptor = -1;
 
-    std::atomic<int> s_signalWriter { noDescriptor };
+    std::atomic<int> signalWriter { noDescriptor };
 
     /// Calls async-signal-safe functions only.
     auto handleSignal(int signal) -> void
@@ -29,7 +29,7 @@
         ::clock_gettime(CLOCK_MONOTONIC, &now);
         const detail::SignalDelivery delivery { signal, now.tv_sec * nanosecondsPerSecond + now.tv_nsec };
         // A full pipe holds earlier signals that have not been read, so that this one can be dropped.
-        [[maybe_unused]] const auto written = ::write(s_signalWriter, &delivery, sizeof delivery);
+        [[maybe_unused]] const auto written = ::write(signalWriter, &delivery, sizeof delivery);
         errno = savedError;
     }
 
@@ -53,7 +53,7 @@
         throw std::system_error(errno, std::generic_category(), "cannot open a pipe for signals");
     m_reader.assign(descriptors[0]);
     m_writer = descriptors[1];
-    const int previous = s_signalWriter.exchange(m_writer);
+    const int previous = signalWriter.exchange(m_writer);
     Core::invariant(previous == noDescriptor, "runtime.one-signal-listener");
     for (const int signal : m_signals)
         setAction(signal, handleSignal);
@@ -63,7 +63,7 @@
 {
     for (const int signal : m_signals)
         setAction(signal, SIG_DFL);
-    s_signalWriter = noDescriptor;
+    signalWriter = noDescriptor;
     ::close(m_writer);
 }
 
