--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -3,10 +3,9 @@
 #include "runtime/asioruntime.h"
 #include "scriptedupstreams.h"
 #include "standins/rawconnection.h"
+#include "support/heldthreads.h"
 
 #include <boost/test/unit_test.hpp>
-#include <future>
-#include <latch>
 
 using namespace HttpForwardTest;
 
@@ -91,22 +90,6 @@
         forwarder.setUpstreams({ { entry.target.id, entry } }, {});
     }
 
-    /// Blocks all threads of the entry VM, as if it had no processor time, until the returned promise is set.
-    auto holdThreads() -> std::promise<void>
-    {
-        std::promise<void> release;
-        const auto released = release.get_future().share();
-        const auto held = std::make_shared<std::latch>(threadCount);
-        for (std::size_t index = 0; index < threadCount; ++index) {
-            runtime.post([held, released] {
-                held->count_down();
-                released.wait();
-            });
-        }
-        held->wait();
-        return release;
-    }
-
     auto exchange(const std::string& bytes) -> std::string
     {
         StandIns::RawConnection connection(server.port());
@@ -195,7 +178,7 @@
     serve(upstream);
     // Leaves a connection to the upstream open, over which the next request is sent without delay.
     exchange(requestWithId("first"));
-    auto release = holdThreads();
+    auto release = TestSupport::holdThreads(runtime, threadCount);
     {
         StandIns::RawConnection connection(server.port());
         connection.send(requestWithId("abandoned"));
--- a/tests/auto/httpserver/tst_shutdown.cpp
+++ b/tests/auto/httpserver/tst_shutdown.cpp
@@ -1,6 +1,7 @@
 #include "httpserver/httpserver.h"
 #include "runtime/asioruntime.h"
 #include "standins/rawconnection.h"
+#include "support/heldthreads.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -41,19 +42,6 @@
     SingleThreadedServer(const SingleThreadedServer&) = delete;
     auto operator=(const SingleThreadedServer&) -> SingleThreadedServer& = delete;
 
-    /// Blocks the server's thread until the returned promise is set.
-    auto holdThread() -> std::promise<void>
-    {
-        std::promise<void> release;
-        std::promise<void> held;
-        runtime.post([&held, released = release.get_future().share()] {
-            held.set_value();
-            released.wait();
-        });
-        held.get_future().wait();
-        return release;
-    }
-
     auto shutDown() -> std::future<void>
     {
         auto done = std::make_shared<std::promise<void>>();
@@ -79,7 +67,7 @@
 /// Closing the listening socket reset the connections in its queue.
 BOOST_AUTO_TEST_CASE(AnswersTheirRequests)
 {
-    auto release = holdThread();
+    auto release = TestSupport::holdThreads(runtime, 1);
     std::vector<StandIns::RawConnection> connections;
     for (int count = 0; count < 8; ++count) {
         connections.emplace_back(server.port());
@@ -94,7 +82,7 @@
 
 BOOST_AUTO_TEST_CASE(AnswersARequestThatFollowsItsConnection)
 {
-    auto release = holdThread();
+    auto release = TestSupport::holdThreads(runtime, 1);
     StandIns::RawConnection connection(server.port());
     const auto end = shutDown();
     release.set_value();
