--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -160,19 +160,19 @@
     };
     const auto timeToAnswer = std::max(m_settings.stopTimeout - shutdownMargin, Core::Millis(0));
     const auto delay = std::chrono::duration_cast<Core::Millis>(now - signalledAt);
-    m_entryVm.recordLifecycle("process.stopping",
-        openRequests() + " open requests, " + std::to_string(delay.count()) + " ms after the signal");
+    m_entryVm.recordLifecycle(
+        "process.stopping", describeOpenRequests() + ", " + std::to_string(delay.count()) + " ms after the signal");
     m_entryVm.leave(signalledAt + timeToAnswer);
     m_frontServer.startDraining();
     m_lookupServer.startDraining();
     m_closeFrontTimer = after(std::min(drainTime, timeToAnswer), [this] { closeFront(); });
-    m_abortTimer
-        = after(timeToAnswer + shutdownMargin / 2, [this] { stop(openRequests() + " requests were aborted"); });
+    m_abortTimer = after(timeToAnswer + shutdownMargin / 2,
+        [this] { stop(std::to_string(m_frontServer.openRequests()) + " requests were aborted"); });
 }
 
 auto ForwardingProcess::closeFront() -> void
 {
-    m_entryVm.recordLifecycle("process.front-closed", openRequests() + " open requests");
+    m_entryVm.recordLifecycle("process.front-closed", describeOpenRequests());
     m_frontServer.shutDown([this] { closeLookup(); });
 }
 
@@ -187,6 +187,9 @@
     m_runtime.stop();
 }
 
-auto ForwardingProcess::openRequests() const -> std::string { return std::to_string(m_frontServer.openRequests()); }
+auto ForwardingProcess::describeOpenRequests() const -> std::string
+{
+    return std::to_string(m_frontServer.openRequests()) + " open requests";
+}
 
 } // namespace App
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -41,7 +41,7 @@
     auto closeFront() -> void;
     auto closeLookup() -> void;
     auto stop(const std::string& detail) -> void;
-    [[nodiscard]] auto openRequests() const -> std::string;
+    [[nodiscard]] auto describeOpenRequests() const -> std::string;
 
     const ForwardingHost::EntryVmSettings m_settings;
     const ReadSettings m_reload;
--- a/src/plugins/runtime/signallistener.cpp
+++ b/src/plugins/runtime/signallistener.cpp
@@ -2,6 +2,7 @@
 
 #include "core/invariant.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -19,6 +20,7 @@
     constexpr std::int64_t nanosecondsPerSecond = 1'000'000'000;
     constexpr int noDescriptor = -1;
 
+    /// End of the listener's pipe that the signal handler writes to.
     std::atomic<int> signalWriter { noDescriptor };
 
     /// Calls async-signal-safe functions only.
@@ -52,8 +54,7 @@
     if (::pipe2(descriptors.data(), O_CLOEXEC | O_NONBLOCK) != 0)
         throw std::system_error(errno, std::generic_category(), "cannot open a pipe for signals");
     m_reader.assign(descriptors[0]);
-    m_writer = descriptors[1];
-    const int previous = signalWriter.exchange(m_writer);
+    const int previous = signalWriter.exchange(descriptors[1]);
     Core::invariant(previous == noDescriptor, "runtime.one-signal-listener");
     for (const int signal : m_signals)
         setAction(signal, handleSignal);
@@ -63,8 +64,7 @@
 {
     for (const int signal : m_signals)
         setAction(signal, SIG_DFL);
-    signalWriter = noDescriptor;
-    ::close(m_writer);
+    ::close(signalWriter.exchange(noDescriptor));
 }
 
 auto SignalListener::start(Callback callback) -> void
--- a/src/plugins/runtime/signallistener.h
+++ b/src/plugins/runtime/signallistener.h
@@ -2,7 +2,6 @@
 
 #include "core/units.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <cstdint>
@@ -43,7 +42,6 @@
 
     const std::vector<int> m_signals;
     boost::asio::posix::stream_descriptor m_reader;
-    int m_writer = -1;
     detail::SignalDelivery m_delivery;
     Callback m_callback;
 };
