Identify organisations by API keys, and agree on the quota port

Change: the directory of organisations in the configuration, identification before an upstream is chosen, the organisation's name in place of the key towards upstreams, and the port that quotas will implement.

--- a/src/libs/core/ids.h
+++ b/src/libs/core/ids.h
@@ -17,6 +17,8 @@
 using UpstreamId = StrongType<struct UpstreamTag, std::string>;
 /// Name by which fair scheduling identifies a caller.
 using CallerId = StrongType<struct CallerTag, std::string>;
+/// Name of an organisation.
+using OrganisationId = StrongType<struct OrganisationTag, std::string>;
 /// Name of a service that upstreams offer.
 using ServiceId = StrongType<struct ServiceTag, std::string>;
 /// Name of a team that owns a section of the steering document.
--- a/src/libs/core/refusal.cpp
+++ b/src/libs/core/refusal.cpp
@@ -49,6 +49,10 @@
         return "internal-error";
     case RefusalReason::CallerDisconnected:
         return "caller-disconnected";
+    case RefusalReason::UnknownApiKey:
+        return "unknown-api-key";
+    case RefusalReason::QuotaExceeded:
+        return "quota-exceeded";
     }
     return "invalid-request";
 }
--- a/src/libs/core/refusal.h
+++ b/src/libs/core/refusal.h
@@ -35,6 +35,9 @@
     NotConfigured,
     InternalError,
     CallerDisconnected,
+    /// The request carries no API key of an organisation, though its route requires one.
+    UnknownApiKey,
+    QuotaExceeded,
 };
 
 auto toString(RunOutcome outcome) -> std::string;
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -12,6 +12,7 @@
 #include "ports/metricsink.h"
 #include "ports/randomsource.h"
 #include "ports/scheduler.h"
+#include "quotas/quotagate.h"
 
 #include <atomic>
 
@@ -44,6 +45,7 @@
         Ports::EventSink& events;
         Ports::MetricSink& metrics;
         ServicePool::Environment pool;
+        std::shared_ptr<Quotas::QuotaGate> quotas = std::make_shared<Quotas::UnlimitedQuotas>();
     };
 
     using NoticeCallback = std::function<void(const UpstreamNotice&)>;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -25,6 +25,12 @@
             || outcome == ExchangeOutcome::Invalid || outcome == ExchangeOutcome::Cancelled;
     }
 
+    auto isNotRun(const ForwardReply& reply) -> bool
+    {
+        const auto* refusal = std::get_if<ForwardRefusal>(&reply);
+        return refusal != nullptr && refusal->outcome == RunOutcome::NotRun;
+    }
+
     /// Returns true if no byte of the request has reached the upstream.
     auto isUnsent(ExchangeOutcome outcome) -> bool
     {
@@ -46,9 +52,10 @@
 
 auto ForwardOperation::start() -> void
 {
-    if (!findRoute())
+    if (!findRoute() || !identifyCaller())
         return;
-    m_recorder.recordStart(m_route, m_service, m_configuration->version);
+    restrictRegions();
+    m_recorder.recordStart(m_route, m_service, m_configuration->version, m_organisation);
     setDeadline();
     if (m_deadline <= m_arrivedAt) {
         refuse(RefusalReason::DeadlinePassed, "the deadline has already passed", {});
@@ -69,7 +76,81 @@
         m_deadlineTimer = m_environment.scheduler.after(
             m_deadline - m_arrivedAt, [self = shared_from_this()] { self->onDeadline(); });
     }
-    send();
+    acquirePermit();
+}
+
+auto ForwardOperation::identifyCaller() -> bool
+{
+    const auto& organisations = m_configuration->organisations;
+    if (organisations.isEmpty())
+        return true;
+    if (m_request.apiKey)
+        m_organisation = organisations.find(*m_request.apiKey);
+    if (m_organisation || m_route->isAnonymous)
+        return true;
+    refuse(RefusalReason::UnknownApiKey,
+        m_request.apiKey ? "the API key belongs to no organisation" : "the route requires an API key", {});
+    return false;
+}
+
+auto ForwardOperation::restrictRegions() -> void
+{
+    const auto& routeHomes = m_route->homes;
+    if (!m_organisation || m_organisation->homes.empty()) {
+        if (!routeHomes.empty())
+            m_regions = routeHomes;
+        return;
+    }
+    m_regions = m_organisation->homes;
+    if (routeHomes.empty())
+        return;
+    std::erase_if(*m_regions, [&routeHomes](const Core::RegionId& region) {
+        return std::find(routeHomes.begin(), routeHomes.end(), region) == routeHomes.end();
+    });
+}
+
+auto ForwardOperation::priority() const -> int
+{
+    return m_organisation ? m_organisation->priority.value_or(m_route->priority) : m_route->priority;
+}
+
+auto ForwardOperation::verifiedCaller() const -> std::optional<Ports::VerifiedCaller>
+{
+    if (m_configuration->organisations.isEmpty())
+        return std::nullopt;
+    if (!m_organisation)
+        return Ports::VerifiedCaller {};
+    return Ports::VerifiedCaller { m_organisation->id };
+}
+
+auto ForwardOperation::acquirePermit() -> void
+{
+    if (!m_organisation || !m_organisation->quota) {
+        send();
+        return;
+    }
+    m_environment.quotas->acquire(m_organisation, m_deadline,
+        [self = shared_from_this()](const Quotas::QuotaResult& result) { self->onPermit(result); });
+}
+
+auto ForwardOperation::onPermit(const Quotas::QuotaResult& result) -> void
+{
+    if (!result) {
+        refuse(RefusalReason::QuotaExceeded,
+            "the quota of organisation '" + m_organisation->id.value() + "' is used up", result.error().retryAfter);
+        return;
+    }
+    bool isDone = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isDone = m_isDone;
+        if (!isDone)
+            m_permit = *result;
+    }
+    if (isDone)
+        m_environment.quotas->giveBack(*result);
+    else
+        send();
 }
 
 auto ForwardOperation::findRoute() -> bool
@@ -116,11 +197,11 @@
     query.route = m_route->id;
     if (m_route->hasObjectAffinity)
         query.object = m_request.object;
-    query.homes = &m_route->homes;
+    query.homes = m_regions ? &*m_regions : nullptr;
     query.tried = &tried;
     query.timeLeft = m_deadline - now;
     query.targetLatency = m_route->targetLatency;
-    query.priority = m_route->priority;
+    query.priority = priority();
     return query;
 }
 
@@ -146,7 +227,7 @@
     }
     const auto index = *attempt;
     const auto self = shared_from_this();
-    Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
+    Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, verifiedCaller(), m_deadline - now,
         [weak = weak_from_this(), target = choice.target] {
             const auto operation = weak.lock();
             return operation && operation->isStillWanted(target);
@@ -390,6 +471,7 @@
     std::unique_ptr<Ports::Timer> deadlineTimer;
     std::optional<Choice> last;
     std::size_t attempts = 0;
+    std::optional<Quotas::QuotaPermit> unusedPermit;
     {
         const std::lock_guard lock(m_mutex);
         if (m_isDone)
@@ -401,7 +483,11 @@
         attempts = m_attempts.size();
         if (attempts > 0)
             last = m_attempts.back().choice;
+        if (isNotRun(reply))
+            unusedPermit = m_permit;
     }
+    if (unusedPermit)
+        m_environment.quotas->giveBack(*unusedPermit);
     m_recorder.recordEnd(reply, { last, attempts, m_environment.clock.now() - m_arrivedAt });
     callback(std::move(reply));
 }
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -22,6 +22,15 @@
     };
 
     auto findRoute() -> bool;
+    /// Finds the organisation of the caller. Refuses the request if its route requires one and there is none.
+    auto identifyCaller() -> bool;
+    /// Determines the regions that the route and the organisation both allow.
+    auto restrictRegions() -> void;
+    [[nodiscard]] auto priority() const -> int;
+    [[nodiscard]] auto verifiedCaller() const -> std::optional<Ports::VerifiedCaller>;
+    /// Takes a permit from the organisation's quota, and then sends the request.
+    auto acquirePermit() -> void;
+    auto onPermit(const Quotas::QuotaResult& result) -> void;
     auto setDeadline() -> void;
     [[nodiscard]] auto hasCallerLeft() const -> bool { return m_request.caller && m_request.caller->isClosed(); }
     auto send() -> void;
@@ -67,6 +76,10 @@
     Core::Instant m_deadline;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     RoutePointer m_route;
+    /// Null if the caller is not identified.
+    Organisations::OrganisationPointer m_organisation;
+    /// Regions that may serve the request; none if all may.
+    std::optional<std::vector<Core::RegionId>> m_regions;
     Core::ServiceId m_service;
     std::shared_ptr<detail::ServiceContext> m_context;
 
@@ -76,6 +89,7 @@
     /// Number of sends that may have reached an upstream.
     std::atomic<std::uint32_t> m_sends { 0 };
     std::atomic<bool> m_mayHaveRun { false };
+    std::optional<Quotas::QuotaPermit> m_permit;
     bool m_isDone = false;
     /// Set when the deadline has passed or the caller has disconnected; nothing is sent afterwards.
     bool m_isClosed = false;
--- a/src/libs/forwarding/forwardrequest.h
+++ b/src/libs/forwarding/forwardrequest.h
@@ -2,6 +2,7 @@
 
 #include "core/refusal.h"
 #include "forwarding/objectkey.h"
+#include "organisations/apikey.h"
 #include "ports/exchangeclient.h"
 
 #include <functional>
@@ -24,6 +25,8 @@
     std::string path;
     /// Empty if the request concerns no object.
     ObjectKey object;
+    /// Empty if the request carries none.
+    std::optional<Organisations::ApiKey> apiKey;
     /// Time for which the caller waits, counted from now; empty if the caller did not specify it.
     std::optional<Core::Duration> callerTimeout;
     Ports::MessagePointer message;
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -54,9 +54,10 @@
 {
 }
 
-auto RequestRecorder::recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration)
-    -> void
+auto RequestRecorder::recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration,
+    Organisations::OrganisationPointer organisation) -> void
 {
+    m_organisation = std::move(organisation);
     m_route = std::move(route);
     m_service = service;
     m_configuration = configuration;
@@ -101,6 +102,8 @@
     } else {
         fields = { { "host", m_request.host }, { "path", m_request.path } };
     }
+    if (m_organisation)
+        append(fields, { { "organisation", m_organisation->id.value() } });
     append(fields, { { "object", m_request.object.value() }, { "tookMs", millis(end.latency) } });
     if (!end.last)
         return fields;
--- a/src/libs/forwarding/requestrecorder.h
+++ b/src/libs/forwarding/requestrecorder.h
@@ -23,7 +23,8 @@
     RequestRecorder(const ForwardRequest& request, Ports::EventSink& events, Ports::MetricSink& metrics);
 
     /// Records the route and service that were selected under the given configuration version.
-    auto recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration) -> void;
+    auto recordStart(RoutePointer route, const Core::ServiceId& service, Core::Version configuration,
+        Organisations::OrganisationPointer organisation) -> void;
     auto recordExchange(const Choice& choice, const Ports::ExchangeResult& result, Core::Duration duration) -> void;
     /// Records that the upstream has not answered for longer than expected, and what became of sending the request to
     /// another one as well.
@@ -40,6 +41,8 @@
     Ports::EventSink& m_events;
     Ports::MetricSink& m_metrics;
     RoutePointer m_route;
+    /// Null if the caller is not identified.
+    Organisations::OrganisationPointer m_organisation;
     Core::ServiceId m_service;
     Core::Version m_configuration;
 };
--- a/src/libs/forwarding/routingconfiguration.h
+++ b/src/libs/forwarding/routingconfiguration.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "core/error.h"
 #include "core/ids.h"
 #include "core/units.h"
+#include "organisations/organisationdirectory.h"
 
 #include <map>
 #include <memory>
@@ -41,6 +43,8 @@
     int priority = 0;
     /// Regions that may serve the requests; empty allows all.
     std::vector<Core::RegionId> homes;
+    /// Requests need no API key.
+    bool isAnonymous = false;
 };
 
 using RoutePointer = std::shared_ptr<const Route>;
@@ -80,6 +84,10 @@
     RouteTable routes;
     std::map<Core::ServiceId, ServiceSettings> services;
     CallerLimits limits;
+    /// If it is empty, requests need no API key.
+    Organisations::OrganisationDirectory organisations;
+    /// Parts of the configuration that cannot be used; the others are in force.
+    std::vector<Core::Error> problems;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -37,7 +37,7 @@
     RouteId route;
     /// Empty if the request concerns no object.
     ObjectKey object;
-    /// Regions that may serve the request; null or empty allows all.
+    /// Regions that may serve the request; null allows all, empty none.
     const std::vector<Core::RegionId>* homes = nullptr;
     /// Upstreams that the request was already sent to.
     const std::vector<Core::UpstreamId>* tried = nullptr;
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -18,7 +18,7 @@
 
     auto contains(const std::vector<Core::RegionId>* homes, const Core::RegionId& region) -> bool
     {
-        return homes == nullptr || homes->empty() || std::find(homes->begin(), homes->end(), region) != homes->end();
+        return homes == nullptr || std::find(homes->begin(), homes->end(), region) != homes->end();
     }
 
     auto wasTried(const ChoiceQuery& query, const Core::UpstreamId& id) -> bool
--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -52,7 +52,12 @@
     m_version = (*configuration)->version;
     environment().events.record({ Ports::EventKind("configuration.in-force"), {},
         { { "version", std::to_string(m_version.value()) }, { "revision", std::to_string(item.revision.value()) },
-            { "routes", std::to_string((*configuration)->routes.size()) } } });
+            { "routes", std::to_string((*configuration)->routes.size()) },
+            { "organisations", std::to_string((*configuration)->organisations.organisations().size()) } } });
+    for (const auto& problem : (*configuration)->problems) {
+        environment().events.record({ Ports::EventKind("configuration.problem"), {},
+            { { "version", std::to_string(m_version.value()) }, { "detail", describe(problem) } } });
+    }
     m_changed(*configuration);
 }
 
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -46,10 +46,18 @@
     std::optional<Core::Percent> workTime;
 };
 
+/// Identity of a caller, which its organisation's API key has proven. The upstream is told it in place of the key.
+struct VerifiedCaller {
+    /// Empty if the route is open to callers without a key.
+    std::optional<Core::OrganisationId> organisation;
+};
+
 struct ExchangeCall {
     UpstreamTarget target;
     Core::RequestId id;
     MessagePointer request;
+    /// None if callers need no key; the request's own headers then pass unchanged.
+    std::optional<VerifiedCaller> caller;
     /// Remaining time; also sent to the upstream, which should abandon the request when it expires.
     Core::Duration timeLeft {};
     /// Called right before the first byte of the request is written. If it returns false, nothing is written.
--- a/src/plugins/httpforward/forwardfront.cpp
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-    namespace http = boost::beast::http;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
     using Core::RefusalReason;
     using HttpServer::HttpRequest;
     using HttpServer::HttpResponse;
@@ -43,6 +44,10 @@
                                                                     : http::status::bad_gateway;
         if (refusal.reason == RefusalReason::UnknownService)
             return http::status::not_found;
+        if (refusal.reason == RefusalReason::UnknownApiKey)
+            return http::status::unauthorized;
+        if (refusal.reason == RefusalReason::QuotaExceeded)
+            return http::status::too_many_requests;
         return http::status::service_unavailable;
     }
 
@@ -81,6 +86,16 @@
         return {};
     }
 
+    /// Returns the token of the scheme "Bearer" (RFC 6750).
+    auto bearerToken(const HttpRequest& request) -> std::optional<Organisations::ApiKey>
+    {
+        constexpr std::string_view scheme = "Bearer ";
+        const std::string_view credentials(request[http::field::authorization]);
+        if (credentials.size() <= scheme.size() || !beast::iequals(credentials.substr(0, scheme.size()), scheme))
+            return std::nullopt;
+        return Organisations::ApiKey(std::string(credentials.substr(scheme.size())));
+    }
+
     auto parseCallerTimeout(std::string_view text) -> std::optional<Core::Duration>
     {
         std::int64_t milliseconds = 0;
@@ -117,6 +132,7 @@
     decoded.host = std::string(request[http::field::host]);
     decoded.path = std::string(request.target());
     decoded.object = Forwarding::ObjectKey(cookieValue(request, m_names.objectCookie));
+    decoded.apiKey = bearerToken(request);
     decoded.callerTimeout = parseCallerTimeout(request[m_names.timeLeft]);
     decoded.message = std::make_shared<RequestMessage>(std::move(request));
     return decoded;
--- a/src/plugins/httpforward/headernames.h
+++ b/src/plugins/httpforward/headernames.h
@@ -12,6 +12,8 @@
     std::string timeLeft;
     /// Name of the cookie whose value is the key of the object that the request concerns.
     std::string objectCookie;
+    /// Name of the organisation that a request belongs to; set by this system.
+    std::string organisation;
     /// Id of the upstream that the request is sent to; no other upstream may run it.
     std::string expectedUpstream;
     /// Id of the upstream that answers.
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -114,6 +114,12 @@
     removeConnectionHeaders(request);
     request.set(m_names.timeLeft, std::to_string(std::chrono::floor<Core::Millis>(call.timeLeft).count()));
     request.set(m_names.expectedUpstream, call.target.id.value());
+    if (call.caller) {
+        request.erase(http::field::authorization);
+        request.erase(m_names.organisation);
+        if (call.caller->organisation)
+            request.set(m_names.organisation, call.caller->organisation->value());
+    }
     request.version(httpVersion);
     request.keep_alive(true);
     if (!request.body().empty() || request.has_content_length())
--- a/src/plugins/httpfront/replyencoding.cpp
+++ b/src/plugins/httpfront/replyencoding.cpp
@@ -29,6 +29,10 @@
         case RefusalReason::KeyRequired:
         case RefusalReason::KeyInvalid:
             return http::status::bad_request;
+        case RefusalReason::UnknownApiKey:
+            return http::status::unauthorized;
+        case RefusalReason::QuotaExceeded:
+            return http::status::too_many_requests;
         case RefusalReason::UnknownService:
             return http::status::not_found;
         case RefusalReason::RequestTooLarge:
