--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "ports/bodystream.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
@@ -14,6 +15,12 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// Response whose body is still arriving. The head has a Content-Length or "chunked", which the body keeps to.
+struct StreamedResponse {
+    HttpResponse head;
+    std::shared_ptr<Ports::BodyStream> body;
+};
+
 /// Tells the handler of one request whether the client is still connected. Thread-safe.
 class DisconnectNotifier {
 public:
