--- a/src/plugins/httpforward/headernames.h
+++ b/src/plugins/httpforward/headernames.h
@@ -12,8 +12,6 @@
     std::string timeLeft;
     /// Name of the cookie whose value is the key of the object that the request concerns.
     std::string objectCookie;
-    /// Name of the organisation that a request belongs to; set by this system.
-    std::string organisation;
     /// Id of the upstream that the request is sent to; no other upstream may run it.
     std::string expectedUpstream;
     /// Id of the upstream that answers.
@@ -26,6 +24,8 @@
     std::string coldRemaining;
     /// The value "1" says that the upstream is leaving.
     std::string leaving;
+    /// Name of the organisation that a request belongs to; set by this system.
+    std::string organisation;
 };
 
 } // namespace HttpForward
