--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -227,12 +227,13 @@
     }
     const auto index = *attempt;
     const auto self = shared_from_this();
-    Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, verifiedCaller(), m_deadline - now,
+    Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
         [weak = weak_from_this(), target = choice.target] {
             const auto operation = weak.lock();
             return operation && operation->isStillWanted(target);
         },
-        [context = m_context, target = choice.target] { context->pool.recordClosedConnection(target); } };
+        [context = m_context, target = choice.target] { context->pool.recordClosedConnection(target); },
+        verifiedCaller() };
     auto exchange = m_environment.exchanges.start(
         std::move(call), [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
     bool isDone = false;
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -56,14 +56,14 @@
     UpstreamTarget target;
     Core::RequestId id;
     MessagePointer request;
-    /// None if callers need no key; the request's own headers then pass unchanged.
-    std::optional<VerifiedCaller> caller;
     /// Remaining time; also sent to the upstream, which should abandon the request when it expires.
     Core::Duration timeLeft {};
     /// Called right before the first byte of the request is written. If it returns false, nothing is written.
     std::function<bool()> isStillWanted = [] { return true; };
     /// Called if the upstream closed a keep-alive connection early, because its process may have ended since.
     std::function<void()> onConnectionClosed;
+    /// None if callers need no key; the request's own headers then pass unchanged.
+    std::optional<VerifiedCaller> caller;
 };
 
 enum class ExchangeOutcome : std::uint8_t {
