--- a/tests/auto/httpforward/exchangefixture.h
+++ b/tests/auto/httpforward/exchangefixture.h
@@ -12,7 +12,8 @@
 
 inline auto names() -> HttpForward::HeaderNames
 {
-    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving" };
+    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving",
+        "Organisation" };
 }
 
 inline auto answer(const std::string& id, const std::string& body) -> std::string
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -31,7 +31,8 @@
 
 auto names() -> HttpForward::HeaderNames
 {
-    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving" };
+    return { "Request-Id", "Time-Left", "Object", "Expected", "Upstream", "Load", "Not-Run", "Cold-Left", "Leaving",
+        "Organisation" };
 }
 
 const std::string goodAnswer
@@ -70,7 +71,8 @@
     ForwardFrontFixture(const ForwardFrontFixture&) = delete;
     auto operator=(const ForwardFrontFixture&) -> ForwardFrontFixture& = delete;
 
-    auto serve(const ScriptedUpstream& upstream) -> void
+    /// Serves one route, to callers with the key of an organisation only if one is named.
+    auto serve(const ScriptedUpstream& upstream, const std::string& organisation = {}) -> void
     {
         Forwarding::Route route;
         route.host = "desk.example";
@@ -82,6 +84,11 @@
         auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
         configuration->routes.add(route);
         configuration->services[Core::ServiceId("stock")] = { "/health", {}, 0 };
+        if (!organisation.empty()) {
+            Organisations::Organisation added;
+            added.id = Core::OrganisationId(organisation);
+            (void)configuration->organisations.add(added, { Organisations::ApiKey("secret") });
+        }
         forwarder.setConfiguration(configuration);
         Forwarding::UpstreamEntry entry;
         entry.target = { Core::UpstreamId("u1"), Core::ProcessStartId(1), upstream.address() };
@@ -149,6 +156,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WithOrganisations)
+
+BOOST_AUTO_TEST_CASE(TellsTheUpstreamTheNameInPlaceOfTheKey)
+{
+    ScriptedUpstream upstream({ goodAnswer });
+    serve(upstream, "crews");
+    auto request = goodRequest;
+    request.insert(request.size() - 2, "Authorization: bearer secret\r\nOrganisation: forged\r\n");
+    BOOST_TEST(exchange(request).starts_with("HTTP/1.1 200 "));
+    BOOST_REQUIRE(upstream.requestHeads().size() == 1U);
+    const auto head = upstream.requestHeads().front();
+    BOOST_TEST(head.find("Organisation: crews") != std::string::npos);
+    BOOST_TEST(head.find("forged") == std::string::npos);
+    BOOST_TEST(head.find("secret") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAnUnknownKeyAsUnauthorized)
+{
+    ScriptedUpstream upstream({ goodAnswer });
+    serve(upstream, "crews");
+    for (const auto* header : { "", "Authorization: Bearer wrong\r\n", "Authorization: secret\r\n",
+             "Authorization: Bearer \r\n", "Authorization: Basic secret\r\n" }) {
+        auto request = goodRequest;
+        request.insert(request.size() - 2, header);
+        const auto reply = exchange(request);
+        BOOST_TEST(reply.starts_with("HTTP/1.1 401 "), header);
+        BOOST_TEST(reply.find("Retry-After") == std::string::npos);
+    }
+    BOOST_TEST(upstream.requestHeads().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhoseCallerDisconnects)
 
 BOOST_AUTO_TEST_CASE(ClosesTheConnectionToTheUpstream)
--- a/tests/platform/tst_objectcodec.cpp
+++ b/tests/platform/tst_objectcodec.cpp
@@ -17,6 +17,15 @@
             + R"(},"status":)" + status + "}");
     }
 
+    /// Returns a configuration with the given organisations and the given routes of one host.
+    static auto configurationWith(const std::string& organisations, const std::string& routes) -> std::string
+    {
+        return R"({"metadata":{"name":"main"},"spec":{"version":7,"services":[],
+          "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout":"3000ms","idle_timeout":"15s"},
+          "tenants":[)"
+            + organisations + R"(],"hosts":[{"host":"desk.example","paths":[)" + routes + "]}]}}";
+    }
+
     const std::string info = R"({"service":"pegs","version":"v1","zone":"atl-a","slots":4})";
     const std::string status = R"({"state":"ready","seq":4,"cold_left":"1500ms"})";
     const Core::Instant now { Core::Millis(10'000) };
@@ -128,6 +137,64 @@
     BOOST_TEST((*configuration)->services.at(Core::ServiceId("pegs")).coldRate == 4.1);
 }
 
+BOOST_AUTO_TEST_CASE(GivesRepeatableKindsAndAnonymousRoutes)
+{
+    const auto configuration = codec.decodeConfiguration(item(configurationWith("", R"(
+        {"name":"r-1","path_prefix":"/files/","kind":"download","timeout":"2s","target_latency":"1s","attempts":2,
+         "service":"pegs","anonymous":true},
+        {"name":"r-2","path_prefix":"/holds/","kind":"non_idempotent","timeout":"2s","target_latency":"1s",
+         "attempts":2,"service":"pegs"})")));
+    BOOST_REQUIRE(configuration);
+    const auto files = (*configuration)->routes.find("desk.example", "/files/1");
+    const auto holds = (*configuration)->routes.find("desk.example", "/holds/1");
+    BOOST_REQUIRE((files && holds));
+    BOOST_TEST(files->isIdempotent);
+    BOOST_TEST(files->isAnonymous);
+    BOOST_TEST(!holds->isIdempotent);
+    BOOST_TEST(!holds->isAnonymous);
+}
+
+BOOST_AUTO_TEST_SUITE(WithOrganisations)
+
+BOOST_AUTO_TEST_CASE(GivesTheirKeysPriorityRegionsAndQuota)
+{
+    const auto configuration = codec.decodeConfiguration(item(configurationWith(
+        R"({"name":"crews","api_keys":["k1","k2"],"priority":2,"rate_per_s":30,"burst":15,"home_regions":["atl"]},
+           {"name":"desks","api_keys":["k3"],"rate_per_s":0,"burst":9})",
+        "")));
+    BOOST_REQUIRE(configuration);
+    BOOST_TEST((*configuration)->problems.empty());
+    const auto crews = (*configuration)->organisations.find(Organisations::ApiKey("k2"));
+    BOOST_REQUIRE(crews);
+    BOOST_TEST(crews->id.value() == "crews");
+    BOOST_TEST(crews->priority.value() == 2);
+    BOOST_TEST(crews->homes.front().value() == "atl");
+    BOOST_TEST((crews->quota == Organisations::Quota { 30, 15 }));
+    const auto desks = (*configuration)->organisations.find(Organisations::ApiKey("k3"));
+    BOOST_REQUIRE(desks);
+    BOOST_TEST(!desks->priority.has_value());
+    BOOST_TEST(!desks->quota.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheOthersIfOneIsOddAndNamesNoKey)
+{
+    for (const auto* odd : { R"({"name":7,"api_keys":["secret"]})", R"({"api_keys":["secret"]})", "null", "7",
+             R"({"name":"odd","api_keys":"secret"})", R"({"name":"odd","api_keys":[["secret"]]})",
+             R"({"name":"odd","api_keys":["secret"],"rate_per_s":"many"})",
+             R"({"name":"odd","api_keys":["secret"],"rate_per_s":3,"burst":-1})",
+             R"({"name":"crews","api_keys":["secret"]})", R"({"name":"odd","api_keys":[""]})" }) {
+        const auto configuration = codec.decodeConfiguration(
+            item(configurationWith(R"({"name":"crews","api_keys":["k1"]},)" + std::string(odd), "")));
+        BOOST_REQUIRE_MESSAGE(configuration, odd);
+        BOOST_TEST((*configuration)->organisations.find(Organisations::ApiKey("k1")) != nullptr, odd);
+        BOOST_TEST((*configuration)->organisations.find(Organisations::ApiKey("secret")) == nullptr, odd);
+        BOOST_REQUIRE_MESSAGE((*configuration)->problems.size() == 1U, odd);
+        BOOST_TEST(describe((*configuration)->problems.front()).find("secret") == std::string::npos, odd);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(IsRefusedAsAWholeWhenAPartIsInvalid)
 {
     for (const auto* text :
