Model the permits of an organisation's quota in Promela

Cause: the bound of docs/design/quotas.md has to hold when VMs are cut off, killed, paused and restarted together, and when a new limit is on the way.

Three searches: two VMs that may be each other's parent, three of which one changes its parent, and a lower limit that the VMs learn one after the other. Six variants with one guard removed must fail.

Not in the model: how many VMs there are, and permits that come back unused.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	@tests/model/check.sh 2 claims
 	@tests/model/check.sh 3
 	@tests/model/check-configuration.sh
+	@tests/model/check-quotas.sh
 
 # Runs the randomised tests for SECONDS, from SEED on.
 soak: build
