Keep the quotas of organisations over all VMs

Change: src/libs/quotas decides as docs/design/quotas.md says: PermitTree (where permits move), OrganisationPermits (permits, waiting requests and needs of one organisation), TreeNeighbours (parent, children, number of VMs), FleetQuotas (the gate). src/plugins/quotapeer encodes the messages as CBOR over peer streams. EntryVm passes the organisations of each configuration and the store's list of VMs on; without a quota no timer runs and no message is sent. The platform's bounds become EntryVmSettings::quotaBounds. A refusal says what decided it.

Tests without a network: a story of one organisation, and random runs in virtual time (VMs cut off, killed, paused, restarted together and joining, messages lost, copied and late, quotas changing) that check every window. bench_quotas measures.

Open: a VM that is cut off from all others serves only organisations whose room on one VM is a permit or more.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -78,10 +78,11 @@
     , m_mirrorPeer(m_peers)
     , m_crashReportPeer(m_peers)
     , m_noticePeer(m_peers)
+    , m_quotaPeer(m_peers)
     , m_exchanges(m_upstreamClient, platform.headerNames())
     , m_entryVm(m_settings, placement,
           { m_clock, m_runtime, m_random, m_telemetry.events(), m_telemetry.metrics(), platform.codec(), *m_store,
-              m_exchanges, m_datagrams, m_mirrorPeer, m_crashReportPeer, m_noticePeer,
+              m_exchanges, m_datagrams, m_mirrorPeer, m_crashReportPeer, m_noticePeer, m_quotaPeer,
               [this](const Forwarding::CallerLimits& limits) {
                   m_frontServer.setLimits(callerLimits(m_settings, limits));
               } })
@@ -117,6 +118,8 @@
         [this](const Dispatch::CrashReport& crashReport) { m_entryVm.forwarder().crashGuard().accept(crashReport); });
     NoticePeer::registerNoticeHandler(
         m_peerHandlers, [this](const Forwarding::UpstreamNotices& notices) { m_entryVm.forwarder().accept(notices); });
+    QuotaPeer::registerPermitHandler(
+        m_peerHandlers, [this](const Quotas::PermitMessage& message) { return m_entryVm.quotas().receive(message); });
 }
 
 auto ForwardingProcess::lookupReply() const -> LookupReply
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -11,6 +11,7 @@
 #include "noticepeer/noticepeer.h"
 #include "peerstream/peerstreamclient.h"
 #include "peerstream/peerstreamserver.h"
+#include "quotapeer/quotapeer.h"
 #include "runtime/asioruntime.h"
 #include "runtime/signallistener.h"
 
@@ -60,6 +61,7 @@
     MirrorPeer::MirrorPeer m_mirrorPeer;
     CrashReportPeer::CrashReportPeer m_crashReportPeer;
     NoticePeer::NoticePeer m_noticePeer;
+    QuotaPeer::QuotaPeer m_quotaPeer;
     HttpForward::HttpExchangeClient m_exchanges;
     ForwardingHost::EntryVm m_entryVm;
     HttpForward::ForwardFront m_front;
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -29,6 +29,7 @@
 {
     if (entry.id == m_self.id) {
         m_isSelfListed = entry.start == m_self.start;
+        m_isIdListed = true;
         return;
     }
     const auto now = m_environment.clock.now();
@@ -41,6 +42,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isSelfListed = false;
+        m_isIdListed = false;
         for (auto& [id, member] : m_members)
             member.markUnlisted();
         for (const auto& entry : entries)
@@ -261,6 +263,21 @@
     return m_members.size() + 1;
 }
 
+auto EntryFleet::listed() const -> std::optional<std::vector<EntryVmEntry>>
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_hasList)
+        return std::nullopt;
+    std::vector<EntryVmEntry> entries;
+    if (m_isIdListed)
+        entries.push_back(m_self);
+    for (const auto& [id, member] : m_members) {
+        if (member.isListed())
+            entries.push_back(member.entry());
+    }
+    return entries;
+}
+
 auto EntryFleet::isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool
 {
     if (upstream.region != m_self.region)
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -54,6 +54,8 @@
     [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
     /// Returns the number of entry VMs that are listed or have introduced themselves, including this one.
     [[nodiscard]] auto knownCount() const -> std::size_t;
+    /// Returns the entry VMs that the store lists, which may include this one, or nothing before its first list.
+    [[nodiscard]] auto listed() const -> std::optional<std::vector<EntryVmEntry>>;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
     [[nodiscard]] auto regionalCount() const -> std::size_t override;
 
@@ -89,6 +91,8 @@
     std::map<Core::EntryVmId, Member> m_members;
     /// The store lists this process, so that the others know of it.
     bool m_isSelfListed = false;
+    /// The store lists this process or an earlier one of this VM.
+    bool m_isIdListed = false;
     bool m_hasList = false;
     bool m_isStarted = false;
     bool m_isLeaving = false;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -137,7 +137,8 @@
 {
     if (!result) {
         refuse(RefusalReason::QuotaExceeded,
-            "the quota of organisation '" + m_organisation->id.value() + "' is used up", result.error().retryAfter);
+            "the quota of organisation '" + m_organisation->id.value() + "' is used up: " + result.error().detail,
+            result.error().retryAfter);
         return;
     }
     bool isDone = false;
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -19,6 +19,11 @@
             settings.region, settings.front, settings.heartbeats, settings.peers };
     }
 
+    auto treeMember(const EntryFleet::EntryVmEntry& entry) -> Quotas::TreeMember
+    {
+        return { entry.id, entry.failureDomain, entry.region, entry.peers };
+    }
+
 } // namespace
 
 EntryVm::EntryVm(
@@ -29,9 +34,12 @@
     , m_fleet(m_self,
           { m_environment.clock, m_environment.scheduler, m_environment.events, m_environment.heartbeats,
               [this] { recoverFromPause(); } })
+    , m_quotas(std::make_shared<Quotas::FleetQuotas>(treeMember(m_self), m_self.start, m_settings.quotaBounds,
+          Quotas::FleetQuotas::Environment {
+              m_environment.clock, m_environment.scheduler, m_environment.events, m_environment.permits }))
     , m_forwarder({ m_environment.clock, m_environment.scheduler, m_environment.random, m_environment.exchanges,
           m_environment.events, m_environment.metrics,
-          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement } })
+          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement }, m_quotas })
     , m_noticeOutbox(
           { m_environment.clock, m_environment.scheduler, m_environment.notices, [this] { return peersToNotify(); } })
     , m_registry({ m_environment.clock, m_environment.scheduler, m_environment.events },
@@ -41,8 +49,8 @@
     , m_upstreamListener({ m_environment.codec, m_environment.clock, m_environment.events }, m_registry)
     , m_evacuationListener({ m_environment.codec, m_environment.clock, m_environment.events },
           [this](const Forwarding::EvacuatedDomains& domains) { setEvacuated(domains); })
-    , m_entryVmListener({ m_environment.codec, m_environment.clock, m_environment.events }, m_fleet,
-          [this] { applyRetryAllowance(); })
+    , m_entryVmListener(
+          { m_environment.codec, m_environment.clock, m_environment.events }, m_fleet, [this] { applyMembers(); })
     , m_watchdog(std::make_shared<StoreSync::StoreWatchdog>(followerEnvironment(), *this))
     , m_peerRefresh(std::make_shared<StoreSync::PeerRefresh>(
           StoreSync::PeerRefresh::Environment { followerEnvironment(), m_environment.mirrorPort, m_mirror,
@@ -162,10 +170,23 @@
 
 auto EntryVm::applyConfiguration(const std::shared_ptr<const Forwarding::RoutingConfiguration>& configuration) -> void
 {
+    m_quotas->setOrganisations(configuration->organisations);
     m_forwarder.setConfiguration(configuration);
     m_environment.limitsChanged(configuration->limits);
 }
 
+auto EntryVm::applyMembers() -> void
+{
+    applyRetryAllowance();
+    const auto listed = m_fleet.listed();
+    if (!listed)
+        return;
+    std::vector<Quotas::TreeMember> members;
+    for (const auto& entry : *listed)
+        members.push_back(treeMember(entry));
+    m_quotas->setMembers(std::move(members));
+}
+
 auto EntryVm::applyRetryAllowance() -> void
 {
     const auto entryVms = static_cast<double>(m_fleet.knownCount());
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -5,6 +5,7 @@
 #include "forwardinghost/delaymonitor.h"
 #include "forwardinghost/entryvmsettings.h"
 #include "forwardinghost/listeners.h"
+#include "quotas/fleetquotas.h"
 #include "storesync/peerrefresh.h"
 
 namespace ForwardingHost {
@@ -26,6 +27,7 @@
         StoreSync::MirrorPort& mirrorPort;
         CrashReports::CrashReportSender& crashReports;
         Forwarding::UpstreamNoticePort& notices;
+        Quotas::PermitPort& permits;
         /// Called with the caller limits of each configuration that takes effect.
         std::function<void(const Forwarding::CallerLimits&)> limitsChanged;
     };
@@ -40,6 +42,7 @@
 
     auto forwarder() -> Forwarding::Forwarder& { return m_forwarder; }
     auto fleet() -> EntryFleet::EntryFleet& { return m_fleet; }
+    auto quotas() -> Quotas::FleetQuotas& { return *m_quotas; }
     [[nodiscard]] auto mirror() const -> const StoreSync::CollectionMirror& { return m_mirror; }
     [[nodiscard]] auto delays() const -> const DelayMonitor& { return m_delays; }
     [[nodiscard]] auto isStoreReachable() const -> bool;
@@ -54,6 +57,7 @@
     auto storeLost() -> void override;
     auto storeRegained() -> void override;
     auto applyConfiguration(const std::shared_ptr<const Forwarding::RoutingConfiguration>& configuration) -> void;
+    auto applyMembers() -> void;
     auto applyRetryAllowance() -> void;
     auto setUpstreams(const Forwarding::UpstreamEntries& entries) -> void;
     auto setEvacuated(const Forwarding::EvacuatedDomains& domains) -> void;
@@ -74,6 +78,7 @@
     const Environment m_environment;
     const EntryFleet::EntryVmEntry m_self;
     EntryFleet::EntryFleet m_fleet;
+    const std::shared_ptr<Quotas::FleetQuotas> m_quotas;
     Forwarding::Forwarder m_forwarder;
     Forwarding::NoticeOutbox m_noticeOutbox;
     /// Guards both lists and their hand-over to the forwarder, so that an older pair never replaces a newer one.
--- a/src/libs/forwardinghost/entryvmsettings.h
+++ b/src/libs/forwardinghost/entryvmsettings.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "quotas/quotabounds.h"
 
 #include <cstdint>
 #include <vector>
@@ -40,6 +41,8 @@
     /// Retry budget of the whole fleet for each service, over ten seconds.
     double retryRatio = 0.1;
     double retrySlack = 10;
+    /// How far the quotas of organisations may be exceeded.
+    Quotas::QuotaBounds quotaBounds;
 };
 
 } // namespace ForwardingHost
--- a/src/libs/quotas/quotagate.h
+++ b/src/libs/quotas/quotagate.h
@@ -4,6 +4,7 @@
 #include "organisations/organisation.h"
 
 #include <functional>
+#include <string>
 #include <tl/expected.hpp>
 
 namespace Quotas {
@@ -11,6 +12,7 @@
 /// Permission to run one request of an organisation.
 struct QuotaPermit {
     Core::OrganisationId organisation;
+    /// A permit that came back keeps the time at which it was first taken.
     Core::Instant takenAt;
 };
 
@@ -18,6 +20,8 @@
 struct QuotaRefusal {
     /// Time after which the quota allows another request.
     Core::Duration retryAfter {};
+    /// What decided the refusal, for the log.
+    std::string detail;
 };
 
 using QuotaResult = tl::expected<QuotaPermit, QuotaRefusal>;
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -4,6 +4,7 @@
 #include "fakes/worldrandom.h"
 #include "mirrorpeer/mirrorpeer.h"
 #include "noticepeer/noticepeer.h"
+#include "quotapeer/quotapeer.h"
 
 namespace Fakes {
 
@@ -57,13 +58,15 @@
         , exchanges(owner.virtualUpstreams, nodeOf(index))
         , entryVm(settingsOf(index), {},
               { owner.world, node, random, events, metrics, owner.codec, collections, exchanges, *this, mirrorPeer,
-                  crashReportPeer, noticePeer, [](const Forwarding::CallerLimits&) {} })
+                  crashReportPeer, noticePeer, quotaPeer, [](const Forwarding::CallerLimits&) {} })
     {
         MirrorPeer::registerMirrorHandler(node, entryVm.mirror(), [this] { return entryVm.isStoreReachable(); });
         CrashReportPeer::registerCrashReportHandler(node,
             [this](const Dispatch::CrashReport& crashReport) { entryVm.forwarder().crashGuard().accept(crashReport); });
         NoticePeer::registerNoticeHandler(
             node, [this](const Forwarding::UpstreamNotices& notices) { entryVm.forwarder().accept(notices); });
+        QuotaPeer::registerPermitHandler(
+            node, [this](const Quotas::PermitMessage& message) { return entryVm.quotas().receive(message); });
         entryVm.start();
     }
 
@@ -88,6 +91,7 @@
     MirrorPeer::MirrorPeer mirrorPeer { node };
     CrashReportPeer::CrashReportPeer crashReportPeer { node };
     NoticePeer::NoticePeer noticePeer { node };
+    QuotaPeer::QuotaPeer quotaPeer { node };
     ForwardingHost::EntryVm entryVm;
 };
 
