--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -71,7 +71,12 @@
               { "heartbeats_malformed_total", Metrics::CallbackMetric::Type::Counter,
                   [this] { return m_datagrams.malformedCount(); } },
               { "event_delay_highest_ms", Metrics::CallbackMetric::Type::Gauge,
-                  [this] { return static_cast<std::uint64_t>(m_entryVm.delays().highestDelay().count()); } } })
+                  [this] { return static_cast<std::uint64_t>(m_entryVm.delays().highestDelay().count()); } },
+              { "store_read_directly", Metrics::CallbackMetric::Type::Gauge,
+                  [this] { return static_cast<std::uint64_t>(m_entryVm.sharedReads().isReadingStore()); } },
+              { "store_copy_age_ms", Metrics::CallbackMetric::Type::Gauge, [this] { return storeCopyAge(); } },
+              { "store_polls_held", Metrics::CallbackMetric::Type::Gauge,
+                  [this] { return static_cast<std::uint64_t>(m_entryVm.mirrorHost()->waiting()); } } })
     , m_store(platform.makeStore(m_storeClient))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
     , m_peers(m_runtime.context(), m_peerTraffic)
@@ -111,14 +116,19 @@
 
 auto ForwardingProcess::registerPeerHandlers() -> void
 {
-    MirrorPeer::registerMirrorHandler(
-        m_peerHandlers, m_entryVm.mirror(), [this] { return m_entryVm.isStoreReachable(); });
+    MirrorPeer::registerMirrorHandler(m_peerHandlers, m_entryVm.mirrorHost());
     CrashReportPeer::registerCrashReportHandler(m_peerHandlers,
         [this](const Dispatch::CrashReport& crashReport) { m_entryVm.forwarder().crashGuard().accept(crashReport); });
     NoticePeer::registerNoticeHandler(
         m_peerHandlers, [this](const Forwarding::UpstreamNotices& notices) { m_entryVm.forwarder().accept(notices); });
 }
 
+auto ForwardingProcess::storeCopyAge() const -> std::uint64_t
+{
+    const auto age = m_entryVm.sharedReads().contact().age.value_or(Core::Duration(0));
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Core::Millis>(age).count());
+}
+
 auto ForwardingProcess::lookupReply() const -> LookupReply
 {
     return { m_entryVm.callerAddresses(), m_settings.lookupLifetime };
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -29,6 +29,8 @@
     auto run() -> void;
 
 private:
+    /// Returns the age of the copies of the store in milliseconds; 0 if there are none.
+    [[nodiscard]] auto storeCopyAge() const -> std::uint64_t;
     [[nodiscard]] auto lookupReply() const -> LookupReply;
     auto registerPeerHandlers() -> void;
     auto scheduleIdlePeerClosing() -> void;
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -246,6 +246,17 @@
     return preferred;
 }
 
+auto EntryFleet::regionalPeerAddresses() const -> std::vector<Core::Address>
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Core::Address> addresses;
+    for (const auto& [id, member] : m_members) {
+        if (isRegionalPeer(member.entry()))
+            addresses.push_back(member.entry().peers);
+    }
+    return addresses;
+}
+
 auto EntryFleet::regionalCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
@@ -261,13 +272,54 @@
     return m_members.size() + 1;
 }
 
+auto EntryFleet::isViewIncomplete(Core::Instant now) const -> bool
+{
+    return now < m_ownershipStart || now - m_lastCycle > maximumCycleGap;
+}
+
+auto EntryFleet::regionalRanking() const -> std::vector<EntryVmEntry>
+{
+    struct Ranked {
+        EntryVmEntry entry;
+        std::uint64_t score = 0;
+        /// Number of entry VMs in the same failure domain that come before.
+        std::size_t round = 0;
+    };
+    std::vector<Ranked> ranked;
+    const auto add = [&](const EntryVmEntry& entry) {
+        ranked.push_back({ entry, Fleet::rendezvousScore(m_self.region.value(), entry.id.value()) });
+    };
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = m_environment.clock.now();
+        if (isViewIncomplete(now))
+            return {};
+        if (!m_isLeaving)
+            add(m_self);
+        for (const auto& [id, member] : m_members) {
+            if (acceptsCallers(member, now))
+                add(member.entry());
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& one, const auto& other) { return one.score > other.score; });
+    std::map<Core::FailureDomainId, std::size_t> rounds;
+    for (auto& one : ranked)
+        one.round = rounds[one.entry.failureDomain]++;
+    std::stable_sort(
+        ranked.begin(), ranked.end(), [](const auto& one, const auto& other) { return one.round < other.round; });
+    std::vector<EntryVmEntry> entries;
+    for (auto& one : ranked)
+        entries.push_back(std::move(one.entry));
+    return entries;
+}
+
 auto EntryFleet::isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool
 {
     if (upstream.region != m_self.region)
         return false;
     const std::lock_guard lock(m_mutex);
     const auto now = m_environment.clock.now();
-    if (now < m_ownershipStart || now - m_lastCycle > maximumCycleGap || m_isLeaving)
+    if (isViewIncomplete(now) || m_isLeaving)
         return false;
     const auto& key = upstream.target.id.value();
     const auto own = Fleet::rendezvousScore(key, m_self.id.value());
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -43,10 +43,15 @@
           [this](const Forwarding::EvacuatedDomains& domains) { setEvacuated(domains); })
     , m_entryVmListener({ m_environment.codec, m_environment.clock, m_environment.events }, m_fleet,
           [this] { applyRetryAllowance(); })
+    , m_mirror(m_environment.clock)
+    , m_sources(m_settings, m_fleet)
     , m_watchdog(std::make_shared<StoreSync::StoreWatchdog>(followerEnvironment(), *this))
-    , m_peerRefresh(std::make_shared<StoreSync::PeerRefresh>(
-          StoreSync::PeerRefresh::Environment { followerEnvironment(), m_environment.mirrorPort, m_mirror,
-              [this] { return peersToQuery(); }, [this] { m_registry.storeRegained(); } }))
+    , m_sharedReads(std::make_shared<StoreSync::SharedReads>(
+          StoreSync::SharedReads::Environment { followerEnvironment(), m_environment.mirrorPort, m_mirror, *m_watchdog,
+              m_sources, m_environment.codec.collections().entryVms, m_settings.storeWatchers,
+              [this] { m_registry.storeRegained(); }, [this](bool isLost) { m_forwarder.setListStale(isLost); } }))
+    , m_mirrorHost(std::make_shared<StoreSync::MirrorHost>(StoreSync::MirrorHost::Environment {
+          m_environment.scheduler, m_mirror, [reads = m_sharedReads] { return reads->contact(); } }))
 {
     m_forwarder.crashGuard().setCrashReportCallback([this](const Dispatch::CrashReport& report) { announce(report); });
     m_forwarder.setNoticeCallback([this](const Forwarding::UpstreamNotice& notice) { m_noticeOutbox.add(notice); });
@@ -78,6 +83,7 @@
     follow(names.evacuations, m_evacuationListener);
     follow(names.entryVms, m_entryVmListener);
     m_watchdog->start();
+    m_sharedReads->start();
 }
 
 auto EntryVm::follow(const Ports::CollectionName& name, StoreSync::CollectionListener& listener) -> void
@@ -91,11 +97,11 @@
     };
     if (isUpstreamCollection)
         environment.storeFailed = [this] { m_forwarder.setListStale(true); };
+    environment.changed = [this] { m_mirrorHost->notify(); };
     const auto follower = std::make_shared<StoreSync::CollectionFollower>(name, listener, std::move(environment));
     m_followers.push_back(follower);
     m_watchdog->add(follower);
-    m_peerRefresh->add(name, follower);
-    follower->start();
+    m_sharedReads->add(name, follower);
 }
 
 auto EntryVm::registerSelf() -> void
@@ -138,12 +144,6 @@
     return m_fleet.callerAddresses();
 }
 
-auto EntryVm::peersToQuery() const -> std::vector<Core::Address>
-{
-    auto peers = m_fleet.peerAddresses();
-    return peers.empty() ? m_settings.seeds : peers;
-}
-
 auto EntryVm::peersToNotify() const -> std::vector<Core::Address>
 {
     auto peers = m_fleet.peerAddresses();
@@ -198,13 +198,13 @@
     recordLifecycle("store.unanswered", "the store is unreachable; its last known state stays in force");
     m_registry.storeLost();
     m_forwarder.setListStale(true);
-    m_peerRefresh->start();
+    m_sharedReads->wake();
+    m_mirrorHost->notify();
 }
 
 auto EntryVm::storeRegained() -> void
 {
     recordLifecycle("store.answers", "the store is reachable again");
-    m_peerRefresh->stop();
     m_forwarder.setListStale(false);
     m_registry.storeRegained();
 }
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -4,8 +4,10 @@
 #include "forwarding/noticeoutbox.h"
 #include "forwardinghost/delaymonitor.h"
 #include "forwardinghost/entryvmsettings.h"
+#include "forwardinghost/fleetsources.h"
 #include "forwardinghost/listeners.h"
-#include "storesync/peerrefresh.h"
+#include "storesync/mirrorhost.h"
+#include "storesync/sharedreads.h"
 
 namespace ForwardingHost {
 
@@ -40,7 +42,9 @@
 
     auto forwarder() -> Forwarding::Forwarder& { return m_forwarder; }
     auto fleet() -> EntryFleet::EntryFleet& { return m_fleet; }
-    [[nodiscard]] auto mirror() const -> const StoreSync::CollectionMirror& { return m_mirror; }
+    /// Answers other entry VMs that follow the store through this one.
+    [[nodiscard]] auto mirrorHost() const -> const std::shared_ptr<StoreSync::MirrorHost>& { return m_mirrorHost; }
+    [[nodiscard]] auto sharedReads() const -> const StoreSync::SharedReads& { return *m_sharedReads; }
     [[nodiscard]] auto delays() const -> const DelayMonitor& { return m_delays; }
     [[nodiscard]] auto isStoreReachable() const -> bool;
     /// Returns true if a configuration is in force and this entry VM is not shutting down.
@@ -63,8 +67,6 @@
     auto follow(const Ports::CollectionName& name, StoreSync::CollectionListener& listener) -> void;
     auto registerSelf() -> void;
     auto scheduleProbes() -> void;
-    /// Returns the entry VMs to query while the store is unreachable: the listed peers, or the seeds if there are none.
-    [[nodiscard]] auto peersToQuery() const -> std::vector<Core::Address>;
     /// Returns the entry VMs that receive this one's upstream notices and crash reports.
     [[nodiscard]] auto peersToNotify() const -> std::vector<Core::Address>;
     auto announce(const Dispatch::CrashReport& report) -> void;
@@ -86,8 +88,10 @@
     EvacuationListener m_evacuationListener;
     EntryVmListener m_entryVmListener;
     StoreSync::CollectionMirror m_mirror;
+    FleetSources m_sources;
     std::shared_ptr<StoreSync::StoreWatchdog> m_watchdog;
-    std::shared_ptr<StoreSync::PeerRefresh> m_peerRefresh;
+    std::shared_ptr<StoreSync::SharedReads> m_sharedReads;
+    std::shared_ptr<StoreSync::MirrorHost> m_mirrorHost;
     std::vector<std::shared_ptr<StoreSync::CollectionFollower>> m_followers;
     std::atomic<bool> m_isLeaving { false };
     DelayMonitor m_delays { m_environment.clock, m_environment.events };
--- a/src/libs/forwardinghost/entryvmsettings.h
+++ b/src/libs/forwardinghost/entryvmsettings.h
@@ -37,6 +37,8 @@
     Core::Millis lookupLifetime { 2000 };
     /// Time for which changes of the store may gather before they are read together.
     Core::Millis batchingDelay { 500 };
+    /// Number of entry VMs in each large region that read the store for the others. 0: each one reads it itself.
+    std::size_t storeWatchers = 2;
     /// Retry budget of the whole fleet for each service, over ten seconds.
     double retryRatio = 0.1;
     double retrySlack = 10;
--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -77,7 +77,7 @@
 {
     std::vector<Forwarding::UpstreamEntry> entries;
     for (const auto& item : list.items) {
-        const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
+        const auto entry = environment().codec.decodeUpstream(item, environment().clock.now() - item.age);
         if (entry)
             entries.push_back(*entry);
         else
@@ -88,7 +88,7 @@
 
 auto UpstreamListener::upsert(const Ports::CollectionItem& item) -> void
 {
-    const auto entry = environment().codec.decodeUpstream(item, environment().clock.now());
+    const auto entry = environment().codec.decodeUpstream(item, environment().clock.now() - item.age);
     if (entry) {
         m_registry.upsert(*entry);
         return;
--- a/src/libs/ports/collectionstore.h
+++ b/src/libs/ports/collectionstore.h
@@ -22,6 +22,8 @@
     std::string name;
     StoreRevision revision;
     std::string text;
+    /// Time since the store was read. Not zero if the item was passed on by another entry VM.
+    Core::Duration age {};
 };
 
 /// Complete collection as of a revision.
--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -20,25 +20,75 @@
 {
 }
 
-auto CollectionFollower::start() -> void { list(); }
+auto CollectionFollower::start() -> void { resume(); }
 
 auto CollectionFollower::stop() -> void
 {
-    std::shared_ptr<Ports::StoreCall> call;
     {
         const std::lock_guard lock(m_mutex);
         m_isStopped = true;
+    }
+    cancelCall();
+}
+
+auto CollectionFollower::suspend() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isSuspended = true;
+        m_failures = 0;
+    }
+    cancelCall();
+}
+
+auto CollectionFollower::resume() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!std::exchange(m_isSuspended, false))
+            return;
+    }
+    list();
+}
+
+auto CollectionFollower::isReading() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isLoadedByStore && !m_isSuspended && m_failures == 0;
+}
+
+auto CollectionFollower::cancelCall() -> void
+{
+    std::shared_ptr<Ports::StoreCall> call;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isLoadedByStore = false;
         m_timer.reset();
+        ++m_callNumber;
         call = std::exchange(m_call, nullptr);
     }
     if (call)
         call->cancel();
 }
 
+auto CollectionFollower::beginCall() -> std::optional<std::uint64_t>
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isStopped || m_isSuspended)
+        return std::nullopt;
+    return ++m_callNumber;
+}
+
+auto CollectionFollower::isCurrent(std::uint64_t callNumber) const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return callNumber == m_callNumber && !m_isStopped && !m_isSuspended;
+}
+
 auto CollectionFollower::schedule(Core::Duration delay, void (CollectionFollower::*step)()) -> void
 {
     const std::lock_guard lock(m_mutex);
-    if (m_isStopped)
+    if (m_isStopped || m_isSuspended)
         return;
     m_timer = m_environment.scheduler.after(delay, [weak = weak_from_this(), step] {
         if (const auto self = weak.lock())
@@ -48,21 +98,26 @@
 
 auto CollectionFollower::list() -> void
 {
+    const auto number = beginCall();
+    if (!number)
+        return;
     const auto sentAt = m_environment.clock.now();
-    m_environment.store.list(m_name, [weak = weak_from_this(), sentAt](Core::Result<Ports::CollectionList> result) {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        if (result)
-            result->age = self->m_environment.clock.now() - sentAt;
-        self->handleList(result);
-    });
+    m_environment.store.list(
+        m_name, [weak = weak_from_this(), number = *number, sentAt](Core::Result<Ports::CollectionList> result) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (result)
+                result->age = self->m_environment.clock.now() - sentAt;
+            self->handleList(result, number);
+        });
 }
 
-auto CollectionFollower::handleList(const Core::Result<Ports::CollectionList>& result) -> void
+auto CollectionFollower::handleList(const Core::Result<Ports::CollectionList>& result, std::uint64_t callNumber) -> void
 {
     if (!result) {
-        retryLater(result.error());
+        if (isCurrent(callNumber))
+            retryLater(result.error());
         return;
     }
     const bool isApplied = applyUnlessOlder(*result);
@@ -70,7 +125,13 @@
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
             { "revision", std::to_string(result->revision.value()) },
             { "unreadable", std::to_string(result->unreadableItems) }, { "applied", isApplied ? "yes" : "no" } } });
+    if (!isCurrent(callNumber))
+        return;
     recordRecovery();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isLoadedByStore = true;
+    }
     m_environment.storeAnswered();
     watch();
 }
@@ -87,40 +148,54 @@
 
 auto CollectionFollower::applyUnlessOlder(const Ports::CollectionList& list) -> bool
 {
-    const std::lock_guard listenerLock(m_listenerMutex);
-    if (list.revision < revision())
-        return false;
-    applyList(list, listenerLock);
+    {
+        const std::lock_guard listenerLock(m_listenerMutex);
+        if (list.revision < revision())
+            return false;
+        applyList(list, listenerLock);
+    }
+    m_environment.changed();
     return true;
 }
 
 auto CollectionFollower::applyIfNewer(const Ports::CollectionList& list) -> bool
 {
-    const std::lock_guard listenerLock(m_listenerMutex);
     {
-        const std::lock_guard lock(m_mutex);
-        if (m_isStopped || list.revision <= m_revision)
-            return false;
+        const std::lock_guard listenerLock(m_listenerMutex);
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_isStopped || list.revision <= m_revision)
+                return false;
+        }
+        applyList(list, listenerLock);
     }
-    applyList(list, listenerLock);
+    m_environment.changed();
     return true;
 }
 
+auto CollectionFollower::applyChangesSince(const ChangesSince& since) -> bool
+{
+    return applyChanges(since.changes, since.base);
+}
+
 auto CollectionFollower::applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool
 {
-    const std::lock_guard listenerLock(m_listenerMutex);
-    if (revision() != base)
-        return false;
-    m_environment.mirror.apply(m_name, changes);
-    for (const auto& change : changes.changes) {
-        if (change.isDeleted)
-            m_listener.remove(change.item.name);
-        else
-            m_listener.upsert(change.item);
+    {
+        const std::lock_guard listenerLock(m_listenerMutex);
+        if (revision() != base)
+            return false;
+        m_environment.mirror.apply(m_name, changes);
+        for (const auto& change : changes.changes) {
+            if (change.isDeleted)
+                m_listener.remove(change.item.name);
+            else
+                m_listener.upsert(change.item);
+        }
+        m_listener.commit();
+        const std::lock_guard lock(m_mutex);
+        m_revision = std::max(m_revision, changes.revision);
     }
-    m_listener.commit();
-    const std::lock_guard lock(m_mutex);
-    m_revision = std::max(m_revision, changes.revision);
+    m_environment.changed();
     return true;
 }
 
@@ -132,29 +207,18 @@
 
 auto CollectionFollower::watch() -> void
 {
-    std::uint64_t number = 0;
-    Ports::StoreRevision revision;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_isStopped)
-            return;
-        number = ++m_watchNumber;
-        revision = m_revision;
-    }
-    auto call = m_environment.store.watch(m_name, revision, watchTimeout,
-        [weak = weak_from_this(), number, revision](const Core::Result<Ports::CollectionChanges>& result) {
+    const auto number = beginCall();
+    if (!number)
+        return;
+    const auto base = revision();
+    auto call = m_environment.store.watch(m_name, base, watchTimeout,
+        [weak = weak_from_this(), number = *number, base](const Core::Result<Ports::CollectionChanges>& result) {
             const auto self = weak.lock();
-            if (!self)
-                return;
-            {
-                const std::lock_guard lock(self->m_mutex);
-                if (number != self->m_watchNumber || self->m_isStopped)
-                    return;
-            }
-            self->handleChanges(result, revision);
+            if (self && self->isCurrent(number))
+                self->handleChanges(result, base);
         });
     const std::lock_guard lock(m_mutex);
-    if (number == m_watchNumber)
+    if (number == m_callNumber)
         m_call = std::move(call);
 }
 
@@ -166,7 +230,7 @@
         if (!m_isLoaded || !m_call)
             return;
         call = std::exchange(m_call, nullptr);
-        ++m_watchNumber;
+        ++m_callNumber;
     }
     call->cancel();
     list();
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -7,7 +7,10 @@
 #include "ports/scheduler.h"
 #include "storesync/collectionmirror.h"
 
+#include <functional>
+#include <memory>
 #include <mutex>
+#include <optional>
 
 namespace StoreSync {
 
@@ -41,6 +44,8 @@
         std::function<void()> storeAnswered = [] {};
         /// Called at the first of several consecutive failures. From then on, changes in the store are not noticed.
         std::function<void()> storeFailed = [] {};
+        /// Called after each change of the copy, from whichever source.
+        std::function<void()> changed = [] {};
     };
 
     CollectionFollower(Ports::CollectionName name, CollectionListener& listener, Environment environment);
@@ -49,13 +54,26 @@
     /// Cancels the pending watch and lists again. To be called after an outage of the store.
     auto refresh() -> void;
     auto stop() -> void;
+    /// Stops reading the store until resume(), because another entry VM passes its changes on.
+    auto suspend() -> void;
+    /// Reads the store again, beginning with a list.
+    auto resume() -> void;
+    /// Returns true if the store reports changes to this entry VM.
+    [[nodiscard]] auto isReading() const -> bool;
     /// Applies another entry VM's copy of the collection if it is newer than the local one. Returns true if it did so.
     auto applyIfNewer(const Ports::CollectionList& list) -> bool;
+    /// Applies another entry VM's changes if the local copy is at their base. Returns true if it did so.
+    auto applyChangesSince(const ChangesSince& since) -> bool;
     [[nodiscard]] auto name() const -> const Ports::CollectionName& { return m_name; }
 
 private:
     auto list() -> void;
     auto watch() -> void;
+    /// Cancels the pending call, whose answer no longer counts.
+    auto cancelCall() -> void;
+    /// Returns the number of the call that is about to be made, or nothing if the store is not to be read.
+    [[nodiscard]] auto beginCall() -> std::optional<std::uint64_t>;
+    [[nodiscard]] auto isCurrent(std::uint64_t callNumber) const -> bool;
     /// The caller must hold m_listenerMutex.
     auto applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>& listenerLock) -> void;
     /// Returns false if a newer copy came from another entry VM while the store was asked.
@@ -64,7 +82,7 @@
     /// a copy came from another entry VM.
     auto applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool;
     [[nodiscard]] auto revision() const -> Ports::StoreRevision;
-    auto handleList(const Core::Result<Ports::CollectionList>& result) -> void;
+    auto handleList(const Core::Result<Ports::CollectionList>& result, std::uint64_t callNumber) -> void;
     auto handleChanges(const Core::Result<Ports::CollectionChanges>& result, Ports::StoreRevision base) -> void;
     auto retryLater(const Core::Error& error) -> void;
     auto recordRecovery() -> void;
@@ -78,9 +96,12 @@
     mutable std::mutex m_mutex;
     Ports::StoreRevision m_revision;
     bool m_isLoaded = false;
+    /// The store has answered a list since reading began.
+    bool m_isLoadedByStore = false;
     bool m_isStopped = false;
-    /// Number of the pending watch. Answers to earlier watches are ignored.
-    std::uint64_t m_watchNumber = 0;
+    bool m_isSuspended = true;
+    /// Number of the pending list or watch. After answers to earlier ones, reading does not go on.
+    std::uint64_t m_callNumber = 0;
     std::uint32_t m_failures = 0;
     std::shared_ptr<Ports::StoreCall> m_call;
     std::unique_ptr<Ports::Timer> m_timer;
--- /dev/null
+++ b/src/libs/storesync/mirrorhost.cpp
@@ -0,0 +1,91 @@
+#include "storesync/mirrorhost.h"
+
+#include <utility>
+
+namespace StoreSync {
+
+namespace {
+
+    /// Polls beyond this number are answered at once.
+    constexpr std::size_t maximumWaiters = 2000;
+
+} // namespace
+
+MirrorHost::MirrorHost(Environment environment)
+    : m_environment(std::move(environment))
+{
+}
+
+auto MirrorHost::responseTo(const KnownRevisions& known) const -> MirrorResponse
+{
+    // The contact is taken first, so that the news is not older than it says.
+    const auto contact = m_environment.contact();
+    return { contact, m_environment.mirror.newsSince(known) };
+}
+
+auto MirrorHost::isDue(const MirrorResponse& response) -> bool
+{
+    return !response.news.empty() || !response.contact.isFresh();
+}
+
+auto MirrorHost::poll(const MirrorPoll& poll, Respond respond) -> void
+{
+    const auto response = responseTo(poll.known);
+    if (poll.hold.count() <= 0 || isDue(response) || waiting() >= maximumWaiters) {
+        respond(response);
+        return;
+    }
+    hold(poll, std::move(respond));
+    // News that arrived before the poll was held would otherwise wait for the next one.
+    if (isDue(responseTo(poll.known)))
+        notify();
+}
+
+auto MirrorHost::hold(const MirrorPoll& poll, Respond respond) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto number = m_nextNumber++;
+    auto timer = m_environment.scheduler.after(poll.hold, [weak = weak_from_this(), number] {
+        if (const auto self = weak.lock())
+            self->expire(number);
+    });
+    m_waiters.emplace(number, Waiter { poll.known, std::move(respond), std::move(timer) });
+}
+
+auto MirrorHost::expire(std::uint64_t number) -> void
+{
+    std::map<std::uint64_t, Waiter>::node_type waiter;
+    {
+        const std::lock_guard lock(m_mutex);
+        waiter = m_waiters.extract(number);
+    }
+    if (!waiter.empty())
+        waiter.mapped().respond(responseTo(waiter.mapped().known));
+}
+
+auto MirrorHost::notify() -> void
+{
+    std::map<std::uint64_t, Waiter> waiters;
+    {
+        const std::lock_guard lock(m_mutex);
+        waiters = std::exchange(m_waiters, {});
+    }
+    for (auto next = waiters.begin(); next != waiters.end();) {
+        const auto current = next++;
+        const auto response = responseTo(current->second.known);
+        if (!isDue(response))
+            continue;
+        current->second.respond(response);
+        waiters.erase(current);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_waiters.merge(waiters);
+}
+
+auto MirrorHost::waiting() const -> std::size_t
+{
+    const std::lock_guard lock(m_mutex);
+    return m_waiters.size();
+}
+
+} // namespace StoreSync
--- /dev/null
+++ b/src/libs/storesync/mirrorport.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/ids.h"
+#include "storesync/collectionmirror.h"
+
+#include <functional>
+#include <optional>
+
+namespace StoreSync {
+
+/// What an entry VM knows of the store's presence.
+struct StoreContact {
+    /// Age of an entry VM's copies up to which others follow it. Longer than the pings of a VM that reads the store,
+    /// with a lost one, so that calm follows do not end.
+    static constexpr Core::Millis maximumAge { 1500 };
+
+    /// The store, or an entry VM that passes its changes on, answers.
+    bool isReachable = false;
+    /// Time since the store was heard from, directly or through others; nothing if it never was. The copies may lack
+    /// changes made since then.
+    std::optional<Core::Duration> age;
+
+    [[nodiscard]] auto isFresh() const -> bool { return isReachable && age && *age <= maximumAge; }
+};
+
+/// Request for news of the collections, beyond the known revisions.
+struct MirrorPoll {
+    KnownRevisions known;
+    /// Longest time for which the answer may wait for news.
+    Core::Millis hold { 0 };
+};
+
+struct MirrorResponse {
+    StoreContact contact;
+    MirrorNews news;
+};
+
+/// Asks other entry VMs for news of the collections. The shape is that of the store's watch.
+class MirrorPort {
+public:
+    using Callback = std::function<void(Core::Result<MirrorResponse>)>;
+
+    virtual ~MirrorPort() = default;
+    virtual auto poll(const Core::Address& peer, const MirrorPoll& poll, Callback callback) -> void = 0;
+};
+
+} // namespace StoreSync
--- /dev/null
+++ b/src/libs/storesync/sharedreads.cpp
@@ -0,0 +1,416 @@
+#include "storesync/sharedreads.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace StoreSync {
+
+namespace {
+
+    /// Time for which a source may hold a poll. It bounds how late a silent source is noticed.
+    constexpr Core::Millis pollHold { 400 };
+    /// Interval between polls while nobody has fresh copies, or while this VM reads the store but does not reach it.
+    constexpr Core::Millis retryInterval { 400 };
+    /// Interval at which a VM that reads the store checks whether it still has to.
+    constexpr Core::Millis roleInterval { 500 };
+    /// Shortest time between two polls.
+    constexpr Core::Millis shortestPollInterval { 50 };
+    /// Time at the start within which another VM must have passed on its copies. Jitter is added.
+    constexpr Core::Millis startPatience { 800 };
+    /// Interval between attempts at the start: the VMs that are asked may have started at the same moment.
+    constexpr Core::Millis startRetryInterval { 100 };
+    /// Time for which a VM keeps reading the store once it has begun to, so that a source that comes and goes does not
+    /// cause a list each time.
+    constexpr Core::Millis shortestReadTime { 5000 };
+    constexpr Core::Millis unansweredAvoidance { 2000 };
+    constexpr Core::Millis outdatedAvoidance { 1000 };
+    /// After this many VMs in a row that do not answer, this VM is probably the one that is cut off.
+    constexpr std::size_t unansweredBeforeStore = 3;
+    /// The same if one VM does not answer and the copies are older than this.
+    constexpr Core::Millis maximumUnansweredAge { 1700 };
+    constexpr Core::Duration::rep jitterRange = 1'000'000;
+
+    auto describeAge(const StoreContact& contact) -> std::string
+    {
+        if (!contact.age)
+            return "unknown";
+        return std::to_string(std::chrono::duration_cast<Core::Millis>(*contact.age).count());
+    }
+
+} // namespace
+
+SharedReads::SharedReads(Environment environment)
+    : m_environment(std::move(environment))
+    , m_choice(m_environment.watchers)
+{
+}
+
+auto SharedReads::add(const Ports::CollectionName& name, std::shared_ptr<CollectionFollower> follower) -> void
+{
+    m_followers[name] = std::move(follower);
+}
+
+auto SharedReads::jitter() -> Core::Duration
+{
+    const auto random = static_cast<Core::Duration::rep>(m_environment.follower.random.next() % 1024);
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::microseconds(random * jitterRange / 1024));
+}
+
+auto SharedReads::start() -> void
+{
+    const auto deadline = m_environment.follower.clock.now() + startPatience + jitter() / 2;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_startDeadline = deadline;
+    }
+    if (m_environment.watchers == 0) {
+        step();
+        return;
+    }
+    scheduleStep(deadline - m_environment.follower.clock.now());
+    m_environment.follower.store.list(
+        m_environment.fleet, [weak = weak_from_this()](const Core::Result<Ports::CollectionList>& list) {
+            if (const auto self = weak.lock())
+                self->handleFleetList(list);
+        });
+}
+
+auto SharedReads::handleFleetList(const Core::Result<Ports::CollectionList>& list) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_mode != Mode::Undecided || m_isStopped)
+            return;
+    }
+    const auto fleet = m_followers.find(m_environment.fleet);
+    if (list && fleet != m_followers.end())
+        fleet->second->applyIfNewer(*list);
+    const bool isSmall = m_choice.isSmall(m_environment.view.regionalPeers().size() + 1);
+    if (!list || isSmall) {
+        const std::lock_guard lock(m_mutex);
+        m_startDeadline = m_environment.follower.clock.now();
+    }
+    step();
+}
+
+auto SharedReads::stop() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStopped = true;
+    ++m_pollNumber;
+    m_timer.reset();
+}
+
+auto SharedReads::wake() -> void
+{
+    if (isReadingStore())
+        scheduleStep({});
+}
+
+auto SharedReads::isReadingStore() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_mode == Mode::ReadingStore;
+}
+
+auto SharedReads::isReadingAll() const -> bool
+{
+    return std::all_of(
+        m_followers.begin(), m_followers.end(), [](const auto& item) { return item.second->isReading(); });
+}
+
+auto SharedReads::contact() const -> StoreContact
+{
+    const auto lastAnswer = m_environment.watchdog.lastAnswer();
+    const bool isReachable = m_environment.watchdog.isStoreReachable();
+    const bool isComplete = !isReadingStore() || isReadingAll();
+    const auto now = m_environment.follower.clock.now();
+    const std::lock_guard lock(m_mutex);
+    // Pings alone do not show that all changes arrive.
+    if (isComplete)
+        m_completeUntil = std::max(m_completeUntil, lastAnswer);
+    StoreContact contact { isReachable, {} };
+    if (m_completeUntil != Core::Instant())
+        contact.age = now - m_completeUntil;
+    return contact;
+}
+
+auto SharedReads::choose(Core::Instant now) -> SourceChoice::Choice
+{
+    const auto ranking = m_environment.view.ranking();
+    const auto overdue = age() - StoreContact::maximumAge;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_environment.watchers == 0 || now < m_readUntil)
+            return {};
+        if (!ranking.empty() && m_choice.isSmall(ranking.size()))
+            return {};
+        if (!ranking.empty())
+            return m_choice.fromRanking(ranking, overdue, now);
+    }
+    return chooseBeforeViewIsKnown(now);
+}
+
+auto SharedReads::chooseBeforeViewIsKnown(Core::Instant now) -> SourceChoice::Choice
+{
+    const auto peers = m_environment.view.regionalPeers();
+    const bool isKnown = hasCopies();
+    const std::lock_guard lock(m_mutex);
+    const bool mustRead = !isKnown && now >= m_startDeadline;
+    if (m_mode == Mode::ReadingStore || mustRead || peers.empty())
+        return {};
+    if (m_mode == Mode::Following && m_isSourceProven)
+        return { SourceChoice::Kind::Follow, m_source };
+    return m_choice.fromPeers(peers, now);
+}
+
+auto SharedReads::age() const -> Core::Duration
+{
+    return m_environment.follower.clock.now() - m_environment.watchdog.lastAnswer();
+}
+
+auto SharedReads::hasCopies() const -> bool { return m_environment.watchdog.lastAnswer() != Core::Instant(); }
+
+auto SharedReads::step() -> void
+{
+    const auto choice = choose(m_environment.follower.clock.now());
+    const bool isReading = isReadingStore();
+    if (isReading && choice.kind == SourceChoice::Kind::Follow)
+        probe(choice.source);
+    else if (isReading || choice.kind == SourceChoice::Kind::ReadStore)
+        readStore();
+    else
+        follow(choice);
+}
+
+auto SharedReads::probe(const Core::Address& source) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_probed = source;
+    }
+    poll(source, Core::Millis(0));
+}
+
+auto SharedReads::setMode(Mode mode, const Core::Address& source) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isModeNew = std::exchange(m_mode, mode) != mode;
+    const bool isSourceNew = std::exchange(m_source, source) != source;
+    if (isModeNew && mode == Mode::ReadingStore)
+        m_readUntil = std::max(m_readUntil, m_environment.follower.clock.now() + shortestReadTime);
+    if (isModeNew || isSourceNew)
+        m_isSourceProven = false;
+    return isModeNew;
+}
+
+auto SharedReads::readStore() -> void
+{
+    if (setMode(Mode::ReadingStore, {})) {
+        m_environment.follower.events.record(
+            { Ports::EventKind("store.read-directly"), {}, { { "ageMs", describeAge(contact()) } } });
+        m_environment.watchdog.setPinging(true);
+        for (const auto& [name, follower] : m_followers)
+            follower->resume();
+    }
+    if (m_environment.watchdog.isStoreReachable())
+        scheduleStep(roleInterval);
+    else
+        refreshFromNextPeer();
+}
+
+auto SharedReads::refreshFromNextPeer() -> void
+{
+    const auto peers = m_environment.view.knownPeers();
+    if (peers.empty()) {
+        scheduleStep(retryInterval);
+        return;
+    }
+    std::size_t next = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        next = m_nextPeer++;
+    }
+    poll(peers[next % peers.size()], Core::Millis(0));
+}
+
+auto SharedReads::follow(const SourceChoice::Choice& choice) -> void
+{
+    beginFollowing(choice.source);
+    checkAge();
+    if (choice.kind == SourceChoice::Kind::Wait) {
+        scheduleStep(hasCopies() ? retryInterval : startRetryInterval);
+        return;
+    }
+    bool isProven = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isProven = m_isSourceProven;
+    }
+    // A new source answers at once, so that a silent one is noticed sooner.
+    poll(choice.source, isProven ? pollHold : Core::Millis(0));
+}
+
+auto SharedReads::beginFollowing(const Core::Address& source) -> void
+{
+    if (!setMode(Mode::Following, source))
+        return;
+    m_environment.watchdog.setPinging(false);
+    for (const auto& [name, follower] : m_followers)
+        follower->suspend();
+}
+
+auto SharedReads::checkAge() -> void
+{
+    bool isToldOfOutage = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isToldOfOutage = m_isToldOfOutage;
+    }
+    // Other VMs that do not answer are no sign of an outage of the store.
+    if (hasCopies() && isToldOfOutage && age() > StoreContact::maximumAge)
+        m_environment.watchdog.recordSilence();
+}
+
+auto SharedReads::poll(const Core::Address& source, Core::Millis hold) -> void
+{
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopped)
+            return;
+        number = ++m_pollNumber;
+        m_timer.reset();
+    }
+    m_environment.port.poll(source, { m_environment.mirror.revisions(), hold },
+        [weak = weak_from_this(), source, number](const Core::Result<MirrorResponse>& response) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            {
+                const std::lock_guard lock(self->m_mutex);
+                if (number != self->m_pollNumber || self->m_isStopped)
+                    return;
+            }
+            self->handleResponse(source, response);
+        });
+}
+
+auto SharedReads::handleResponse(const Core::Address& source, const Core::Result<MirrorResponse>& response) -> void
+{
+    if (!response) {
+        handleFailure(source, response.error());
+        return;
+    }
+    const bool isFresh = response->contact.isFresh();
+    if (endProbe(source) && isFresh)
+        beginFollowing(source);
+    const auto avoidance = hasCopies() ? outdatedAvoidance : startRetryInterval;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_unansweredPolls = 0;
+        if (isFresh)
+            m_choice.accept(source);
+        else
+            m_choice.avoid(source, m_environment.follower.clock.now() + avoidance);
+    }
+    if (isReadingStore())
+        handleWhileReading(source, *response);
+    else
+        handleWhileFollowing(source, *response);
+}
+
+auto SharedReads::handleWhileReading(const Core::Address& source, const MirrorResponse& response) -> void
+{
+    if (response.contact.isFresh())
+        m_environment.onRefreshed();
+    apply(source, response.news);
+    scheduleStep(retryInterval);
+}
+
+auto SharedReads::handleWhileFollowing(const Core::Address& source, const MirrorResponse& response) -> void
+{
+    const bool isFresh = response.contact.isFresh();
+    bool wasProven = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasProven = std::exchange(m_isSourceProven, isFresh);
+        m_isToldOfOutage = !response.contact.isReachable;
+    }
+    // Entries that expired in an outage are kept for a while if its end is known before they are seen to be gone.
+    if (isFresh)
+        m_environment.watchdog.recordRelayedResponse(m_environment.follower.clock.now() - *response.contact.age);
+    apply(source, response.news);
+    if (isFresh != wasProven) {
+        m_environment.follower.events.record(
+            { Ports::EventKind(isFresh ? "store.followed-through-peer" : "store.peer-outdated"), {},
+                { { "peer", source.value() }, { "ageMs", describeAge(response.contact) },
+                    { "reachable", response.contact.isReachable ? "yes" : "no" } } });
+        m_environment.sourceLost(!isFresh);
+    }
+    scheduleStep(isFresh ? shortestPollInterval : Core::Millis(0));
+}
+
+auto SharedReads::endProbe(const Core::Address& source) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_mode == Mode::ReadingStore && std::exchange(m_probed, {}) == source;
+}
+
+auto SharedReads::handleFailure(const Core::Address& source, const Core::Error& error) -> void
+{
+    const auto now = m_environment.follower.clock.now();
+    const bool isReading = isReadingStore();
+    const bool isKnown = hasCopies();
+    const bool isOverdue = age() > maximumUnansweredAge;
+    const auto avoidance = isKnown ? unansweredAvoidance : startRetryInterval;
+    bool wasProven = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        wasProven = std::exchange(m_isSourceProven, false);
+        m_choice.avoid(source, now + avoidance);
+        const bool isCutOff = ++m_unansweredPolls >= unansweredBeforeStore || isOverdue;
+        if (!isReading && isKnown && isCutOff) {
+            m_unansweredPolls = 0;
+            m_readUntil = now + shortestReadTime + jitter() * 2;
+        }
+    }
+    if (wasProven) {
+        m_environment.follower.events.record(
+            { Ports::EventKind("store.peer-lost"), {}, { { "peer", source.value() }, { "detail", describe(error) } } });
+        m_environment.sourceLost(true);
+    }
+    scheduleStep(isReading ? retryInterval : Core::Millis(0));
+}
+
+auto SharedReads::apply(const Core::Address& source, const MirrorNews& news) -> void
+{
+    for (const auto& [name, update] : news) {
+        const auto found = m_followers.find(name);
+        if (found == m_followers.end())
+            continue;
+        auto& follower = *found->second;
+        const auto* list = std::get_if<Ports::CollectionList>(&update);
+        const bool isApplied = list != nullptr ? follower.applyIfNewer(*list)
+                                               : follower.applyChangesSince(std::get<ChangesSince>(update));
+        if (!isApplied)
+            continue;
+        const auto revision = list != nullptr ? list->revision : std::get<ChangesSince>(update).changes.revision;
+        m_environment.follower.events.record({ Ports::EventKind("store.learnt-from-peer"), {},
+            { { "collection", name.value() }, { "peer", source.value() },
+                { "revision", std::to_string(revision.value()) } } });
+    }
+}
+
+auto SharedReads::scheduleStep(Core::Duration delay) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isStopped)
+        return;
+    m_timer = m_environment.follower.scheduler.after(delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->step();
+    });
+}
+
+} // namespace StoreSync
--- a/src/libs/storesync/storewatchdog.cpp
+++ b/src/libs/storesync/storewatchdog.cpp
@@ -1,5 +1,8 @@
 #include "storesync/storewatchdog.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace StoreSync {
 
 namespace {
@@ -24,16 +27,33 @@
     m_timer.reset();
 }
 
+auto StoreWatchdog::setPinging(bool isPinging) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_isPinging, isPinging) == isPinging)
+            return;
+        m_timer.reset();
+    }
+    schedule();
+}
+
 auto StoreWatchdog::isStoreReachable() const -> bool
 {
     const std::lock_guard lock(m_mutex);
     return !m_isOutage;
 }
 
+auto StoreWatchdog::lastAnswer() const -> Core::Instant
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastAnswer;
+}
+
 auto StoreWatchdog::schedule() -> void
 {
     const std::lock_guard lock(m_mutex);
-    if (m_isStopped)
+    if (m_isStopped || !m_isPinging)
         return;
     m_timer = m_environment.scheduler.after(m_isOutage ? outagePingInterval : pingInterval, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -63,18 +83,33 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        // Ignores the failure if the store has answered another call since the ping was sent.
-        if (m_lastAnswer > sentAt || std::exchange(m_isOutage, true))
+        // Ignores the failure if the store has answered another call since the ping was sent, or if the ping is of a
+        // time when this VM still read the store itself.
+        if (!m_isPinging || m_lastAnswer > sentAt || std::exchange(m_isOutage, true))
             return;
     }
     m_listener.storeLost();
 }
 
-auto StoreWatchdog::recordResponse() -> void
+auto StoreWatchdog::recordSilence() -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::exchange(m_isOutage, true))
+            return;
+    }
+    m_listener.storeLost();
+}
+
+auto StoreWatchdog::recordResponse() -> void { recordAnswerAt(m_environment.clock.now()); }
+
+auto StoreWatchdog::recordRelayedResponse(Core::Instant heardAt) -> void { recordAnswerAt(heardAt); }
+
+auto StoreWatchdog::recordAnswerAt(Core::Instant heardAt) -> void
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_lastAnswer = m_environment.clock.now();
+        m_lastAnswer = std::max(m_lastAnswer, heardAt);
         if (!std::exchange(m_isOutage, false))
             return;
     }
--- a/src/libs/storesync/storewatchdog.h
+++ b/src/libs/storesync/storewatchdog.h
@@ -21,14 +21,23 @@
     auto add(std::shared_ptr<CollectionFollower> follower) -> void { m_followers.push_back(std::move(follower)); }
     auto start() -> void;
     auto stop() -> void;
+    /// Pings only while this VM reads the store itself.
+    auto setPinging(bool isPinging) -> void;
     /// Records that the store has answered another call. If this ends an outage, all followers list again.
     auto recordResponse() -> void;
+    /// Records that another entry VM, which passes the store's changes on, heard from the store at that instant.
+    auto recordRelayedResponse(Core::Instant heardAt) -> void;
+    /// Records that nobody who passes the store's changes on has heard from it for too long.
+    auto recordSilence() -> void;
     [[nodiscard]] auto isStoreReachable() const -> bool;
+    /// Returns when the store was last heard from, directly or through another entry VM.
+    [[nodiscard]] auto lastAnswer() const -> Core::Instant;
 
 private:
     auto ping() -> void;
     auto handlePingResult(bool isSuccessful, Core::Instant sentAt) -> void;
     auto recordPingFailure(Core::Instant sentAt) -> void;
+    auto recordAnswerAt(Core::Instant heardAt) -> void;
     auto schedule() -> void;
 
     const CollectionFollower::Environment m_environment;
@@ -38,6 +47,7 @@
     bool m_isOutage = false;
     Core::Instant m_lastAnswer;
     bool m_isStopped = false;
+    bool m_isPinging = true;
     std::unique_ptr<Ports::Timer> m_timer;
 };
 
--- a/src/plugins/mirrorpeer/mirrorpeer.cpp
+++ b/src/plugins/mirrorpeer/mirrorpeer.cpp
@@ -9,55 +9,104 @@
     using nlohmann::json;
 
     constexpr auto mirrorKind = "store.mirror";
-    constexpr Core::Millis fetchTimeout { 600 };
+    /// Time for an answer, in addition to that for which it may be held.
+    constexpr Core::Millis answerTime { 400 };
+    /// Time for an answer with whole collections.
+    constexpr Core::Millis firstAnswerTime { 1000 };
 
-    auto encodeKnownRevisions(const StoreSync::KnownRevisions& known) -> std::string
+    auto encodePoll(const StoreSync::MirrorPoll& poll) -> std::string
     {
-        auto fields = json::object();
-        for (const auto& [name, revision] : known)
-            fields[name.value()] = revision.value();
-        return Cbor::pack(fields);
+        auto known = json::object();
+        for (const auto& [name, revision] : poll.known)
+            known[name.value()] = revision.value();
+        return Cbor::pack(json { poll.hold.count(), known });
     }
 
-    auto decodeKnownRevisions(const std::string& payload) -> Core::Result<StoreSync::KnownRevisions>
+    auto decodePoll(const std::string& payload) -> Core::Result<StoreSync::MirrorPoll>
     {
-        return Cbor::unpack(payload, "a request for copies of collections", [](const json& fields) {
-            StoreSync::KnownRevisions known;
-            for (const auto& [name, revision] : fields.items())
-                known[Ports::CollectionName(name)] = Ports::StoreRevision(revision.get<std::uint64_t>());
-            return known;
+        return Cbor::unpack(payload, "a poll for news of collections", [](const json& fields) {
+            StoreSync::MirrorPoll poll;
+            poll.hold = Core::Millis(fields.at(0).get<Core::Millis::rep>());
+            for (const auto& [name, revision] : fields.at(1).items())
+                poll.known[Ports::CollectionName(name)] = Ports::StoreRevision(revision.get<std::uint64_t>());
+            return poll;
         });
     }
 
-    auto encodeResponse(const StoreSync::MirrorResponse& response) -> std::string
+    auto encodeDuration(Core::Duration duration) -> json
+    {
+        return std::chrono::duration_cast<Core::Millis>(duration).count();
+    }
+
+    auto decodeDuration(const json& value) -> Core::Duration { return Core::Millis(value.get<Core::Millis::rep>()); }
+
+    auto encodeItem(const Ports::CollectionItem& item) -> json
     {
-        auto lists = json::object();
-        for (const auto& [name, list] : response.lists) {
+        return { item.name, item.revision.value(), item.text, encodeDuration(item.age) };
+    }
+
+    auto decodeItem(const json& fields) -> Ports::CollectionItem
+    {
+        return { fields.at(0).get<std::string>(), Ports::StoreRevision(fields.at(1).get<std::uint64_t>()),
+            fields.at(2).get<std::string>(), decodeDuration(fields.at(3)) };
+    }
+
+    /// Whole lists are pairs of revision and items; changes have their base as a third element.
+    struct NewsEncoder {
+        auto operator()(const Ports::CollectionList& list) const -> json
+        {
             auto items = json::array();
             for (const auto& item : list.items)
-                items.push_back({ item.name, item.revision.value(), item.text });
-            lists[name.value()] = { list.revision.value(), items };
+                items.push_back(encodeItem(item));
+            return json::array({ list.revision.value(), std::move(items) });
+        }
+
+        auto operator()(const StoreSync::ChangesSince& since) const -> json
+        {
+            auto changes = json::array();
+            for (const auto& change : since.changes.changes)
+                changes.push_back(json::array({ encodeItem(change.item), change.isDeleted }));
+            return json::array({ since.changes.revision.value(), std::move(changes), since.base.value() });
+        }
+    };
+
+    auto decodeNews(const json& fields) -> StoreSync::CollectionNews
+    {
+        const Ports::StoreRevision revision(fields.at(0).get<std::uint64_t>());
+        if (fields.size() == 2) {
+            Ports::CollectionList list;
+            list.revision = revision;
+            for (const auto& item : fields.at(1))
+                list.items.push_back(decodeItem(item));
+            return list;
         }
-        return Cbor::pack(json { response.isStoreReachable, lists });
+        StoreSync::ChangesSince since;
+        since.base = Ports::StoreRevision(fields.at(2).get<std::uint64_t>());
+        since.changes.revision = revision;
+        for (const auto& change : fields.at(1))
+            since.changes.changes.push_back({ decodeItem(change.at(0)), change.at(1).get<bool>() });
+        return since;
     }
 
-    auto decodeList(const json& fields) -> Ports::CollectionList
+    auto encodeResponse(const StoreSync::MirrorResponse& response) -> std::string
     {
-        Ports::CollectionList list;
-        list.revision = Ports::StoreRevision(fields.at(0).get<std::uint64_t>());
-        for (const auto& item : fields.at(1))
-            list.items.push_back({ item.at(0).get<std::string>(), Ports::StoreRevision(item.at(1).get<std::uint64_t>()),
-                item.at(2).get<std::string>() });
-        return list;
+        auto news = json::object();
+        for (const auto& [name, update] : response.news)
+            news[name.value()] = std::visit(NewsEncoder(), update);
+        const auto& age = response.contact.age;
+        return Cbor::pack(
+            json::array({ response.contact.isReachable, age ? encodeDuration(*age) : json(), std::move(news) }));
     }
 
     auto decodeResponse(const std::string& payload) -> Core::Result<StoreSync::MirrorResponse>
     {
-        return Cbor::unpack(payload, "copies of collections", [](const json& fields) {
+        return Cbor::unpack(payload, "news of collections", [](const json& fields) {
             StoreSync::MirrorResponse response;
-            response.isStoreReachable = fields.at(0).get<bool>();
-            for (const auto& [name, list] : fields.at(1).items())
-                response.lists[Ports::CollectionName(name)] = decodeList(list);
+            response.contact.isReachable = fields.at(0).get<bool>();
+            if (!fields.at(1).is_null())
+                response.contact.age = decodeDuration(fields.at(1));
+            for (const auto& [name, update] : fields.at(2).items())
+                response.news[Ports::CollectionName(name)] = decodeNews(update);
             return response;
         });
     }
@@ -69,9 +118,10 @@
 {
 }
 
-auto MirrorPeer::fetch(const Core::Address& peer, const StoreSync::KnownRevisions& known, Callback callback) -> void
+auto MirrorPeer::poll(const Core::Address& peer, const StoreSync::MirrorPoll& poll, Callback callback) -> void
 {
-    m_transport.call(peer, { mirrorKind, encodeKnownRevisions(known) }, fetchTimeout,
+    const auto timeout = poll.hold + (poll.known.empty() ? firstAnswerTime : answerTime);
+    m_transport.call(peer, { mirrorKind, encodePoll(poll) }, timeout,
         [callback = std::move(callback)](const Core::Result<std::string>& reply) {
             if (reply)
                 callback(decodeResponse(*reply));
@@ -80,17 +130,17 @@
         });
 }
 
-auto registerMirrorHandler(Ports::PeerRouter& router, const StoreSync::CollectionMirror& mirror,
-    std::function<bool()> isStoreReachable) -> void
+auto registerMirrorHandler(Ports::PeerRouter& router, std::shared_ptr<StoreSync::MirrorHost> host) -> void
 {
-    router.registerHandler(mirrorKind,
-        [&mirror, isStoreReachable = std::move(isStoreReachable)](
-            const std::string& payload, const Ports::PeerRouter::Respond& respond) {
-            const auto known = decodeKnownRevisions(payload);
-            if (known)
-                respond(encodeResponse({ isStoreReachable(), mirror.newerThan(*known) }));
-            else
-                respond(tl::unexpected(known.error()));
+    router.registerHandler(
+        mirrorKind, [host = std::move(host)](const std::string& payload, const Ports::PeerRouter::Respond& respond) {
+            const auto poll = decodePoll(payload);
+            if (poll) {
+                host->poll(
+                    *poll, [respond](const StoreSync::MirrorResponse& response) { respond(encodeResponse(response)); });
+            } else {
+                respond(tl::unexpected(poll.error()));
+            }
         });
 }
 
--- a/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
@@ -42,13 +42,14 @@
 
 } // namespace
 
-RandomisedForwardingRun::RandomisedForwardingRun(std::uint64_t seed)
-    : m_site(seed)
+RandomisedForwardingRun::RandomisedForwardingRun(std::uint64_t seed, std::size_t vmCount)
+    : m_site(seed, vmCount)
+    , m_open(vmCount)
 {
     configure();
     for (std::size_t index = 0; index < upstreamCount; ++index)
         addUpstream(Core::Address("10.0.0." + std::to_string(index) + ":80"));
-    for (std::size_t index = 0; index < ForwardingSite::defaultSize; ++index)
+    for (std::size_t index = 0; index < m_open.size(); ++index)
         m_site.startVm(index);
     m_site.world.runFor(Core::Millis(4000));
 }
@@ -343,7 +344,7 @@
     m_sendRate = normalSendRate;
     if (!m_evacuated.empty())
         evacuate();
-    for (std::size_t index = 0; index < ForwardingSite::defaultSize; ++index) {
+    for (std::size_t index = 0; index < m_open.size(); ++index) {
         if (m_site.vm(index) == nullptr)
             m_site.startVm(index);
         else if (!m_site.isRunning(index))
--- a/tests/auto/forwardingsoak/randomisedforwardingrun.h
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.h
@@ -5,7 +5,7 @@
 /// Sends random requests to the entry VMs of a simulated site and injects random faults, in virtual time.
 class RandomisedForwardingRun {
 public:
-    explicit RandomisedForwardingRun(std::uint64_t seed);
+    explicit RandomisedForwardingRun(std::uint64_t seed, std::size_t vmCount = Fakes::ForwardingSite::defaultSize);
 
     /// Runs for the given virtual time, or until a violation is found.
     auto run(Core::Duration duration) -> void;
@@ -37,13 +37,13 @@
     auto addUpstream(const Core::Address& address) -> void;
     [[nodiscard]] auto makeEntry(const Core::UpstreamId& id, const Core::Address& address) -> Forwarding::UpstreamEntry;
     [[nodiscard]] auto randomUpstream() -> std::optional<Core::UpstreamId>;
-    [[nodiscard]] auto randomVm() -> std::size_t { return m_site.world.below(Fakes::ForwardingSite::defaultSize); }
+    [[nodiscard]] auto randomVm() -> std::size_t { return m_site.world.below(m_open.size()); }
     [[nodiscard]] auto isStoreHealthy() const -> bool;
     auto schedule(Core::Duration delay, Ports::Scheduler::Task task) -> void;
 
     Fakes::ForwardingSite m_site;
     /// Requests of each VM's current process: all that have no reply yet, and some that have one.
-    std::array<OpenRequests, Fakes::ForwardingSite::defaultSize> m_open;
+    std::vector<OpenRequests> m_open;
     std::set<Core::UpstreamId> m_upstreams;
     /// Upstreams that are draining, or that crashed and have not restarted yet.
     std::set<Core::UpstreamId> m_leaving;
--- a/tests/auto/forwardingsoak/tst_forwardingsoak.cpp
+++ b/tests/auto/forwardingsoak/tst_forwardingsoak.cpp
@@ -36,11 +36,11 @@
 }
 
 /// Returns true if there was no violation, no broken invariant, and enough requests were answered after recovery.
-auto runWithSeed(std::uint64_t seed) -> bool
+auto runWithSize(std::uint64_t seed, std::size_t vmCount) -> bool
 {
     brokenInvariants.clear();
     const auto previous = Core::setInvariantHandler(recordBrokenInvariant);
-    RandomisedForwardingRun randomisedRun(seed);
+    RandomisedForwardingRun randomisedRun(seed, vmCount);
     randomisedRun.run(runDuration);
     const auto isCorrect = randomisedRun.site().requestTracker.violations().empty();
     const auto served = isCorrect ? randomisedRun.servedShareAfterRecovery() : 0;
@@ -58,6 +58,11 @@
         && served >= minimumServedShare;
 }
 
+auto runWithSeed(std::uint64_t seed) -> bool { return runWithSize(seed, Fakes::ForwardingSite::defaultSize); }
+
+/// Two regions in which a few VMs read the store for the others.
+auto runLargeRegions(std::uint64_t seed) -> bool { return runWithSize(seed, 18); }
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ForwardedRequestsUnderRandomFaults)
@@ -67,7 +72,14 @@
     BOOST_TEST(runWithSeed(static_cast<std::uint64_t>(seed)));
 }
 
+BOOST_DATA_TEST_CASE(MeetAllGuaranteesWithSharedReads, bdata::xrange(1, 21), seed)
+{
+    BOOST_TEST(runLargeRegions(static_cast<std::uint64_t>(seed)));
+}
+
 /// Runs consecutive seeds for the given time: tst_forwardingsoak --run_test=*/Soak -- SECONDS=60 SEED=1
 BOOST_AUTO_TEST_CASE(Soak, *boost::unit_test::disabled()) { TestSupport::soak(runWithSeed); }
 
+BOOST_AUTO_TEST_CASE(SoakWithSharedReads, *boost::unit_test::disabled()) { TestSupport::soak(runLargeRegions); }
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/storesync/fakes.h
+++ b/tests/auto/storesync/fakes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "storesync/peerrefresh.h"
+#include "storesync/sharedreads.h"
 #include "support/virtualtime.h"
 
 #include <deque>
--- a/tests/auto/storesync/tst_collectionfollower.cpp
+++ b/tests/auto/storesync/tst_collectionfollower.cpp
@@ -23,7 +23,7 @@
     SeededRandom random;
     NullEventSink events;
     ScriptedStore store;
-    StoreSync::CollectionMirror mirror;
+    StoreSync::CollectionMirror mirror { time };
     NameListener listener;
     Ports::CollectionName name { "upstreams" };
     std::shared_ptr<StoreSync::CollectionFollower> follower = std::make_shared<StoreSync::CollectionFollower>(
--- a/tests/auto/storesync/tst_storewatchdog.cpp
+++ b/tests/auto/storesync/tst_storewatchdog.cpp
@@ -36,7 +36,7 @@
     SeededRandom random;
     NullEventSink events;
     ManualPingStore store;
-    StoreSync::CollectionMirror mirror;
+    StoreSync::CollectionMirror mirror { time };
     OutageCounter outages;
     std::shared_ptr<StoreSync::StoreWatchdog> watchdog = std::make_shared<StoreSync::StoreWatchdog>(
         StoreSync::CollectionFollower::Environment { time, store, time, random, events, mirror }, outages);
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -59,7 +59,7 @@
               { owner.world, node, random, events, metrics, owner.codec, collections, exchanges, *this, mirrorPeer,
                   crashReportPeer, noticePeer, [](const Forwarding::CallerLimits&) {} })
     {
-        MirrorPeer::registerMirrorHandler(node, entryVm.mirror(), [this] { return entryVm.isStoreReachable(); });
+        MirrorPeer::registerMirrorHandler(node, entryVm.mirrorHost());
         CrashReportPeer::registerCrashReportHandler(node,
             [this](const Dispatch::CrashReport& crashReport) { entryVm.forwarder().crashGuard().accept(crashReport); });
         NoticePeer::registerNoticeHandler(
