List the fleet after the own registration when a VM starts

Cause: VMs that start together listed the entry VMs before the others were registered, took their region for small and read the store for five seconds. Ruled out: waiting a fixed time before the list; it delays the start of small sites, where a VM reads the store at once.

--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -109,6 +109,7 @@
     const auto name = m_environment.codec.collections().entryVms;
     m_environment.store.put(
         name, m_environment.codec.encodeEntryVm(m_self), [this](const Core::Result<Ports::StoreRevision>& result) {
+            m_sharedReads->handleRegistration(result.has_value());
             if (result)
                 return;
             recordLifecycle("registration.failed", describe(result.error()));
--- a/src/libs/storesync/sharedreads.cpp
+++ b/src/libs/storesync/sharedreads.cpp
@@ -63,11 +63,20 @@
         const std::lock_guard lock(m_mutex);
         m_startDeadline = deadline;
     }
-    if (m_environment.watchers == 0) {
+    if (m_environment.watchers == 0)
         step();
+    else
+        scheduleStep(deadline - m_environment.follower.clock.now());
+}
+
+auto SharedReads::handleRegistration(bool isRegistered) -> void
+{
+    if (!isUndecided())
+        return;
+    if (!isRegistered) {
+        readStoreFromStart();
         return;
     }
-    scheduleStep(deadline - m_environment.follower.clock.now());
     m_environment.follower.store.list(
         m_environment.fleet, [weak = weak_from_this()](const Core::Result<Ports::CollectionList>& list) {
             if (const auto self = weak.lock())
@@ -75,22 +84,33 @@
         });
 }
 
-auto SharedReads::handleFleetList(const Core::Result<Ports::CollectionList>& list) -> void
+auto SharedReads::isUndecided() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_mode == Mode::Undecided && !m_isStopped;
+}
+
+auto SharedReads::readStoreFromStart() -> void
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_mode != Mode::Undecided || m_isStopped)
-            return;
+        m_startDeadline = m_environment.follower.clock.now();
     }
+    step();
+}
+
+auto SharedReads::handleFleetList(const Core::Result<Ports::CollectionList>& list) -> void
+{
+    if (!isUndecided())
+        return;
     const auto fleet = m_followers.find(m_environment.fleet);
     if (list && fleet != m_followers.end())
         fleet->second->applyIfNewer(*list);
     const bool isSmall = m_choice.isSmall(m_environment.view.regionalPeers().size() + 1);
-    if (!list || isSmall) {
-        const std::lock_guard lock(m_mutex);
-        m_startDeadline = m_environment.follower.clock.now();
-    }
-    step();
+    if (!list || isSmall)
+        readStoreFromStart();
+    else
+        step();
 }
 
 auto SharedReads::stop() -> void
--- a/src/libs/storesync/sharedreads.h
+++ b/src/libs/storesync/sharedreads.h
@@ -34,6 +34,9 @@
     auto add(const Ports::CollectionName& name, std::shared_ptr<CollectionFollower> follower) -> void;
     /// Starts the followers or their replacement by another VM's copies.
     auto start() -> void;
+    /// To be called when the store has answered the registration of this VM. The entry VMs are listed only then, because
+    /// those that start together would not see each other before.
+    auto handleRegistration(bool isRegistered) -> void;
     auto stop() -> void;
     /// Decides anew at once, because the store has become unreachable.
     auto wake() -> void;
@@ -47,6 +50,8 @@
 
     /// Learns the size of the region from the first list of the entry VMs.
     auto handleFleetList(const Core::Result<Ports::CollectionList>& list) -> void;
+    auto readStoreFromStart() -> void;
+    [[nodiscard]] auto isUndecided() const -> bool;
     auto step() -> void;
     [[nodiscard]] auto choose(Core::Instant now) -> SourceChoice::Choice;
     [[nodiscard]] auto chooseBeforeViewIsKnown(Core::Instant now) -> SourceChoice::Choice;
--- a/tests/auto/storesync/tst_sharedreads.cpp
+++ b/tests/auto/storesync/tst_sharedreads.cpp
@@ -78,6 +78,7 @@
     {
         watchdog->start();
         reads->start();
+        reads->handleRegistration(true);
     }
 
     auto storeLost() -> void override
