Let handlers answer with a body that is still arriving

Cause: a response was one string, so an answer had to be whole in memory before its first byte went to the client.

HttpHandler::Respond takes a Reply: a response, or a StreamedResponse of head and body. The connection writes the head, then part after part as the client takes them; the next part is read when the one before it is written. Chunks or Content-Length frame the body as its head says. A body that breaks off, or differs from its length, ends the connection without a last chunk; a client of HTTP/1.0 without a length sees a reset. Each step of a write has the idle timeout.

The connection's socket, writer and body reader are classes of their own. A timeout that had passed but was not handled when it was disarmed could end the next operation; it can't any more.

--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -1,13 +1,9 @@
 #include "httpserver/connection.h"
 
-#include <array>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
 namespace HttpServer {
 
@@ -21,12 +17,8 @@
 
         using Error = boost::system::error_code;
 
-        /// Time for which input is read and discarded before a connection is closed: closing it with unread input
-        /// resets it, and the client can lose the response (RFC 9112, section 9.6).
-        constexpr Core::Millis discardTime { 500 };
         /// Time that a new connection has for its first request when the server shuts down.
         constexpr Core::Millis firstRequestTime { 500 };
-        constexpr std::size_t discardLimit = 4UL * 1024 * 1024;
         constexpr std::size_t readAheadBytes = 512;
         /// Bytes that may wait to be parsed, in addition to a header of the maximum size.
         constexpr std::size_t maximumBufferedBytes = 64UL * 1024;
@@ -62,6 +54,16 @@
                 || http::to_status_class(status) == http::status_class::informational;
         }
 
+        /// Completes the head of a response whose body follows in parts.
+        auto prepareHead(HttpResponse& head, bool takesChunks) -> void
+        {
+            head.body().clear();
+            if (head.has_content_length())
+                return;
+            const bool isDelimitedByHead = hasNoBody(head.result());
+            head.chunked(takesChunks && !isDelimitedByHead);
+        }
+
         class OneShotResponder {
         public:
             OneShotResponder(std::weak_ptr<Connection> connection, std::shared_ptr<const ServerState> server)
@@ -73,12 +75,12 @@
             OneShotResponder(const OneShotResponder&) = delete;
             auto operator=(const OneShotResponder&) -> OneShotResponder& = delete;
 
-            auto deliver(std::optional<HttpResponse> response) -> void
+            auto deliver(std::optional<Reply> reply) -> void
             {
                 if (m_isUsed.exchange(true) || m_server->isDestroyed)
                     return;
                 if (const auto connection = m_connection.lock())
-                    connection->deliver(std::move(response));
+                    connection->deliver(std::move(reply));
             }
 
         private:
@@ -93,35 +95,34 @@
         -> HttpHandler::Respond
     {
         auto responder = std::make_shared<OneShotResponder>(connection, std::move(server));
-        return [responder = std::move(responder)](HttpResponse response) { responder->deliver(std::move(response)); };
+        return [responder = std::move(responder)](Reply reply) { responder->deliver(std::move(reply)); };
     }
 
     Connection::Connection(Socket socket, Environment environment)
-        : m_socket(std::move(socket))
+        : m_socket(std::make_shared<TimedSocket>(std::move(socket)))
+        , m_writer(*m_socket)
         , m_environment(std::move(environment))
-        , m_timeout(m_socket.get_executor())
-        , m_signal(m_socket.get_executor())
+        , m_signal(m_socket->executor())
     {
-        Error ignored;
-        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
     auto Connection::serve(std::shared_ptr<Connection> self) -> asio::awaitable<void>
     {
-        while (co_await self->waitForRequest()) {
-            if (!co_await self->serveRequest())
-                break;
+        bool isOpen = true;
+        while (isOpen) {
+            isOpen = co_await self->waitForRequest();
+            if (isOpen)
+                isOpen = co_await self->serveRequest();
         }
-        Error ignored;
-        self->m_socket.shutdown(Socket::shutdown_send, ignored);
-        self->m_socket.cancel(ignored);
-        self->m_timeout.cancel();
+        self->m_socket->shutDownSending();
+        self->m_socket->cancel();
+        self->m_socket->disarmTimeout();
         self->releaseBody();
     }
 
     auto Connection::refuse(std::shared_ptr<Connection> self) -> asio::awaitable<void>
     {
-        self->m_limits = self->m_environment.server->limits.load();
+        self->loadLimits();
         co_await self->writeOverloaded();
     }
 
@@ -130,8 +131,14 @@
         auto response = m_environment.handler.overloadedResponse();
         response.keep_alive(false);
         response.prepare_payload();
-        (void)co_await write(response);
-        co_await discardInput();
+        (void)co_await m_writer.write(response);
+        co_await m_writer.discardInput();
+    }
+
+    auto Connection::loadLimits() -> void
+    {
+        m_limits = m_environment.server->limits.load();
+        m_writer.setIdleTimeout(m_limits->idleTimeout);
     }
 
     auto Connection::reserveBody(Parser& parser) -> bool
@@ -164,18 +171,18 @@
             if (!self->m_isIdle || self->hasInput())
                 return;
             if (self->m_hasServed)
-                self->m_socket.cancel();
+                self->m_socket->cancel();
             else
-                self->armTimeout(firstRequestTime);
+                self->m_socket->armTimeout(firstRequestTime);
         });
     }
 
-    auto Connection::deliver(std::optional<HttpResponse> response) -> void
+    auto Connection::deliver(std::optional<Reply> reply) -> void
     {
-        asio::post(executor(), [self = shared_from_this(), response = std::move(response)]() mutable {
+        asio::post(executor(), [self = shared_from_this(), reply = std::move(reply)]() mutable {
             self->m_isResponseDelivered = true;
-            self->m_response = std::move(response);
-            self->m_signal.cancel();
+            self->m_reply = std::move(reply);
+            self->m_signal.notify();
         });
     }
 
@@ -188,13 +195,13 @@
         if (isShuttingDown && m_hasServed)
             co_return false;
         m_isIdle = true;
-        m_limits = m_environment.server->limits.load();
-        armTimeout(isShuttingDown ? firstRequestTime : m_limits->idleTimeout);
+        loadLimits();
+        m_socket->armTimeout(isShuttingDown ? firstRequestTime : m_limits->idleTimeout);
         Error error;
         // A late event for bytes that have been read already ends the wait as well.
         do
-            co_await m_socket.async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        while (!error && peek() == Runtime::PeekResult::Nothing);
+            co_await m_socket->stream().async_wait(Socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        while (!error && m_socket->peek() == Runtime::PeekResult::Nothing);
         m_isIdle = false;
         co_return !error;
     }
@@ -204,7 +211,7 @@
     {
         Parser parser;
         if (const auto error = co_await readRequest(parser)) {
-            if (m_hasTimedOut || !isDisconnect(error))
+            if (m_socket->hasTimedOut() || !isDisconnect(error))
                 co_await writeMalformed(parser, error);
             co_return false;
         }
@@ -213,35 +220,72 @@
             co_return false;
         }
         auto request = parser.release();
-        const bool keepAlive = request.keep_alive();
-        const bool isHead = request.method() == http::verb::head;
+        const RequestTraits traits { request.method() == http::verb::head, request.keep_alive(),
+            request.version() >= 11 };
         auto& openRequests = m_environment.server->openRequests;
         ++openRequests;
-        auto response = co_await callHandler(std::move(request));
-        response.keep_alive(keepAlive && !closesAfterResponse());
+        auto reply = co_await callHandler(std::move(request));
+        const bool isOpen = co_await writeReply(reply, traits);
+        --openRequests;
+        releaseBody();
+        m_hasServed = true;
+        co_return isOpen;
+    }
+
+    auto Connection::writeReply(Reply& reply, const RequestTraits& request) -> asio::awaitable<bool>
+    {
+        auto* const streamed = std::get_if<StreamedResponse>(&reply);
+        auto& head = streamed != nullptr ? streamed->head : std::get<HttpResponse>(reply);
+        const bool isDelimited = request.takesChunks || streamed == nullptr || head.has_content_length();
+        const bool keepsOpen = request.keepsAlive && isDelimited && !m_environment.server->closesConnections();
+        head.keep_alive(keepsOpen);
+        bool isWritten = false;
+        if (streamed != nullptr)
+            isWritten = co_await writeStreamed(*streamed, request);
+        else
+            isWritten = co_await writeWhole(head, request);
+        if (isWritten && !keepsOpen)
+            co_await m_writer.discardInput();
+        co_return isWritten&& keepsOpen;
+    }
+
+    auto Connection::writeWhole(HttpResponse& response, const RequestTraits& request) -> asio::awaitable<bool>
+    {
         if (hasNoBody(response.result()))
             response.body().clear();
         response.prepare_payload();
-        if (isHead)
+        if (request.isHead)
             response.body().clear();
-        const bool isWritten = co_await write(response);
-        --openRequests;
-        releaseBody();
-        m_hasServed = true;
-        if (isWritten && !response.keep_alive())
-            co_await discardInput();
-        co_return isWritten&& response.keep_alive();
+        co_return co_await m_writer.write(response);
+    }
+
+    auto Connection::writeStreamed(StreamedResponse& response, const RequestTraits& request) -> asio::awaitable<bool>
+    {
+        const auto body = std::make_shared<PartReader>(std::move(response.body), executor(), m_environment.server);
+        auto& head = response.head;
+        const bool isDelimited = request.takesChunks || head.has_content_length();
+        prepareHead(head, request.takesChunks);
+        if (!co_await m_writer.writeHead(head))
+            co_return false;
+        if (request.isHead || hasNoBody(head.result()))
+            co_return true;
+        const bool isComplete = co_await m_writer.writeBody(head, body);
+        // The end of the connection would look like the end of the body.
+        if (!isComplete && !isDelimited)
+            m_socket->reset();
+        co_return isComplete;
     }
 
     auto Connection::readRequest(Parser& parser) -> asio::awaitable<Error>
     {
-        m_limits = m_environment.server->limits.load();
+        loadLimits();
         m_buffer.max_size(m_limits->maximumHeader.value() + maximumBufferedBytes);
         parser.header_limit(static_cast<std::uint32_t>(m_limits->maximumHeader.value()));
         parser.body_limit(m_limits->maximumBody.value());
-        armTimeout(m_limits->headerTimeout.count() > 0 ? m_limits->headerTimeout : m_limits->idleTimeout);
+        m_socket->armTimeout(m_limits->headerTimeout.count() > 0 ? m_limits->headerTimeout : m_limits->idleTimeout);
         Error error;
-        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read_header(
+            m_socket->stream(), m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return error;
         if (hasUnknownTransferCoding(parser.get()))
@@ -251,19 +295,20 @@
             co_return Error();
         }
         if (!parser.is_done())
-            armTimeout(m_limits->idleTimeout);
+            m_socket->armTimeout(m_limits->idleTimeout);
         if (!parser.is_done() && beast::iequals(parser.get()[http::field::expect], "100-continue"))
-            error = co_await writeContinue();
+            error = co_await m_writer.writeContinue();
         if (!error)
-            co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        m_timeout.cancel();
+            co_await http::async_read(
+                m_socket->stream(), m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        m_socket->disarmTimeout();
         co_return error;
     }
 
-    auto Connection::callHandler(HttpRequest request) -> asio::awaitable<HttpResponse>
+    auto Connection::callHandler(HttpRequest request) -> asio::awaitable<Reply>
     {
         m_isResponseDelivered = false;
-        m_response.reset();
+        m_reply.reset();
         const auto client = std::make_shared<ClientDisconnectNotifier>(weak_from_this());
         try {
             m_environment.handler.handleCancellable(
@@ -274,69 +319,25 @@
         if (!m_isResponseDelivered)
             readAhead(client);
         while (!m_isResponseDelivered)
-            co_await waitForSignal();
+            co_await m_signal.wait();
         co_await stopReadingAhead();
-        if (!m_response)
+        if (!m_reply)
             co_return m_environment.handler.failureResponse();
-        co_return std::move(*m_response);
-    }
-
-    auto Connection::write(HttpResponse& response) -> asio::awaitable<bool>
-    {
-        armTimeout(m_limits->idleTimeout);
-        Error error;
-        co_await http::async_write(m_socket, response, asio::redirect_error(asio::use_awaitable, error));
-        m_timeout.cancel();
-        co_return !error;
-    }
-
-    auto Connection::writeContinue() -> asio::awaitable<Error>
-    {
-        constexpr std::string_view interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        Error error;
-        co_await asio::async_write(m_socket, asio::buffer(interimResponse.data(), interimResponse.size()),
-            asio::redirect_error(asio::use_awaitable, error));
-        co_return error;
+        co_return std::move(*m_reply);
     }
 
     auto Connection::writeMalformed(const Parser& parser, const Error& cause) -> asio::awaitable<void>
     {
-        if (m_hasTimedOut && !parser.got_some())
+        if (m_socket->hasTimedOut() && !parser.got_some())
             co_return;
-        const auto status = m_hasTimedOut ? http::status::request_timeout : statusFor(cause);
-        const auto detail = m_hasTimedOut ? std::string("timed out while receiving the request") : cause.message();
+        const auto status = m_socket->hasTimedOut() ? http::status::request_timeout : statusFor(cause);
+        const auto detail
+            = m_socket->hasTimedOut() ? std::string("timed out while receiving the request") : cause.message();
         auto response = m_environment.handler.malformedResponse(status, detail);
         response.keep_alive(false);
         response.prepare_payload();
-        if (co_await write(response))
-            co_await discardInput();
-    }
-
-    auto Connection::discardInput() -> asio::awaitable<void>
-    {
-        Error error;
-        m_socket.shutdown(Socket::shutdown_send, error);
-        armTimeout(discardTime);
-        std::array<char, 4096> bytes {};
-        std::size_t discarded = 0;
-        while (!error && discarded < discardLimit)
-            discarded += co_await m_socket.async_read_some(
-                asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-        m_timeout.cancel();
-    }
-
-    auto Connection::armTimeout(Core::Duration timeout) -> void
-    {
-        m_hasTimedOut = false;
-        const auto generation = ++m_timeoutGeneration;
-        m_timeout.expires_after(timeout);
-        m_timeout.async_wait([self = shared_from_this(), generation](Error error) {
-            if (error || generation != self->m_timeoutGeneration)
-                return;
-            self->m_hasTimedOut = true;
-            Error ignored;
-            self->m_socket.cancel(ignored);
-        });
+        if (co_await m_writer.write(response))
+            co_await m_writer.discardInput();
     }
 
     auto Connection::readAhead(std::shared_ptr<ClientDisconnectNotifier> client) -> void
@@ -344,12 +345,12 @@
         if (m_buffer.size() + readAheadBytes > m_limits->maximumHeader.value())
             return;
         m_isReadingAhead = true;
-        m_socket.async_read_some(m_buffer.prepare(readAheadBytes),
+        m_socket->stream().async_read_some(m_buffer.prepare(readAheadBytes),
             [self = shared_from_this(), client = std::move(client)](Error error, std::size_t size) {
                 self->m_isReadingAhead = false;
                 self->m_buffer.commit(size);
                 if (self->m_isResponseDelivered)
-                    self->m_signal.cancel();
+                    self->m_signal.notify();
                 else if (error)
                     client->notifyDisconnect();
                 else
@@ -361,33 +362,14 @@
     {
         if (!m_isReadingAhead)
             co_return;
-        Error ignored;
-        m_socket.cancel(ignored);
+        m_socket->cancel();
         while (m_isReadingAhead)
-            co_await waitForSignal();
-    }
-
-    auto Connection::waitForSignal() -> asio::awaitable<void>
-    {
-        Error ignored;
-        m_signal.expires_at(asio::steady_timer::time_point::max());
-        co_await m_signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await m_signal.wait();
     }
 
-    auto Connection::isClosedByClient() -> bool { return peek() == Runtime::PeekResult::Closed; }
+    auto Connection::isClosedByClient() -> bool { return m_socket->peek() == Runtime::PeekResult::Closed; }
 
-    auto Connection::peek() -> Runtime::PeekResult { return Runtime::peek(m_socket.native_handle()); }
-
-    auto Connection::closesAfterResponse() const -> bool
-    {
-        return m_environment.server->isShuttingDown || m_environment.server->isDraining;
-    }
-
-    auto Connection::hasInput() -> bool
-    {
-        Error ignored;
-        return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
-    }
+    auto Connection::hasInput() -> bool { return m_buffer.size() > 0 || m_socket->hasInput(); }
 
 } // namespace detail
 
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <variant>
 
 namespace HttpServer {
 
@@ -21,6 +22,8 @@
     std::shared_ptr<Ports::BodyStream> body;
 };
 
+using Reply = std::variant<HttpResponse, StreamedResponse>;
+
 /// Tells the handler of one request whether the client is still connected. Thread-safe.
 class DisconnectNotifier {
 public:
@@ -34,7 +37,7 @@
 /// Handles parsed HTTP requests.
 class HttpHandler {
 public:
-    using Respond = std::function<void(HttpResponse)>;
+    using Respond = std::function<void(Reply)>;
 
     virtual ~HttpHandler() = default;
     /// Calls respond once, from any thread; further calls are ignored.
