--- a/src/plugins/httpforward/forwardfront.cpp
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -157,6 +157,15 @@
     });
 }
 
+auto ForwardFront::mayOverlap(const HttpRequest& request) const -> bool
+{
+    const auto configuration = m_forwarder.configuration();
+    if (!configuration)
+        return false;
+    const auto route = configuration->routes.find(std::string(request[http::field::host]), request.target());
+    return route && route->isIdempotent;
+}
+
 auto ForwardFront::malformedResponse(http::status status, const std::string& detail) -> HttpResponse
 {
     return textResponse(status, "the request cannot be parsed: " + detail);
--- a/src/plugins/httpforward/forwardfront.h
+++ b/src/plugins/httpforward/forwardfront.h
@@ -14,6 +14,8 @@
     auto handle(HttpServer::HttpRequest request, Respond respond) -> void override;
     auto handleCancellable(const std::shared_ptr<HttpServer::DisconnectNotifier>& client,
         HttpServer::HttpRequest request, Respond respond) -> void override;
+    /// Returns true for requests that may run more than once.
+    [[nodiscard]] auto mayOverlap(const HttpServer::HttpRequest& request) const -> bool override;
     auto malformedResponse(boost::beast::http::status status, const std::string& detail)
         -> HttpServer::HttpResponse override;
     auto failureResponse() -> HttpServer::HttpResponse override;
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -1,17 +1,16 @@
 #pragma once
 
-#include "httpserver/clientdisconnectnotifier.h"
-#include "httpserver/responsewriter.h"
-
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <optional>
+#include "httpserver/answerqueue.h"
+#include "httpserver/replywriter.h"
+#include "httpserver/requestreader.h"
 
 namespace HttpServer {
 
 namespace detail {
 
-    /// Connection of one client. Its coroutine and all its completion handlers run on the socket's strand.
+    /// Connection of one client. Its coroutine reads a request when no other is open, and writes the responses in the
+    /// order of the requests; requests that may overlap are started as soon as they were read ahead. All this runs on
+    /// the socket's strand.
     class Connection : public std::enable_shared_from_this<Connection> {
     public:
         struct Environment {
@@ -29,8 +28,8 @@
         /// Closes the connection unless a request has begun to arrive. A connection that has not served any waits a
         /// little longer for its first. Thread-safe.
         auto closeIfIdle() -> void;
-        /// Sets the response to the request in flight; std::nullopt means that the handler failed. Thread-safe.
-        auto deliver(std::optional<Reply> reply) -> void;
+        /// Sets the reply to a request; std::nullopt means that the handler failed. Thread-safe.
+        auto deliver(std::weak_ptr<PendingAnswer> answer, std::optional<Reply> reply) -> void;
 
         /// Returns true if the client has closed the connection and everything that it sent has been read. Thread-safe.
         [[nodiscard]] auto isClosedByClient() -> bool;
@@ -38,53 +37,42 @@
         [[nodiscard]] auto executor() -> Strand { return m_socket->executor(); }
 
     private:
-        /// What the response depends on.
-        struct RequestTraits {
-            bool isHead = false;
-            bool keepsAlive = false;
-            bool takesChunks = false;
-        };
-        using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+        using Parser = RequestReader::Parser;
 
-        auto waitForRequest() -> boost::asio::awaitable<bool>;
         auto loadLimits() -> void;
-        auto serveRequest() -> boost::asio::awaitable<bool>;
-        auto readRequest(Parser& parser) -> boost::asio::awaitable<boost::system::error_code>;
-        /// Reserves part of maximumBodyTotal for the body that follows. Returns false if too little is left.
-        auto reserveBody(Parser& parser) -> bool;
-        auto releaseBody() -> void;
+        auto waitForRequest() -> boost::asio::awaitable<bool>;
+        /// Reads a request, and writes responses until no request is open. Returns true if the connection stays open.
+        auto serveRequests() -> boost::asio::awaitable<bool>;
+        auto start(HttpRequest request, bool mayOverlap) -> void;
+        /// Starts the requests that were read ahead and may overlap those that are open, and reads on.
+        auto startFollowing() -> void;
+        auto handleInput(bool isOpen) -> void;
+        auto answerFirst() -> boost::asio::awaitable<bool>;
         auto writeOverloaded() -> boost::asio::awaitable<void>;
-        auto callHandler(HttpRequest request) -> boost::asio::awaitable<Reply>;
-        /// Writes the response to the request. Returns true if it is complete.
-        auto writeReply(Reply& reply, const RequestTraits& request) -> boost::asio::awaitable<bool>;
-        auto writeWhole(HttpResponse& response, const RequestTraits& request) -> boost::asio::awaitable<bool>;
-        auto writeStreamed(StreamedResponse& response, const RequestTraits& request) -> boost::asio::awaitable<bool>;
         auto writeMalformed(const Parser& parser, const boost::system::error_code& cause)
             -> boost::asio::awaitable<void>;
-        auto hasInput() -> bool;
-        /// Reads what the client sends while its request is in flight, up to a limit, and notifies if it disconnects.
-        auto readAhead(std::shared_ptr<ClientDisconnectNotifier> client) -> void;
-        auto stopReadingAhead() -> boost::asio::awaitable<void>;
+        /// Writes a response of the server itself and closes the connection.
+        auto writeLast(HttpResponse& response) -> boost::asio::awaitable<void>;
 
         const std::shared_ptr<TimedSocket> m_socket;
-        ResponseWriter m_writer;
         Environment m_environment;
-        boost::beast::flat_buffer m_buffer;
+        ResponseWriter m_writer;
+        ReplyWriter m_replies;
+        RequestReader m_reader;
+        AnswerQueue m_answers;
+        std::shared_ptr<const Limits> m_limits;
+        /// Tells the coroutine that a reply was delivered.
+        Signal m_delivered;
         bool m_isIdle = false;
         bool m_hasServed = false;
-        Signal m_signal;
-        bool m_isResponseDelivered = false;
-        bool m_isReadingAhead = false;
-        std::uint64_t m_reservedBytes = 0;
-        bool m_isBodyRefused = false;
-        std::shared_ptr<const Limits> m_limits;
-        std::optional<Reply> m_reply;
+        /// No further request is started, because the connection closes behind the open ones.
+        bool m_isClosing = false;
     };
 
-    /// Returns a function that delivers the response on its first call, and a failure if all its copies are destroyed
+    /// Returns a function that delivers the reply on its first call, and a failure if all its copies are destroyed
     /// without a call.
-    auto makeRespond(const std::shared_ptr<Connection>& connection, std::shared_ptr<const ServerState> server)
-        -> HttpHandler::Respond;
+    auto makeRespond(const std::shared_ptr<Connection>& connection, std::weak_ptr<PendingAnswer> answer,
+        std::shared_ptr<const ServerState> server) -> HttpHandler::Respond;
 
 } // namespace detail
 
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -190,6 +190,8 @@
     handle(std::move(request), std::move(respond));
 }
 
+auto HttpHandler::mayOverlap(const HttpRequest&) const -> bool { return false; }
+
 auto HttpHandler::failureResponse() -> HttpResponse { return { http::status::internal_server_error, httpVersion }; }
 
 auto HttpHandler::overloadedResponse() -> HttpResponse { return { http::status::service_unavailable, httpVersion }; }
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -45,6 +45,9 @@
     /// As handle(), for handlers that cancel their work when the client disconnects. Calls handle() by default.
     virtual auto handleCancellable(
         const std::shared_ptr<DisconnectNotifier>& client, HttpRequest request, Respond respond) -> void;
+    /// Returns true if the request, which has no body, may run while others of its connection run. Then the connection
+    /// starts it before those in front of it are answered. Returns false by default.
+    [[nodiscard]] virtual auto mayOverlap(const HttpRequest& request) const -> bool;
     /// Returns the response to a request that could not be parsed.
     virtual auto malformedResponse(boost::beast::http::status status, const std::string& detail) -> HttpResponse = 0;
     /// Returns the response to a request whose handler threw an exception or dropped the callback.
@@ -64,6 +67,10 @@
     Core::Millis headerTimeout { 0 };
     /// Total size of the bodies of all requests in flight. Further requests receive the overloaded response.
     Core::Bytes maximumBodyTotal { 256UL * 1024 * 1024 };
+    /// Requests of one connection that run, or wait with their response for those in front of them, at the same time.
+    std::size_t maximumPipelined = 8;
+    /// Size of the responses of one connection that wait to be written, beyond which it starts no further request.
+    Core::Bytes maximumWaitingResponses { 256UL * 1024 };
 };
 
 /// HTTP/1.1 server on one listening socket. The handler must outlive the context's threads.
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -149,6 +149,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhoseCallerPipelines)
+
+BOOST_AUTO_TEST_CASE(LetsOnlyRequestsOverlapThatMayRunTwice)
+{
+    const auto mayOverlap = [this](const std::string& target) {
+        HttpServer::HttpRequest request { boost::beast::http::verb::get, target, 11 };
+        request.set(boost::beast::http::field::host, "desk.example");
+        return front.mayOverlap(request);
+    };
+    BOOST_TEST(!mayOverlap("/stock/7"));
+    Forwarding::Route read;
+    read.host = "desk.example";
+    read.pathPrefix = "/stock/";
+    read.services = { { Core::ServiceId("stock"), 1 } };
+    read.isIdempotent = true;
+    auto order = read;
+    order.pathPrefix = "/stock/orders/";
+    order.isIdempotent = false;
+    auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
+    configuration->routes.add(read);
+    configuration->routes.add(order);
+    forwarder.setConfiguration(configuration);
+    BOOST_TEST(mayOverlap("/stock/7"));
+    BOOST_TEST(mayOverlap("/stock/7?all=1"));
+    BOOST_TEST(!mayOverlap("/stock/orders/7"));
+    BOOST_TEST(!mayOverlap("/unknown"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhoseCallerDisconnects)
 
 BOOST_AUTO_TEST_CASE(ClosesTheConnectionToTheUpstream)
--- a/tests/auto/httpserver/scriptedserver.h
+++ b/tests/auto/httpserver/scriptedserver.h
@@ -28,6 +28,11 @@
         note(m_started, target);
     }
 
+    [[nodiscard]] auto mayOverlap(const HttpServer::HttpRequest& request) const -> bool override
+    {
+        return request.target().starts_with("/safe");
+    }
+
     auto malformedResponse(boost::beast::http::status status, const std::string&) -> HttpServer::HttpResponse override
     {
         return { status, 11 };
--- a/tests/auto/httpserver/tst_streams.cpp
+++ b/tests/auto/httpserver/tst_streams.cpp
@@ -186,6 +186,62 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(InFrontOfOtherResponses)
+
+BOOST_AUTO_TEST_CASE(IsWrittenWholeBeforeThem)
+{
+    request("/safe1");
+    request("/safe2");
+    BOOST_TEST(handler.waitForStarted(2));
+    handler.answer("/safe2");
+    stream("/safe1");
+    BOOST_TEST(body->give("part"));
+    BOOST_TEST(body->give(""));
+    const auto answers = connection.readUntil("/safe2\n");
+    BOOST_TEST(answers.find("0\r\n\r\n") < answers.find("answer to /safe2"));
+}
+
+BOOST_AUTO_TEST_CASE(ThatBreaksOffEndsTheRequestsBehindIt)
+{
+    request("/safe1");
+    request("/safe2");
+    BOOST_TEST(handler.waitForStarted(2));
+    stream("/safe1");
+    BOOST_TEST(body->give("part"));
+    BOOST_TEST(body->breakOff());
+    BOOST_TEST(handler.waitForAbandoned(1));
+    BOOST_TEST(connection.readToEnd().ends_with("4\r\npart\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(IsCancelledIfItsTurnDoesNotCome)
+{
+    request("/safe1");
+    request("/safe2");
+    BOOST_TEST(handler.waitForStarted(2));
+    stream("/safe2");
+    const auto broken = std::make_shared<ScriptedBody>();
+    HttpServer::HttpResponse head { http::status::ok, 11 };
+    handler.answer("/safe1", HttpServer::StreamedResponse { std::move(head), broken });
+    BOOST_TEST(broken->breakOff());
+    BOOST_TEST(body->isCancelled());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhoseClientLeaves)
+
+BOOST_AUTO_TEST_CASE(IsCancelledWhileItWaitsForTheUpstream)
+{
+    request("/s");
+    stream("/s");
+    BOOST_TEST(body->give("part"));
+    BOOST_TEST(connection.readUntil("part\r\n").ends_with("part\r\n"));
+    connection.close();
+    BOOST_TEST(body->isCancelled());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(WhoseClientReadsNothing, ServerForSlowReaders)
 
 BOOST_AUTO_TEST_CASE(IsReadNoFurtherAndEndsAfterTheIdleTime)
