Move permits of organisations that send little, and show the quotas to operators

Answers listed all scarce organisations each time, 45 KB a VM and second. Nothing told an operator why an organisation was refused.

Change: small surpluses move every 4 s, 64 organisations in a message; a child is told five times a second what is scarce.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -1,5 +1,7 @@
 #include "app/forwarding/forwardingprocess.h"
 
+#include "app/forwarding/quotametrics.h"
+
 #include <csignal>
 
 namespace App {
@@ -66,12 +68,14 @@
     , m_storeClient(m_runtime.context(), storeLimits())
     , m_upstreamClient(m_runtime.context(), upstreamLimits(m_settings))
     , m_telemetry({ m_settings.id }, m_clock,
-          { { "upstream_connections_total", Metrics::CallbackMetric::Type::Counter,
-                [this] { return m_upstreamClient.openedConnections(); } },
-              { "heartbeats_malformed_total", Metrics::CallbackMetric::Type::Counter,
-                  [this] { return m_datagrams.malformedCount(); } },
-              { "event_delay_highest_ms", Metrics::CallbackMetric::Type::Gauge,
-                  [this] { return static_cast<std::uint64_t>(m_entryVm.delays().highestDelay().count()); } } })
+          withQuotaMetrics(
+              { { "upstream_connections_total", Metrics::CallbackMetric::Type::Counter,
+                    [this] { return m_upstreamClient.openedConnections(); } },
+                  { "heartbeats_malformed_total", Metrics::CallbackMetric::Type::Counter,
+                      [this] { return m_datagrams.malformedCount(); } },
+                  { "event_delay_highest_ms", Metrics::CallbackMetric::Type::Gauge,
+                      [this] { return static_cast<std::uint64_t>(m_entryVm.delays().highestDelay().count()); } } },
+              [this]() -> const Quotas::FleetQuotas& { return m_entryVm.quotas(); }))
     , m_store(platform.makeStore(m_storeClient))
     , m_datagrams(m_runtime.context(), m_settings.heartbeats)
     , m_peers(m_runtime.context(), m_peerTraffic)
--- a/src/libs/quotas/fleetquotas.cpp
+++ b/src/libs/quotas/fleetquotas.cpp
@@ -7,7 +7,7 @@
     /// A message goes to the parent at least this often, so that the parent keeps the room of this VM.
     constexpr Core::Millis keepAliveInterval { 500 };
     /// Largest number of organisations of which a message moves surplus permits that nobody is known to lack.
-    constexpr std::size_t maximumIdleOffers = 16;
+    constexpr std::size_t maximumIdleOffers = 64;
     constexpr int maximumOpenMessages = 3;
 
 } // namespace
@@ -330,7 +330,7 @@
             reply.grants.push_back({ offer.organisation, granted });
     }
     run(std::move(decisions));
-    reply.scarce = m_neighbours.scarce(now);
+    reply.scarce = m_neighbours.takeScarce(message.sender, now);
     return reply;
 }
 
@@ -368,13 +368,18 @@
         { { "vm", parent }, { "vms", std::to_string(m_neighbours.vmCount()) } } });
 }
 
-auto FleetQuotas::states() const -> std::map<Core::OrganisationId, OrganisationState>
+auto FleetQuotas::states(std::size_t limit) const -> std::vector<OrganisationState>
 {
-    std::map<Core::OrganisationId, OrganisationState> result;
+    std::vector<OrganisationState> result;
     m_organisations.forEach([&result](const PermitsById& permitsById) {
         for (const auto& [id, permits] : permitsById)
-            result[id] = { permits.counts(), permits.stock().value() };
+            result.push_back({ id, permits.counts(), permits.stock() });
     });
+    const auto requests = [](const OrganisationState& state) { return state.counts.admitted + state.counts.refused; };
+    std::sort(result.begin(), result.end(), [&requests](const OrganisationState& one, const OrganisationState& other) {
+        return std::pair(requests(one), one.organisation) > std::pair(requests(other), other.organisation);
+    });
+    result.resize(std::min(limit, result.size()));
     return result;
 }
 
--- a/src/libs/quotas/fleetquotas.h
+++ b/src/libs/quotas/fleetquotas.h
@@ -29,8 +29,9 @@
 
     /// Counts and permits of one organisation on this VM.
     struct OrganisationState {
+        Core::OrganisationId organisation;
         OrganisationPermits::Counts counts;
-        double stock = 0;
+        Permits stock;
     };
 
     /// Interval at which surplus permits move to the parent.
@@ -54,7 +55,8 @@
     /// Handles the message of another VM that has this one for its parent.
     [[nodiscard]] auto receive(const PermitMessage& message) -> PermitReply;
 
-    [[nodiscard]] auto states() const -> std::map<Core::OrganisationId, OrganisationState>;
+    /// Returns the organisations with the most requests, at most the given number.
+    [[nodiscard]] auto states(std::size_t limit) const -> std::vector<OrganisationState>;
     /// Returns the number of messages sent.
     [[nodiscard]] auto sentMessages() const -> std::uint64_t { return m_sentMessages; }
 
--- a/src/libs/quotas/organisationpermits.cpp
+++ b/src/libs/quotas/organisationpermits.cpp
@@ -26,6 +26,8 @@
     constexpr Core::Millis longestQuestionDelay { 80 };
     constexpr Core::Millis idleSurplusDelay { 1000 };
     constexpr Core::Millis deferredSurplusDelay { 8000 };
+    /// Permits of organisations that send little gather at the root by small amounts.
+    constexpr Core::Millis smallSurplusDelay { 4000 };
     constexpr Core::Millis shortestRetry { 100 };
     constexpr Core::Millis longestRetry { 5000 };
 
@@ -253,17 +255,18 @@
     return isWithin(demandLifetime, m_lastRequest, now);
 }
 
+auto OrganisationPermits::half() const -> Permits { return Permits::ofUnits(m_room.units() / 2); }
+
 auto OrganisationPermits::takeSurplus(bool isScarce, Core::Instant now) -> Permits
 {
     if (!m_waiters.empty() || childNeeds(now) > Permits())
         return {};
-    const bool isUseless = isScarce && !hasRecentDemand(now);
-    // What is minted into a full bucket would be lost, so the bucket is emptied before.
-    const auto half = Permits::ofUnits(m_room.units() / 2);
-    if (m_stock <= Permits() || (!isUseless && m_stock < half))
+    // What is minted into a full bucket would be lost, so it is emptied before.
+    if (isScarce && hasRecentDemand(now) && m_stock < half())
         return {};
     m_nextIdleSurplus = now + idleSurplusDelay;
-    const auto kept = hasRecentDemand(now) && half >= onePermit ? half : Permits();
+    m_nextSmallSurplus = now + smallSurplusDelay;
+    const auto kept = hasRecentDemand(now) && half() >= onePermit ? half() : Permits();
     const auto given = (m_stock - kept).notNegative();
     m_stock -= given;
     return given;
@@ -271,7 +274,9 @@
 
 auto OrganisationPermits::hasIdleSurplus(Core::Instant now) const -> bool
 {
-    return now >= m_nextIdleSurplus && m_stock > Permits() && m_stock >= Permits::ofUnits(m_room.units() / 2);
+    if (m_stock <= Permits() || now < m_nextIdleSurplus)
+        return false;
+    return m_stock >= half() || now >= m_nextSmallSurplus;
 }
 
 auto OrganisationPermits::deferIdleSurplus(Core::Instant now) -> void
--- a/src/libs/quotas/organisationpermits.h
+++ b/src/libs/quotas/organisationpermits.h
@@ -96,6 +96,7 @@
     [[nodiscard]] auto childNeeds(Core::Instant now) const -> Permits;
     [[nodiscard]] auto describe() const -> std::string;
     [[nodiscard]] auto retryAfter() const -> Core::Duration;
+    [[nodiscard]] auto half() const -> Permits;
     [[nodiscard]] auto hasRecentDemand(Core::Instant now) const -> bool;
     [[nodiscard]] auto waiting() const -> Permits;
     [[nodiscard]] auto mayWait(Core::Instant now) const -> bool;
@@ -122,6 +123,7 @@
     Core::Instant m_nextQuestion = Core::Instant::min();
     Core::Duration m_questionDelay {};
     Core::Instant m_nextIdleSurplus = Core::Instant::min();
+    Core::Instant m_nextSmallSurplus = Core::Instant::min();
     double m_mintedRate = 0;
 };
 
--- a/src/libs/quotas/treeneighbours.cpp
+++ b/src/libs/quotas/treeneighbours.cpp
@@ -21,6 +21,7 @@
     /// Largest number of VMs that are probed at once.
     constexpr std::size_t maximumProbes = 8;
     constexpr Core::Millis scarceLifetime { 1000 };
+    constexpr Core::Millis scarceInterval { 200 };
     constexpr std::size_t maximumScarce = 128;
     constexpr std::size_t maximumChildren = 1024;
     /// Time in which the others learn that this VM has joined them, before it mints.
@@ -191,7 +192,7 @@
     if (message.start < child.start)
         return false;
     if (message.start > child.start)
-        child = { message.start, 0, 0, 0, {} };
+        child = { message.start, 0, 0, 0, {}, {} };
     if (message.sequence > child.sequence) {
         const auto newer = message.sequence - child.sequence;
         child.arrived = newer < rememberedMessages ? child.arrived << newer : 0;
@@ -236,10 +237,14 @@
     return found != m_scarceUntil.end() && now < found->second;
 }
 
-auto TreeNeighbours::scarce(Core::Instant now) const -> std::vector<Core::OrganisationId>
+auto TreeNeighbours::takeScarce(const Core::EntryVmId& child, Core::Instant now) -> std::vector<Core::OrganisationId>
 {
     const std::lock_guard lock(m_mutex);
     std::vector<Core::OrganisationId> result;
+    const auto found = m_children.find(child);
+    if (found == m_children.end() || now < found->second.nextScarce)
+        return result;
+    found->second.nextScarce = now + scarceInterval;
     for (const auto& [organisation, until] : m_scarceUntil) {
         if (now < until)
             result.push_back(organisation);
--- a/src/libs/quotas/treeneighbours.h
+++ b/src/libs/quotas/treeneighbours.h
@@ -36,7 +36,8 @@
 
     auto markScarce(const Core::OrganisationId& organisation, Core::Instant now) -> void;
     [[nodiscard]] auto isScarce(const Core::OrganisationId& organisation, Core::Instant now) const -> bool;
-    [[nodiscard]] auto scarce(Core::Instant now) const -> std::vector<Core::OrganisationId>;
+    /// Returns the organisations that lack permits, or none if the child has been told lately.
+    [[nodiscard]] auto takeScarce(const Core::EntryVmId& child, Core::Instant now) -> std::vector<Core::OrganisationId>;
 
 private:
     struct Child {
@@ -47,6 +48,8 @@
         std::uint64_t arrived = 0;
         double delegatedRoom = 0;
         Core::Instant heardAt;
+        /// The child is told again from this instant on which organisations lack permits.
+        Core::Instant nextScarce;
     };
 
     /// A VM that did not answer.
--- a/src/plugins/metrics/metrics.h
+++ b/src/plugins/metrics/metrics.h
@@ -3,13 +3,14 @@
 #include "ports/metricsink.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace Metrics {
 
-/// Metric with a single value, which a callback returns when the metrics are read.
+/// Metric whose value a callback returns when the metrics are read, or its values by the value of one label.
 struct CallbackMetric {
     enum class Type : std::uint8_t { Gauge, Counter };
 
@@ -17,6 +18,10 @@
     std::string name;
     Type type = Type::Gauge;
     std::function<std::uint64_t()> value;
+    /// Name of the label, if there is one.
+    std::string label;
+    /// Takes the place of `value` if there is a label. The callback limits the number of values.
+    std::function<std::map<std::string, std::uint64_t>()> valuesByLabel;
 };
 
 /// Collects latency histograms by service and rank, and counters. Each thread updates the shard that its id selects;
--- a/src/plugins/metrics/prometheustext.cpp
+++ b/src/plugins/metrics/prometheustext.cpp
@@ -93,6 +93,17 @@
                    << '\n';
     }
 
+    auto writeCallbackMetric(std::ostream& stream, const CallbackMetric& metric) -> void
+    {
+        writeTypeLine(stream, metric.name, metric.type == CallbackMetric::Type::Gauge ? "gauge" : "counter");
+        if (metric.label.empty()) {
+            stream << "dragonflywinch_" << metric.name << ' ' << metric.value() << '\n';
+            return;
+        }
+        for (const auto& [value, count] : metric.valuesByLabel())
+            stream << "dragonflywinch_" << metric.name << '{' << label(metric.label, value) << "} " << count << '\n';
+    }
+
 } // namespace
 
 auto prometheusText(const Counts& counts, const std::vector<CallbackMetric>& callbackMetrics) -> std::string
@@ -102,10 +113,8 @@
     writeRefusals(stream, counts);
     writeUpstreams(stream, counts);
     writeInFlight(stream, counts);
-    for (const auto& metric : callbackMetrics) {
-        writeTypeLine(stream, metric.name, metric.type == CallbackMetric::Type::Gauge ? "gauge" : "counter");
-        stream << "dragonflywinch_" << metric.name << ' ' << metric.value() << '\n';
-    }
+    for (const auto& metric : callbackMetrics)
+        writeCallbackMetric(stream, metric);
     return stream.str();
 }
 
