Draw quotas in the forwarding soak, and ask for permits that became lacking meanwhile

Cause: an organisation that began to lack permits while the lacking ones were being served was taken off the list, so that its requests waited without asking the parent (found by reading). Surplus went on to a parent that did not answer.

The soak of the forwarding host has two organisations, one of which sends far more than its quota, and checks the bound at the upstreams in every window.

--- a/src/libs/quotas/fleetquotas.cpp
+++ b/src/libs/quotas/fleetquotas.cpp
@@ -123,9 +123,10 @@
     recordParent(parent ? parent->id.value() : "none");
     std::vector<PermitOffer> offers;
     Decisions decisions;
-    const auto idle = refillAll(parent.has_value(), offers, decisions);
+    const bool mayMove = parent && m_openMessages < maximumOpenMessages;
+    const auto idle = refillAll(mayMove, offers, decisions);
     run(std::move(decisions));
-    if (!parent)
+    if (!mayMove)
         return;
     bool isDue = false;
     {
@@ -138,7 +139,7 @@
         send(*parent, std::move(offers));
 }
 
-auto FleetQuotas::refillAll(bool hasParent, std::vector<PermitOffer>& offers, Decisions& decisions)
+auto FleetQuotas::refillAll(bool mayMove, std::vector<PermitOffer>& offers, Decisions& decisions)
     -> std::set<Core::OrganisationId>
 {
     const auto now = m_environment.clock.now();
@@ -148,7 +149,7 @@
         for (auto& [id, permits] : permitsById) {
             permits.refill(part, now);
             permits.serve(now, decisions);
-            if (hasParent && offers.size() < maximumOffers && m_neighbours.isScarce(id, now)) {
+            if (mayMove && offers.size() < maximumOffers && m_neighbours.isScarce(id, now)) {
                 if (const auto given = permits.takeSurplus(true, now); given > Permits())
                     offers.push_back({ id, given, {} });
             } else if (permits.hasIdleSurplus(now)) {
@@ -204,22 +205,17 @@
     std::set<Core::OrganisationId> needy;
     {
         const std::lock_guard lock(m_mutex);
-        needy = m_needy;
+        needy.swap(m_needy);
     }
     const bool mayAsk = parent && m_openMessages < maximumOpenMessages;
     std::vector<PermitOffer> offers;
-    std::vector<Core::OrganisationId> served;
     Decisions decisions;
-    for (const auto& id : needy) {
-        if (!serveNeedy(id, mayAsk, offers, decisions))
-            served.push_back(id);
-    }
+    std::erase_if(needy, [&](const Core::OrganisationId& id) { return !serveNeedy(id, mayAsk, offers, decisions); });
     run(std::move(decisions));
     if (!offers.empty())
         send(*parent, std::move(offers));
     const std::lock_guard lock(m_mutex);
-    for (const auto& id : served)
-        m_needy.erase(id);
+    m_needy.merge(needy);
     if (m_needy.empty())
         m_askTimer.reset();
     else
--- a/src/libs/quotas/fleetquotas.h
+++ b/src/libs/quotas/fleetquotas.h
@@ -72,7 +72,7 @@
     auto move() -> void;
     /// Refills all organisations and takes the surplus of those that are scarce elsewhere. Returns the others that have
     /// a surplus.
-    auto refillAll(bool hasParent, std::vector<PermitOffer>& offers, Decisions& decisions)
+    auto refillAll(bool mayMove, std::vector<PermitOffer>& offers, Decisions& decisions)
         -> std::set<Core::OrganisationId>;
     /// Takes the surplus of some of the organisations, of others in each round.
     auto takeIdleSurplus(const std::set<Core::OrganisationId>& idle, std::vector<PermitOffer>& offers) -> void;
--- a/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.cpp
@@ -24,6 +24,11 @@
 constexpr std::array domains { "atl-a", "atl-b", "sav-a", "sav-b" };
 constexpr std::array services { "stock", "holds" };
 constexpr std::size_t objects = 40;
+constexpr auto freeOrganisation = "free";
+constexpr auto limitedOrganisation = "limited";
+constexpr Organisations::Quota limit { 3, 3 };
+/// Share of the requests that the limited organisation sends: far more than its quota.
+constexpr double limitedShare = 0.15;
 
 auto routeOf(const std::string& service, bool isIdempotent) -> Forwarding::Route
 {
@@ -40,11 +45,24 @@
     return route;
 }
 
+/// Uses the names of the organisations as their API keys.
+auto addOrganisations(Organisations::OrganisationDirectory& directory) -> void
+{
+    Organisations::Organisation limited { Core::OrganisationId(limitedOrganisation), {}, {}, limit };
+    Organisations::Organisation free { Core::OrganisationId(freeOrganisation), {}, {}, {} };
+    (void)directory.add(limited, { Organisations::ApiKey(limitedOrganisation) });
+    (void)directory.add(free, { Organisations::ApiKey(freeOrganisation) });
+}
+
 } // namespace
 
 RandomisedForwardingRun::RandomisedForwardingRun(std::uint64_t seed)
     : m_site(seed)
 {
+    const Quotas::QuotaBounds bounds;
+    const auto perWindow = limit.rate * std::chrono::duration<double>(bounds.window).count();
+    m_site.requestTracker.setQuotaBound(
+        bounds.window, (perWindow + limit.burst) * (1 + bounds.overshoot) + bounds.slack);
     configure();
     for (std::size_t index = 0; index < upstreamCount; ++index)
         addUpstream(Core::Address("10.0.0." + std::to_string(index) + ":80"));
@@ -100,8 +118,10 @@
     request.path = "/" + std::string(services.at(service)) + "/7";
     request.object = Forwarding::ObjectKey(std::to_string(world.below(objects)));
     request.callerTimeout = world.between(Core::Millis(1), longestCallerTimeout);
+    const bool isLimited = !m_isRecovering && world.chance(limitedShare);
+    request.apiKey = Organisations::ApiKey(isLimited ? limitedOrganisation : freeOrganisation);
     auto& open = m_open.at(index);
-    open.push_back(m_site.send(index, std::move(request), service == 0));
+    open.push_back(m_site.send(index, std::move(request), service == 0, isLimited));
     std::erase_if(open, [](const auto& one) { return one.use_count() == 1; });
 }
 
@@ -123,6 +143,7 @@
     auto configuration = std::make_shared<Forwarding::RoutingConfiguration>();
     m_version += 1 + m_site.world.below(5);
     configuration->version = Core::Version(m_version);
+    addOrganisations(configuration->organisations);
     for (std::size_t index = 0; index < services.size(); ++index) {
         configuration->routes.add(routeOf(services.at(index), index == 0));
         configuration->services[Core::ServiceId(services.at(index))]
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -251,11 +251,13 @@
         store.remove(collection, domain.value());
 }
 
-auto ForwardingSite::send(std::size_t index, Forwarding::ForwardRequest request, bool isIdempotent)
+auto ForwardingSite::send(std::size_t index, Forwarding::ForwardRequest request, bool isIdempotent, bool hasQuota)
     -> std::shared_ptr<Forwarding::OpenRequest>
 {
     const auto id = request.id;
     requestTracker.sent(id, isIdempotent);
+    if (hasQuota)
+        requestTracker.countAgainstQuota(id);
     return m_processes.at(index)->entryVm.forwarder().handle(
         std::move(request), [this, id](const Forwarding::ForwardReply& reply) { recordReply(id, reply); });
 }
--- a/tests/fakes/forwarding/forwardingsite.h
+++ b/tests/fakes/forwarding/forwardingsite.h
@@ -40,7 +40,8 @@
     auto unlistUpstream(const Core::UpstreamId& id) -> void;
     auto setEvacuated(const Core::FailureDomainId& domain, bool isEvacuated) -> void;
 
-    auto send(std::size_t index, Forwarding::ForwardRequest request, bool isIdempotent)
+    /// `hasQuota` is true if the request counts against the quota that the tracker checks.
+    auto send(std::size_t index, Forwarding::ForwardRequest request, bool isIdempotent, bool hasQuota = false)
         -> std::shared_ptr<Forwarding::OpenRequest>;
     [[nodiscard]] auto isStable(const NodeId& vm) const -> bool;
     /// Records a violation if the configuration of a VM went back to an older version, or is outdated on a stable VM.
--- a/tests/fakes/forwarding/requesttracker.cpp
+++ b/tests/fakes/forwarding/requesttracker.cpp
@@ -44,10 +44,20 @@
         recordViolation("too many retries at " + service.value() + ": " + std::to_string(retries));
 }
 
-auto RequestTracker::ran(const Core::RequestId& id) -> void
+auto RequestTracker::checkQuota(Core::Instant now) -> void
+{
+    m_quotaRunTimes.push_back(now);
+    while (now - m_quotaRunTimes.front() > m_quotaWindow)
+        m_quotaRunTimes.pop_front();
+    if (static_cast<double>(m_quotaRunTimes.size()) > m_quotaRuns)
+        recordViolation("more requests ran than the quota allows");
+}
+
+auto RequestTracker::ran(const Core::RequestId& id, Core::Instant now) -> void
 {
     auto& request = m_requests.at(id);
-    ++request.runs;
+    if (++request.runs == 1 && request.hasQuota)
+        checkQuota(now);
     if (!request.isIdempotent && request.runs > 1)
         recordViolation("ran twice: " + id.value());
     if (request.isRefusedNotRun)
--- a/tests/fakes/forwarding/virtualupstreams.cpp
+++ b/tests/fakes/forwarding/virtualupstreams.cpp
@@ -249,7 +249,7 @@
 
 auto VirtualUpstreams::run(Upstream& upstream, const JobPointer& job) -> void
 {
-    m_requestTracker.ran(job->call.id);
+    m_requestTracker.ran(job->call.id, m_world.now());
     upstream.jobs.push_back(job);
     const auto load = std::max<std::size_t>(1, upstream.jobs.size() / upstream.entry.slots.value());
     const auto time = m_world.between(minimumServiceTime, maximumServiceTime) * static_cast<int>(load);
