--- a/src/libs/quotas/fleetquotas.h
+++ b/src/libs/quotas/fleetquotas.h
@@ -29,8 +29,9 @@
 
     /// Counts and permits of one organisation on this VM.
     struct OrganisationState {
+        Core::OrganisationId organisation;
         OrganisationPermits::Counts counts;
-        double stock = 0;
+        Permits stock;
     };
 
     /// Interval at which surplus permits move to the parent.
@@ -54,7 +55,8 @@
     /// Handles the message of another VM that has this one for its parent.
     [[nodiscard]] auto receive(const PermitMessage& message) -> PermitReply;
 
-    [[nodiscard]] auto states() const -> std::map<Core::OrganisationId, OrganisationState>;
+    /// Returns the organisations with the most requests, at most the given number.
+    [[nodiscard]] auto states(std::size_t limit) const -> std::vector<OrganisationState>;
     /// Returns the number of messages sent.
     [[nodiscard]] auto sentMessages() const -> std::uint64_t { return m_sentMessages; }
 
@@ -70,7 +72,7 @@
     auto move() -> void;
     /// Refills all organisations and takes the surplus of those that are scarce elsewhere. Returns the others that have
     /// a surplus.
-    auto refillAll(bool hasParent, std::vector<PermitOffer>& offers, Decisions& decisions)
+    auto refillAll(bool mayMove, std::vector<PermitOffer>& offers, Decisions& decisions)
         -> std::set<Core::OrganisationId>;
     /// Takes the surplus of some of the organisations, of others in each round.
     auto takeIdleSurplus(const std::set<Core::OrganisationId>& idle, std::vector<PermitOffer>& offers) -> void;
