Stream large answers, and refuse what the VM has no room for

Cause: an answer was read whole before its first byte went to the caller. All bodies together had a limit; what met it failed as "body limit exceeded", which counted against a sound upstream and ended a booking as 502 though it had run. A lack of file descriptors or ports ejected upstreams likewise.

Change: the HTTP client delivers the head and a Ports::BodyStream of an answer above 64 KiB; nothing is read from the upstream while its reader takes nothing, and the connection belongs to the exchange until the body has ended whole. The head ends retries and hedges (invariant forwarding.nothing-sent-after-the-head); slot and deadline hold until the end of the body. A body that breaks off reaches the caller broken and counts against its upstream, unless the caller was slow. The outcome OwnShortage counts against nobody. Core::BufferAccount replaces the limit on received bytes: a request reserves what answers of its route usually need before anything is sent, else it is refused as not run; one organisation takes half at most.

--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -21,6 +21,11 @@
     /// Time reserved before the process is killed, for writing answers and exiting.
     constexpr Core::Millis shutdownMargin { 500 };
 
+    auto bodyMemory(const ForwardingHost::EntryVmSettings& settings) -> Core::Bytes
+    {
+        return Core::Bytes(settings.memory.value() / bodyMemoryDivisor);
+    }
+
     auto storeLimits() -> HttpClient::Limits
     {
         HttpClient::Limits limits;
@@ -33,8 +38,7 @@
     auto upstreamLimits(const ForwardingHost::EntryVmSettings& settings) -> HttpClient::Limits
     {
         auto limits = storeLimits();
-        limits.maximumBodyTotal = Core::Bytes(settings.memory.value() / bodyMemoryDivisor);
-        limits.maximumBody = std::min(limits.maximumBody, limits.maximumBodyTotal);
+        limits.maximumBody = std::min(limits.maximumBody, bodyMemory(settings));
         limits.idleTimeout = Core::Millis(8000);
         limits.idleConnectionsPerAddress = 16;
         return limits;
@@ -46,8 +50,8 @@
         HttpServer::Limits result;
         result.maximumHeader = limits.header;
         // A body is buffered completely until it is sent, so a single one must not exhaust the memory of the process.
-        result.maximumBody = std::min(limits.body, Core::Bytes(settings.memory.value() / bodyMemoryDivisor));
-        result.maximumBodyTotal = Core::Bytes(settings.memory.value() / bodyMemoryDivisor);
+        result.maximumBody = std::min(limits.body, bodyMemory(settings));
+        result.maximumBodyTotal = bodyMemory(settings);
         result.idleTimeout = limits.idleTime;
         result.headerTimeout = limits.headerTime;
         result.maximumConnections
@@ -63,11 +67,14 @@
     , m_reload(std::move(reload))
     , m_runtime(m_settings.threads)
     , m_signals(m_runtime.context(), { SIGTERM, SIGINT, SIGHUP })
+    , m_answerBuffers(std::make_shared<Core::BufferAccount>(bodyMemory(m_settings)))
     , m_storeClient(m_runtime.context(), storeLimits())
     , m_upstreamClient(m_runtime.context(), upstreamLimits(m_settings))
     , m_telemetry({ m_settings.id }, m_clock,
           { { "upstream_connections_total", Metrics::CallbackMetric::Type::Counter,
                 [this] { return m_upstreamClient.openedConnections(); } },
+              { "answer_buffers_highest_bytes", Metrics::CallbackMetric::Type::Gauge,
+                  [this] { return m_answerBuffers->highest().value(); } },
               { "heartbeats_malformed_total", Metrics::CallbackMetric::Type::Counter,
                   [this] { return m_datagrams.malformedCount(); } },
               { "event_delay_highest_ms", Metrics::CallbackMetric::Type::Gauge,
@@ -84,7 +91,8 @@
               m_exchanges, m_datagrams, m_mirrorPeer, m_crashReportPeer, m_noticePeer,
               [this](const Forwarding::CallerLimits& limits) {
                   m_frontServer.setLimits(callerLimits(m_settings, limits));
-              } })
+              },
+              { m_answerBuffers, HttpClient::streamMemory } })
     , m_front(m_entryVm.forwarder(), platform.headerNames())
     , m_readiness(platform.makeReadinessHandler([this] { return m_entryVm.isReady(); }))
     , m_lookup(platform.makeLookupHandler([this] { return lookupReply(); }))
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -49,6 +49,7 @@
     Runtime::SystemRandom m_random;
     Runtime::AsioRuntime m_runtime;
     Runtime::SignalListener m_signals;
+    const std::shared_ptr<Core::BufferAccount> m_answerBuffers;
     HttpClient::Client m_storeClient;
     HttpClient::Client m_upstreamClient;
     ProcessTelemetry m_telemetry;
--- a/src/libs/forwarding/crashguard.cpp
+++ b/src/libs/forwarding/crashguard.cpp
@@ -24,7 +24,8 @@
 {
     m_environment.exchanges.probeHealth(
         target, healthPath, [this, request, target](const Core::Result<Ports::HealthReport>& report) {
-            if (!report)
+            const bool isOwnFailure = !report && report.error().kind == Core::ErrorKind::Internal;
+            if (!report && !isOwnFailure)
                 reportCrash({ request, { target.id } });
         });
 }
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/bufferaccount.h"
+#include "forwarding/answersizes.h"
 #include "forwarding/crashguard.h"
 #include "forwarding/forwardrequest.h"
 #include "forwarding/rollingretrybudget.h"
@@ -34,6 +36,14 @@
 
 } // namespace detail
 
+/// Memory for answers in flight.
+struct BufferSettings {
+    /// Null if there is no limit.
+    std::shared_ptr<Core::BufferAccount> account;
+    /// The most that one answer holds at a time, however large it is.
+    Core::Bytes perAnswer;
+};
+
 /// Forwards requests to the upstreams that the configuration selects for them, and refuses those that can't be served.
 class Forwarder {
 public:
@@ -46,6 +56,7 @@
         Ports::MetricSink& metrics;
         ServicePool::Environment pool;
         std::shared_ptr<Quotas::QuotaGate> quotas = std::make_shared<Quotas::UnlimitedQuotas>();
+        BufferSettings buffers {};
     };
 
     using NoticeCallback = std::function<void(const UpstreamNotice&)>;
@@ -88,6 +99,7 @@
     const Environment m_environment;
     WeightedRoundRobin m_roundRobin;
     CrashGuard m_crashGuard;
+    AnswerSizes m_answerSizes;
     NoticeCallback m_noticeCallback = [](const UpstreamNotice&) {};
     std::atomic<std::shared_ptr<const RoutingConfiguration>> m_configuration;
     std::atomic<std::shared_ptr<const detail::ServiceContexts>> m_contexts;
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -34,7 +34,8 @@
     /// Returns true if no byte of the request has reached the upstream.
     auto isUnsent(ExchangeOutcome outcome) -> bool
     {
-        return outcome == ExchangeOutcome::NotSent || outcome == ExchangeOutcome::Withdrawn;
+        return outcome == ExchangeOutcome::NotSent || outcome == ExchangeOutcome::Withdrawn
+            || outcome == ExchangeOutcome::OwnShortage;
     }
 
 } // namespace
@@ -76,7 +77,36 @@
         m_deadlineTimer = m_environment.scheduler.after(
             m_deadline - m_arrivedAt, [self = shared_from_this()] { self->onDeadline(); });
     }
-    acquirePermit();
+    if (reserveBuffers())
+        acquirePermit();
+}
+
+auto ForwardOperation::reserveBuffers() -> bool
+{
+    const auto& settings = m_environment.buffers;
+    if (!settings.account)
+        return true;
+    const auto size = m_forwarder.m_answerSizes.usual(m_route->id).value_or(settings.perAnswer);
+    const Core::BufferHolder holder(m_organisation ? m_organisation->id.value() : std::string());
+    auto reservation = settings.account->reserve(size, holder);
+    if (!reservation) {
+        refuse(RefusalReason::Overloaded, "the buffers for answers are full", minimumRetryAfter);
+        return false;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (!m_isDone)
+        m_buffers.emplace(std::move(*reservation));
+    return true;
+}
+
+auto ForwardOperation::recordAnswerSize(Core::Bytes size) -> void
+{
+    if (!m_environment.buffers.account)
+        return;
+    m_forwarder.m_answerSizes.record(m_route->id, size);
+    const std::lock_guard lock(m_mutex);
+    if (m_buffers)
+        m_buffers->resize(size);
 }
 
 auto ForwardOperation::identifyCaller() -> bool
@@ -212,6 +242,7 @@
     if (m_isClosed || (hedged && (m_isDone || m_attempts[*hedged].hasEnded || !hasAttemptsLeft())))
         return std::nullopt;
     Core::invariant(m_route->isIdempotent || !m_mayHaveRun, "forwarding.runs-once");
+    Core::invariant(!m_hasAnswer, "forwarding.nothing-sent-after-the-head");
     m_attempts.push_back({ choice, nullptr, false });
     m_tried.push_back(choice.target.id);
     ++m_sends;
@@ -237,15 +268,17 @@
     auto exchange = m_environment.exchanges.start(
         std::move(call), [self, index](const Ports::ExchangeResult& result) { self->onResult(index, result); });
     bool isDone = false;
+    bool isStreaming = false;
     {
         const std::lock_guard lock(m_mutex);
         if (!m_attempts[index].hasEnded)
             m_attempts[index].exchange = exchange;
         isDone = m_isDone;
+        isStreaming = m_attempts[index].isStreaming;
         if (!isDone && m_route->isIdempotent && hasAttemptsLeft())
             armResponseTimer(index);
     }
-    if (isDone)
+    if (isDone && !isStreaming)
         exchange->cancel();
 }
 
@@ -283,6 +316,10 @@
 
 auto ForwardOperation::onResult(std::size_t index, const Ports::ExchangeResult& result) -> void
 {
+    if (result.body) {
+        onHead(index, result);
+        return;
+    }
     const auto now = m_environment.clock.now();
     bool isDone = false;
     bool isLast = true;
@@ -304,6 +341,7 @@
     if (isDone)
         return;
     if (result.outcome == ExchangeOutcome::Answered) {
+        recordAnswerSize(result.size);
         finish(result.answer);
         cancelExchanges();
     } else if (isLast) {
@@ -311,7 +349,79 @@
     }
 }
 
-auto ForwardOperation::reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void
+auto ForwardOperation::onHead(std::size_t index, const Ports::ExchangeResult& result) -> void
+{
+    const auto now = m_environment.clock.now();
+    ExchangeReport head;
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& attempt = m_attempts[index];
+        attempt.isStreaming = true;
+        attempt.isUpstreamError = result.isUpstreamError;
+        head.target = attempt.choice.target;
+        head.exchange = attempt.choice.exchange;
+    }
+    head.load = result.load;
+    head.signals = result.signals;
+    m_recorder.recordSignals(head.target, m_context->pool.recordHead(head, now));
+    auto body = std::make_shared<AnswerBody>(
+        result.body, m_environment.clock, [weak = weak_from_this(), index](const BodyEnd& end) {
+            if (const auto operation = weak.lock())
+                operation->onBodyEnd(index, end);
+        });
+    recordAnswerSize(m_environment.buffers.perAnswer);
+    if (finish(StreamedAnswer { result.answer, std::move(body) })) {
+        cancelExchanges();
+        return;
+    }
+    result.body->cancel();
+    endStreaming(index, {});
+}
+
+auto ForwardOperation::onBodyEnd(std::size_t index, const BodyEnd& end) -> void
+{
+    // The timer may own the last reference to this operation.
+    const auto self = shared_from_this();
+    std::unique_ptr<Ports::Timer> deadlineTimer;
+    std::shared_ptr<Ports::BodyStream> body;
+    {
+        const std::lock_guard lock(m_mutex);
+        deadlineTimer = std::move(m_deadlineTimer);
+        body = std::move(m_body);
+        m_buffers.reset();
+    }
+    endStreaming(index, end);
+}
+
+auto ForwardOperation::endStreaming(std::size_t index, const BodyEnd& end) -> void
+{
+    Attempt attempt;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_attempts[index].hasEnded = true;
+        attempt = m_attempts[index];
+        m_attempts[index].exchange.reset();
+    }
+    Ports::ExchangeResult result;
+    result.outcome = end.outcome;
+    result.isUpstreamError = attempt.isUpstreamError;
+    result.detail = end.detail;
+    reportEnd(attempt, result, m_environment.clock.now(), end.readerTime);
+}
+
+auto ForwardOperation::cancelBody() -> void
+{
+    std::shared_ptr<Ports::BodyStream> body;
+    {
+        const std::lock_guard lock(m_mutex);
+        body = m_body;
+    }
+    if (body)
+        body->cancel();
+}
+
+auto ForwardOperation::reportEnd(
+    const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now, Core::Duration readerTime) -> void
 {
     ExchangeReport report;
     report.target = attempt.choice.target;
@@ -323,7 +433,8 @@
     report.isUpstreamError = result.isUpstreamError;
     report.reusedConnection = result.reusedConnection;
     report.load = result.load;
-    report.duration = now - attempt.choice.exchange.startedAt;
+    report.duration = now - attempt.choice.exchange.startedAt - readerTime;
+    report.isBodyEnd = attempt.isStreaming;
     report.cacheState = attempt.choice.cacheState;
     report.signals = result.signals;
     m_recorder.recordSignals(report.target, m_context->pool.endExchange(report, now));
@@ -384,7 +495,7 @@
 {
     if (now >= m_deadline || !hasAttemptsLeft())
         return false;
-    if (outcome == ExchangeOutcome::Withdrawn)
+    if (outcome == ExchangeOutcome::Withdrawn || outcome == ExchangeOutcome::OwnShortage)
         return true;
     return m_context->retryBudget.tryTake(m_forwarder.retryAllowance(), now);
 }
@@ -437,17 +548,21 @@
 
 auto ForwardOperation::onDeadline() -> void
 {
+    bool isDone = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_isDone)
-            return;
+        isDone = m_isDone;
         m_isClosed = true;
         // A request that is still in flight at an upstream may run to completion.
         if (std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) { return !attempt.hasEnded; }))
             m_mayHaveRun = true;
     }
-    refuse(m_mayHaveRun ? RefusalReason::UpstreamTimeout : RefusalReason::DeadlinePassed, "the time has passed", {});
-    cancelExchanges();
+    if (!isDone) {
+        refuse(
+            m_mayHaveRun ? RefusalReason::UpstreamTimeout : RefusalReason::DeadlinePassed, "the time has passed", {});
+        cancelExchanges();
+    }
+    cancelBody();
 }
 
 auto ForwardOperation::abandon() -> void
@@ -462,9 +577,10 @@
     abandoned.message = callerDisconnected;
     finish(std::move(abandoned));
     cancelExchanges();
+    cancelBody();
 }
 
-auto ForwardOperation::finish(ForwardReply reply) -> void
+auto ForwardOperation::finish(ForwardReply reply) -> bool
 {
     ForwardCallback callback;
     // The timer may own the last reference to this operation.
@@ -476,10 +592,16 @@
     {
         const std::lock_guard lock(m_mutex);
         if (m_isDone)
-            return;
+            return false;
         m_isDone = true;
+        m_hasAnswer = !std::holds_alternative<ForwardRefusal>(reply);
         callback = std::move(m_callback);
-        deadlineTimer = std::move(m_deadlineTimer);
+        if (const auto* streamed = std::get_if<StreamedAnswer>(&reply))
+            m_body = streamed->body;
+        else
+            deadlineTimer = std::move(m_deadlineTimer);
+        if (!m_body)
+            m_buffers.reset();
         m_responseTimer.reset();
         attempts = m_attempts.size();
         if (attempts > 0)
@@ -491,6 +613,7 @@
         m_environment.quotas->giveBack(*unusedPermit);
     m_recorder.recordEnd(reply, { last, attempts, m_environment.clock.now() - m_arrivedAt });
     callback(std::move(reply));
+    return true;
 }
 
 auto ForwardOperation::cancelExchanges() -> void
@@ -499,7 +622,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const auto& attempt : m_attempts) {
-            if (!attempt.hasEnded && attempt.exchange)
+            if (!attempt.hasEnded && !attempt.isStreaming && attempt.exchange)
                 exchanges.push_back(attempt.exchange);
         }
     }
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/answerbody.h"
 #include "forwarding/forwarder.h"
 #include "forwarding/requestrecorder.h"
 
@@ -19,6 +20,9 @@
         Choice choice;
         std::shared_ptr<Ports::Exchange> exchange;
         bool hasEnded = false;
+        /// The head of a large answer has arrived, and its body is being delivered.
+        bool isStreaming = false;
+        bool isUpstreamError = false;
     };
 
     auto findRoute() -> bool;
@@ -32,6 +36,10 @@
     auto acquirePermit() -> void;
     auto onPermit(const Quotas::QuotaResult& result) -> void;
     auto setDeadline() -> void;
+    /// Reserves memory for the answer. Refuses the request if there is too little.
+    auto reserveBuffers() -> bool;
+    /// Adapts the reservation, and later ones of the route, to the answer that has arrived.
+    auto recordAnswerSize(Core::Bytes size) -> void;
     [[nodiscard]] auto hasCallerLeft() const -> bool { return m_request.caller && m_request.caller->isClosed(); }
     auto send() -> void;
     /// Returns the query for an upstream that is not among `tried`, which must outlive it.
@@ -48,6 +56,12 @@
     /// Returns true if the request may still be written to the chosen upstream. Abandons it if the caller has left.
     [[nodiscard]] auto isStillWanted(const Ports::UpstreamTarget& target) -> bool;
     auto onResult(std::size_t index, const Ports::ExchangeResult& result) -> void;
+    /// Handles the head of a large answer. It ends retries and hedges; the body is delivered behind it.
+    auto onHead(std::size_t index, const Ports::ExchangeResult& result) -> void;
+    auto onBodyEnd(std::size_t index, const BodyEnd& end) -> void;
+    /// Ends the delivery of a large answer, if there is one. It reaches the caller as broken off.
+    auto cancelBody() -> void;
+    auto endStreaming(std::size_t index, const BodyEnd& end) -> void;
     auto onResponseTimeout(std::size_t index) -> void;
     /// Sends the request to another upstream too. The silent one may still answer, so its exchange stays open.
     auto hedge(std::size_t index, const Choice& silent, Core::Instant now) -> void;
@@ -58,10 +72,13 @@
     [[nodiscard]] auto mayRetry(Ports::ExchangeOutcome outcome, Core::Instant now) -> bool;
     /// Returns true if the route allows one more upstream.
     [[nodiscard]] auto hasAttemptsLeft() const -> bool;
-    auto reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void;
+    /// `readerTime` is the part of the time since the start that the caller took to read the answer.
+    auto reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now,
+        Core::Duration readerTime = {}) -> void;
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const ChoiceFailure& failure) -> void;
-    auto finish(ForwardReply reply) -> void;
+    /// Returns false if there was a reply before.
+    auto finish(ForwardReply reply) -> bool;
     auto cancelExchanges() -> void;
     [[nodiscard]] auto hasOpenExchange() const -> bool;
     [[nodiscard]] auto retryAfter(Core::Duration wait) const -> Core::Duration;
@@ -90,7 +107,13 @@
     std::atomic<std::uint32_t> m_sends { 0 };
     std::atomic<bool> m_mayHaveRun { false };
     std::optional<Quotas::QuotaPermit> m_permit;
+    /// Memory for the answer, until it has been delivered.
+    std::optional<Core::BufferAccount::Reservation> m_buffers;
     bool m_isDone = false;
+    /// An answer, or its head, was delivered.
+    bool m_hasAnswer = false;
+    /// Body of a large answer that is being delivered; null otherwise. It ends at the deadline.
+    std::shared_ptr<Ports::BodyStream> m_body;
     /// Set when the deadline has passed or the caller has disconnected; nothing is sent afterwards.
     bool m_isClosed = false;
     std::unique_ptr<Ports::Timer> m_deadlineTimer;
--- a/src/libs/forwarding/forwardrequest.h
+++ b/src/libs/forwarding/forwardrequest.h
@@ -43,7 +43,14 @@
     Core::Duration retryAfter {};
 };
 
-using ForwardReply = std::variant<Ports::MessagePointer, ForwardRefusal>;
+/// Large answer of an upstream, of which only the head has arrived.
+struct StreamedAnswer {
+    Ports::MessagePointer head;
+    /// Read to its end or cancelled by the front end. Fails if the answer breaks off.
+    std::shared_ptr<Ports::BodyStream> body;
+};
+
+using ForwardReply = std::variant<Ports::MessagePointer, ForwardRefusal, StreamedAnswer>;
 using ForwardCallback = std::function<void(ForwardReply)>;
 
 /// Handle to a request that is being forwarded.
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -22,6 +22,7 @@
             return Ports::UpstreamOutcome::Shed;
         case ExchangeOutcome::Misdirected:
         case ExchangeOutcome::Withdrawn:
+        case ExchangeOutcome::OwnShortage:
         case ExchangeOutcome::NotSent:
             return Ports::UpstreamOutcome::NotSent;
         case ExchangeOutcome::Lost:
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -30,6 +30,7 @@
         case ExchangeOutcome::Lost:
             // The upstream may simply have closed an idle connection because of its age.
             return report.reusedConnection ? HealthSignal::Refusal : HealthSignal::Failure;
+        case ExchangeOutcome::OwnShortage:
         case ExchangeOutcome::Withdrawn:
         case ExchangeOutcome::Cancelled:
             break;
@@ -88,14 +89,15 @@
     auto* state = findState(report.target);
     if (state == nullptr)
         return {};
-    const auto news = state->applySignals(report.signals, now);
-    if (news.isLeaving || report.signals.pause.count() > 0)
-        passSignalsOn(*state, now);
-    state->endExchange(report.exchange, report.load, now);
+    const auto news = applySignals(*state, report, now);
+    if (report.isBodyEnd)
+        state->endBody();
+    else
+        state->endExchange(report.exchange, report.load, now);
     if (report.outcome == ExchangeOutcome::Answered || report.outcome == ExchangeOutcome::NotRun)
         state->recordActivity(now);
     if (report.load)
-        m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
+        averageOthersLoad(*state);
     if (const auto signal = healthSignalOf(report))
         state->recordHealthSignal(*signal, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
@@ -113,6 +115,34 @@
     return news;
 }
 
+auto ServicePool::recordHead(const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals
+{
+    const std::lock_guard lock(m_mutex);
+    auto* state = findState(report.target);
+    if (state == nullptr)
+        return {};
+    const auto news = applySignals(*state, report, now);
+    state->beginBody(report.exchange, report.load, now);
+    state->recordActivity(now);
+    if (report.load)
+        averageOthersLoad(*state);
+    return news;
+}
+
+auto ServicePool::applySignals(UpstreamState& state, const ExchangeReport& report, Core::Instant now)
+    -> Ports::UpstreamSignals
+{
+    const auto news = state.applySignals(report.signals, now);
+    if (news.isLeaving || report.signals.pause.count() > 0)
+        passSignalsOn(state, now);
+    return news;
+}
+
+auto ServicePool::averageOthersLoad(const UpstreamState& state) -> void
+{
+    m_othersPerSlot += loadSmoothingFactor * (state.othersLoad() / state.slots() - m_othersPerSlot);
+}
+
 auto ServicePool::passSignalsOn(const UpstreamState& state, Core::Instant now) -> void
 {
     const auto& target = state.entry().target;
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -94,6 +94,8 @@
     std::optional<Ports::ReportedLoad> load;
     Ports::UpstreamSignals signals;
     Core::Duration duration {};
+    /// The answer's head was recorded by recordHead(); its body has ended now.
+    bool isBodyEnd = false;
     CacheState cacheState = CacheState::NoObject;
 };
 
@@ -116,6 +118,9 @@
     auto choose(const ChoiceQuery& query, Core::Instant now) -> ChoiceResult;
     /// Returns what the upstream said of itself that was not known before.
     auto endExchange(const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals;
+    /// Records the head of a large answer. The request counts as in flight until endExchange(). Returns what the
+    /// upstream said of itself that was not known before.
+    auto recordHead(const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals;
     /// Returns upstreams that are due for a health check, at most `limit`, the most urgent ones first. Each requires a
     /// call of recordProbe().
     auto takeDueProbes(Core::Instant now, std::size_t limit = std::numeric_limits<std::size_t>::max())
@@ -178,6 +183,8 @@
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
+    auto applySignals(UpstreamState& state, const ExchangeReport& report, Core::Instant now) -> Ports::UpstreamSignals;
+    auto averageOthersLoad(const UpstreamState& state) -> void;
     /// Applies what the upstream has said of itself to its later incarnations: the answer may be from the newest one.
     auto passSignalsOn(const UpstreamState& state, Core::Instant now) -> void;
     /// Requests a probe of an upstream whose connection was lost: its process may have ended or been replaced by
--- a/src/libs/forwarding/upstreamstate.cpp
+++ b/src/libs/forwarding/upstreamstate.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/upstreamstate.h"
 
+#include "core/invariant.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -53,19 +55,36 @@
 auto UpstreamState::endExchange(
     const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
 {
-    if (load) {
-        m_lastAnswer = now;
-        // The reported load includes the request that it answers.
-        m_othersLoad = std::max(0.0, static_cast<double>(load->running + load->waiting) - ownLoad());
-        m_reportedAt = now;
-        if (load->workTime)
-            m_workTime.record(*load->workTime, now);
-    }
+    if (load)
+        recordLoad(*load, now);
     const auto ended = std::find(m_openExchanges.begin(), m_openExchanges.end(), exchange);
     if (ended != m_openExchanges.end())
         m_openExchanges.erase(ended);
 }
 
+auto UpstreamState::recordLoad(const Ports::ReportedLoad& load, Core::Instant now) -> void
+{
+    m_lastAnswer = now;
+    // The reported load includes the request that it answers.
+    m_othersLoad = std::max(0.0, static_cast<double>(load.running + load.waiting) - ownLoad());
+    m_reportedAt = now;
+    if (load.workTime)
+        m_workTime.record(*load.workTime, now);
+}
+
+auto UpstreamState::beginBody(
+    const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now) -> void
+{
+    endExchange(exchange, load, now);
+    ++m_openBodies;
+}
+
+auto UpstreamState::endBody() -> void
+{
+    Core::invariant(m_openBodies > 0, "forwarding.bodies-balanced");
+    --m_openBodies;
+}
+
 auto UpstreamState::applySignals(const Ports::UpstreamSignals& signals, Core::Instant now) -> Ports::UpstreamSignals
 {
     Ports::UpstreamSignals news;
@@ -179,7 +198,8 @@
     ++m_failedProbes;
     m_probeAt = now + probeDelay(m_failedProbes);
     // A full upstream may answer too late, so a timeout does not mean that it has failed.
-    if (kind == Core::ErrorKind::Timeout)
+    // An internal error is a failure of this VM.
+    if (kind == Core::ErrorKind::Timeout || kind == Core::ErrorKind::Internal)
         return false;
     m_isEjected = true;
     return kind == Core::ErrorKind::Unreachable && !std::exchange(m_isKnownDown, true);
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -37,6 +37,10 @@
     auto beginExchange(const OpenExchange& exchange) -> void;
     auto endExchange(const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now)
         -> void;
+    /// Records that the head of a large answer has arrived. The request occupies the upstream until endBody().
+    auto beginBody(const OpenExchange& exchange, const std::optional<Ports::ReportedLoad>& load, Core::Instant now)
+        -> void;
+    auto endBody() -> void;
     /// Records that the upstream has answered a request, whether or not it ran it.
     auto recordActivity(Core::Instant now) -> void { m_lastActivity = now; }
     /// Applies what the upstream says of itself. Returns the part that was news.
@@ -73,7 +77,7 @@
     /// Returns true if the last answer is so old that the upstream may have restarted since.
     [[nodiscard]] auto mayHaveRestarted(Core::Instant now) const -> bool;
     [[nodiscard]] auto isUnverified() const -> bool { return m_isUnverified; }
-    [[nodiscard]] auto isBusy() const -> bool { return !m_openExchanges.empty(); }
+    [[nodiscard]] auto isBusy() const -> bool { return ownLoad() > 0; }
     [[nodiscard]] auto isCold(Core::Instant now) const -> bool { return now < m_coldUntil; }
     [[nodiscard]] auto isProbeDue(Core::Instant now) const -> bool;
     /// Returns true if requests wait for the result of the due probe.
@@ -101,7 +105,8 @@
 
 private:
     /// Returns the number of requests that this entry VM has open at the upstream.
-    [[nodiscard]] auto ownLoad() const -> double { return static_cast<double>(m_openExchanges.size()); }
+    [[nodiscard]] auto ownLoad() const -> double { return static_cast<double>(m_openExchanges.size() + m_openBodies); }
+    auto recordLoad(const Ports::ReportedLoad& load, Core::Instant now) -> void;
     auto evictOldestObject() -> void;
     /// Records that the known process is still running.
     auto markVerified(Core::Instant now) -> void;
@@ -112,6 +117,8 @@
 
     UpstreamEntry m_entry;
     std::vector<OpenExchange> m_openExchanges;
+    /// Number of large answers whose bodies are still arriving.
+    std::size_t m_openBodies = 0;
     double m_othersLoad = 0;
     WorkTimeEstimator m_workTime;
     Core::Instant m_reportedAt;
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -31,7 +31,8 @@
               [this] { recoverFromPause(); } })
     , m_forwarder({ m_environment.clock, m_environment.scheduler, m_environment.random, m_environment.exchanges,
           m_environment.events, m_environment.metrics,
-          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement } })
+          { { m_settings.failureDomain, m_settings.region }, m_fleet, placement },
+          std::make_shared<Quotas::UnlimitedQuotas>(), m_environment.buffers })
     , m_noticeOutbox(
           { m_environment.clock, m_environment.scheduler, m_environment.notices, [this] { return peersToNotify(); } })
     , m_registry({ m_environment.clock, m_environment.scheduler, m_environment.events },
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -28,6 +28,7 @@
         Forwarding::UpstreamNoticePort& notices;
         /// Called with the caller limits of each configuration that takes effect.
         std::function<void(const Forwarding::CallerLimits&)> limitsChanged;
+        Forwarding::BufferSettings buffers {};
     };
 
     EntryVm(const EntryVmSettings& settings, const Forwarding::PlacementSettings& placement, Environment environment);
--- a/src/libs/ports/exchangeclient.cpp
+++ b/src/libs/ports/exchangeclient.cpp
@@ -13,6 +13,8 @@
         return "misdirected";
     case ExchangeOutcome::Withdrawn:
         return "withdrawn";
+    case ExchangeOutcome::OwnShortage:
+        return "own-shortage";
     case ExchangeOutcome::NotSent:
         return "not-sent";
     case ExchangeOutcome::Lost:
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/units.h"
+#include "ports/bodystream.h"
 
 #include <functional>
 #include <memory>
@@ -67,7 +68,7 @@
 };
 
 enum class ExchangeOutcome : std::uint8_t {
-    /// The complete answer to this request arrived.
+    /// The answer to this request arrived: all of it, or its head if ExchangeResult::body is set.
     Answered,
     /// The upstream reported that it did not run the request and never will.
     NotRun,
@@ -75,6 +76,10 @@
     Misdirected,
     /// No byte of the request was written, because it was cancelled or isStillWanted() returned false.
     Withdrawn,
+    /// No byte of the request was written, because this VM lacks a resource, for example a file descriptor. Says
+    /// nothing
+    /// of the upstream.
+    OwnShortage,
     /// No byte of the request was written.
     NotSent,
     /// The connection ended after bytes were written; the request may have run.
@@ -93,6 +98,11 @@
     ExchangeOutcome outcome = ExchangeOutcome::NotSent;
     /// Set when outcome is Answered.
     MessagePointer answer;
+    /// Body of a large answer, of which only the head has arrived; null if the answer is whole. The exchange lasts
+    /// until it has been read to its end, has failed or is cancelled.
+    std::shared_ptr<BodyStream> body;
+    /// Size of the body of a whole answer.
+    Core::Bytes size;
     /// Status code of the answer as defined by the upstream; 0 if there is no answer.
     int status = 0;
     /// True if the upstream answered but reported a failure of its own.
--- a/src/plugins/httpclient/connectionpool.cpp
+++ b/src/plugins/httpclient/connectionpool.cpp
@@ -11,8 +11,31 @@
 
     namespace {
 
+        /// Connections are not reused this shortly before the end of the Keep-Alive timeout that the server announced,
+        /// since the server closes them then.
+        constexpr Core::Millis keepAliveMargin { 1000 };
+
         auto keyOf(const Call& call) -> PoolKey { return { call.address, call.incarnation }; }
 
+        /// Returns the time for which the idle connection can be reused: the Keep-Alive timeout of the response less
+        /// keepAliveMargin, and at most the limit.
+        auto keepAliveTimeOf(const ResponseHead& response, Core::Duration limit) -> Core::Duration
+        {
+            constexpr std::string_view parameter = "timeout=";
+            const std::string_view value(response[boost::beast::http::field::keep_alive]);
+            const auto at = value.find(parameter);
+            if (at == std::string_view::npos)
+                return limit;
+            const auto seconds = std::strtol(std::string(value.substr(at + parameter.size())).c_str(), nullptr, 10);
+            return std::min<Core::Duration>(limit, std::chrono::seconds(seconds) - keepAliveMargin);
+        }
+
+        auto isReusable(const Connection& connection, const ResponseParser& response) -> bool
+        {
+            return response.keep_alive() && connection.buffer.size() == 0 && !connection.hasUnwrittenRequest
+                && !connection.hasUnmatchedResponse && !connection.isCancelled;
+        }
+
     } // namespace
 
     Connection::~Connection()
@@ -43,19 +66,22 @@
     {
     }
 
-    auto PendingExchange::cancel() -> void
+    auto cancelExchange(const ConnectionPointer& connection, std::uint64_t exchange) -> void
     {
-        boost::asio::post(m_connection->stream.get_executor(), [connection = m_connection, number = m_number] {
+        boost::asio::post(connection->stream.get_executor(), [connection, exchange] {
             // The connection may already be in use by another exchange.
-            if (connection->exchangeNumber != number)
+            if (connection->exchangeNumber != exchange)
                 return;
             connection->isCancelled = true;
             connection->stream.close();
         });
     }
 
-    ConnectionPool::ConnectionPool(std::size_t connectionsPerServer)
-        : m_connectionsPerServer(connectionsPerServer)
+    auto PendingExchange::cancel() -> void { cancelExchange(m_connection, m_number); }
+
+    ConnectionPool::ConnectionPool(const Limits& limits)
+        : m_connectionsPerServer(limits.idleConnectionsPerAddress)
+        , m_idleTimeout(limits.idleTimeout)
     {
     }
 
@@ -101,8 +127,26 @@
         });
     }
 
-    auto ConnectionPool::drop(const Call& call) -> void
+    auto ConnectionPool::settle(const Call& call, const ConnectionPointer& connection, const ResponseParser& response)
+        -> void
+    {
+        ++connection->exchangeNumber;
+        if (isReusable(*connection, response)) {
+            if (connection->buffer.capacity() >= receiveBufferBytes)
+                connection->buffer.shrink_to_fit();
+            connection->setUsableFor(keepAliveTimeOf(response.get().base(), m_idleTimeout));
+            put(call, connection);
+        } else if (connection->hasUnwrittenRequest || connection->hasUnmatchedResponse) {
+            connection->stream.close();
+        } else {
+            connection->closeInOrder();
+        }
+    }
+
+    auto ConnectionPool::dropAfterFailure(const Call& call, const Connection& connection) -> void
     {
+        if (!connection.isReused)
+            return;
         m_pools.with(call.address, [&](Pool& pool) { pool.erase(keyOf(call)); });
     }
 
--- a/src/plugins/httpclient/connectionpool.h
+++ b/src/plugins/httpclient/connectionpool.h
@@ -2,6 +2,7 @@
 
 #include "core/sharded.h"
 #include "httpclient/httpclient.h"
+#include "httpclient/responseparser.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
@@ -20,6 +21,9 @@
     /// Bytes that may wait for the rest of a line, for example of a chunk's header, before they can be parsed.
     inline constexpr std::size_t maximumBufferedBytes = 128UL * 1024;
 
+    /// Bytes that are received at once of a large body.
+    inline constexpr std::size_t receiveBufferBytes = 32UL * 1024;
+
     /// Connection to a server. If it closes while the server may have a request to read or to run, it is reset, so that
     /// the server does no more work that nobody waits for.
     struct Connection {
@@ -53,6 +57,9 @@
 
     using ConnectionPointer = std::shared_ptr<Connection>;
 
+    /// Closes the connection unless the exchange has ended. Thread-safe.
+    auto cancelExchange(const ConnectionPointer& connection, std::uint64_t exchange) -> void;
+
     /// Handle of the exchange in progress on a connection.
     class PendingExchange : public PendingCall {
     public:
@@ -81,14 +88,17 @@
     /// Idle connections, by server process. Thread-safe.
     class ConnectionPool {
     public:
-        explicit ConnectionPool(std::size_t connectionsPerServer);
+        explicit ConnectionPool(const Limits& limits);
 
         /// Returns an idle connection that is still open, or null. Reports to the call if the server closed one.
         auto take(const Call& call) -> ConnectionPointer;
         /// Keeps the connection until the end of the time for which it is usable, unless there are enough.
         auto put(const Call& call, const ConnectionPointer& connection) -> void;
-        /// Closes all idle connections to the server of the call.
-        auto drop(const Call& call) -> void;
+        /// Ends the exchange whose response has been read whole. Keeps its connection if it can serve another.
+        auto settle(const Call& call, const ConnectionPointer& connection, const ResponseParser& response) -> void;
+        /// Closes all idle connections to the server of the call if one of them has failed: the others have often
+        /// failed for the same reason.
+        auto dropAfterFailure(const Call& call, const Connection& connection) -> void;
 
     private:
         using Pool = std::unordered_map<PoolKey, std::vector<ConnectionPointer>, PoolKeyHash>;
@@ -96,6 +106,7 @@
         static auto take(Pool& pool, const PoolKey& key, bool& hasClosedConnection) -> ConnectionPointer;
 
         const std::size_t m_connectionsPerServer;
+        const Core::Duration m_idleTimeout;
         Core::Sharded<Pool> m_pools;
     };
 
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "ports/bodystream.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
@@ -16,11 +17,14 @@
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+using ResponseHead = boost::beast::http::response_header<>;
 
 /// Point at which an exchange failed.
 enum class FailureStage : std::uint8_t {
     /// No byte of the request was written, because the call was cancelled or Call::isStillWanted() returned false.
     Withdrawn,
+    /// No byte of the request was written, because this process lacks a resource, for example a file descriptor.
+    OwnShortage,
     /// No byte of the request was written.
     BeforeWrite,
     /// Bytes were written; the server may have acted on them.
@@ -29,7 +33,7 @@
     TimedOut,
     /// The response was not valid HTTP, or too large.
     InvalidResponse,
-    /// As AfterWrite; PendingCall::cancel() was called.
+    /// As AfterWrite; PendingCall::cancel() was called, or this process failed.
     Cancelled,
 };
 
@@ -42,10 +46,20 @@
 };
 
 struct Exchange {
+    /// Its body is empty if there is a stream.
     HttpResponse response;
     bool reusedConnection = false;
+    /// The whole body, if it is larger than largeBody and the call asked for a stream; null otherwise. The connection
+    /// belongs to the exchange until the body ends, and is closed unless it ends whole.
+    std::shared_ptr<Ports::BodyStream> body;
 };
 
+/// Bodies up to this size are delivered whole.
+inline const Core::Bytes largeBody { 64UL * 1024 };
+/// The most that an exchange whose body is streamed holds in memory: a part that has been received, one that its reader
+/// holds, and bytes that are being received.
+inline const Core::Bytes streamMemory { 3 * 64UL * 1024 };
+
 /// Request that a response belongs to.
 enum class ResponseOwner : std::uint8_t {
     ThisRequest,
@@ -63,9 +77,11 @@
     /// restarted at the same address is not reached over a connection to its predecessor.
     std::string incarnation;
     /// Returns the request that the response belongs to. If empty, all responses belong to this request.
-    std::function<ResponseOwner(const HttpResponse&)> ownerOf;
+    std::function<ResponseOwner(const ResponseHead&)> ownerOf;
     /// Limit on the response's body, if it is smaller than that of the client.
     std::optional<Core::Bytes> maximumBody;
+    /// Delivers a large body as a stream. Its length is not limited, since only a part is in memory at a time.
+    bool streamsLargeBody = false;
     /// Called right before the request is written. If it returns false, the call fails and its connection stays usable.
     /// If empty, the request is always written.
     std::function<bool()> isStillWanted;
@@ -82,9 +98,8 @@
 };
 
 struct Limits {
+    /// Limit on a body that is not streamed.
     Core::Bytes maximumBody { 4 * 1024 * 1024 };
-    /// Total size of the bodies of all responses that are being received. Half of it is for the first 64 KiB of each.
-    Core::Bytes maximumBodyTotal { 256UL * 1024 * 1024 };
     std::size_t idleConnectionsPerAddress = 64;
     Core::Millis connectTimeout { 1000 };
     /// Connections that were idle for longer are closed instead of reused: a device between client and server may have
--- /dev/null
+++ b/src/plugins/httpclient/responseparser.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <string>
+
+namespace HttpClient::detail {
+
+/// Body of which the parser keeps only what has not been taken yet. Reserves nothing for an announced length.
+struct PartBody {
+    using value_type = std::string;
+
+    class reader {
+    public:
+        template <bool isRequest, class Fields>
+        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
+            : m_body(body)
+        {
+        }
+
+        template <class Length> auto init(const Length&, boost::system::error_code& error) -> void { error = {}; }
+
+        template <class Buffers> auto put(const Buffers& buffers, boost::system::error_code& error) -> std::size_t
+        {
+            error = {};
+            for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers))
+                m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+            return boost::asio::buffer_size(buffers);
+        }
+
+        auto finish(boost::system::error_code& error) -> void { error = {}; }
+
+    private:
+        value_type& m_body;
+    };
+};
+
+using ResponseParser = boost::beast::http::response_parser<PartBody>;
+
+} // namespace HttpClient::detail
--- a/src/plugins/httpforward/forwardfront.cpp
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -59,16 +59,44 @@
         return response;
     }
 
-    auto encodeReply(const Forwarding::ForwardReply& reply) -> HttpResponse
+    auto encodeAnswer(const Ports::Message& message) -> HttpResponse
     {
-        if (const auto* refusal = std::get_if<Forwarding::ForwardRefusal>(&reply))
-            return encodeRefusal(*refusal);
-        auto response = static_cast<const AnswerMessage&>(*std::get<Ports::MessagePointer>(reply)).response();
+        auto response = static_cast<const AnswerMessage&>(message).response();
         removeConnectionHeaders(response);
         response.version(httpVersion);
         return response;
     }
 
+    auto encodeStreamed(const Forwarding::StreamedAnswer& answer) -> HttpServer::StreamedResponse
+    {
+        HttpServer::StreamedResponse response { encodeAnswer(*answer.head), answer.body };
+        // The end of a body without length must differ from a broken connection.
+        if (!response.head.has_content_length())
+            response.head.chunked(true);
+        return response;
+    }
+
+    /// Encodes the reply to a request, and responds with it.
+    class ReplyEncoder {
+    public:
+        explicit ReplyEncoder(HttpServer::HttpHandler::Respond respond)
+            : m_respond(std::move(respond))
+        {
+        }
+        auto operator()(const Ports::MessagePointer& answer) const -> void { m_respond(encodeAnswer(*answer)); }
+        auto operator()(const Forwarding::ForwardRefusal& refusal) const -> void { m_respond(encodeRefusal(refusal)); }
+        auto operator()(const Forwarding::StreamedAnswer& answer) const -> void { m_respond(encodeStreamed(answer)); }
+
+    private:
+        HttpServer::HttpHandler::Respond m_respond;
+    };
+
+    auto replyTo(HttpServer::HttpHandler::Respond respond) -> Forwarding::ForwardCallback
+    {
+        return [encoder = ReplyEncoder(std::move(respond))](
+                   const Forwarding::ForwardReply& reply) { std::visit(encoder, reply); };
+    }
+
     auto cookieValue(const HttpRequest& request, const std::string& name) -> std::string
     {
         const auto [first, last] = request.equal_range(http::field::cookie);
@@ -140,8 +168,7 @@
 
 auto ForwardFront::handle(HttpRequest request, Respond respond) -> void
 {
-    m_forwarder.handle(decode(std::move(request)),
-        [respond = std::move(respond)](const Forwarding::ForwardReply& reply) { respond(encodeReply(reply)); });
+    m_forwarder.handle(decode(std::move(request)), replyTo(std::move(respond)));
 }
 
 auto ForwardFront::handleCancellable(
@@ -149,8 +176,7 @@
 {
     auto decoded = decode(std::move(request));
     decoded.caller = std::make_shared<HttpCaller>(client);
-    const auto pending = m_forwarder.handle(std::move(decoded),
-        [respond = std::move(respond)](const Forwarding::ForwardReply& reply) { respond(encodeReply(reply)); });
+    const auto pending = m_forwarder.handle(std::move(decoded), replyTo(std::move(respond)));
     client->onDisconnect([weak = std::weak_ptr(pending)] {
         if (const auto request = weak.lock())
             request->abandon();
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -42,6 +42,8 @@
         switch (failure.stage) {
         case HttpClient::FailureStage::Withdrawn:
             return ExchangeOutcome::Withdrawn;
+        case HttpClient::FailureStage::OwnShortage:
+            return ExchangeOutcome::OwnShortage;
         case HttpClient::FailureStage::BeforeWrite:
             return ExchangeOutcome::NotSent;
         case HttpClient::FailureStage::AfterWrite:
@@ -58,6 +60,9 @@
 
     auto errorKindOf(const HttpClient::Failure& failure) -> Core::ErrorKind
     {
+        if (failure.stage == HttpClient::FailureStage::OwnShortage
+            || failure.stage == HttpClient::FailureStage::Cancelled)
+            return Core::ErrorKind::Internal;
         const bool isTimeout = failure.stage == HttpClient::FailureStage::TimedOut || failure.hasConnectTimedOut;
         return isTimeout ? Core::ErrorKind::Timeout : Core::ErrorKind::Unreachable;
     }
@@ -134,12 +139,13 @@
     httpCall.request = encode(call);
     httpCall.timeout = call.timeLeft;
     httpCall.incarnation = incarnationOf(call.target);
-    httpCall.ownerOf = [this, id = call.id.value()](const HttpClient::HttpResponse& response) {
+    httpCall.ownerOf = [this, id = call.id.value()](const HttpClient::ResponseHead& response) {
         const auto echoed = response.find(m_names.requestId);
         if (echoed == response.end())
             return HttpClient::ResponseOwner::Unknown;
         return echoed->value() == id ? HttpClient::ResponseOwner::ThisRequest : HttpClient::ResponseOwner::OtherRequest;
     };
+    httpCall.streamsLargeBody = true;
     httpCall.isStillWanted = std::move(call.isStillWanted);
     httpCall.onIdleConnectionClosed = std::move(call.onConnectionClosed);
     auto pending = m_client.send(std::move(httpCall),
@@ -178,8 +184,12 @@
         result.detail = "the upstream answered " + std::to_string(result.status);
     } else {
         result.outcome = ExchangeOutcome::Answered;
+        result.size = Core::Bytes(response.body().size());
         result.answer = std::make_shared<AnswerMessage>(std::move(response));
+        result.body = exchange.body;
     }
+    if (exchange.body && !result.body)
+        exchange.body->cancel();
     return result;
 }
 
--- a/src/plugins/httpupstream/httpupstreamclient.cpp
+++ b/src/plugins/httpupstream/httpupstreamclient.cpp
@@ -52,6 +52,7 @@
     {
         switch (stage) {
         case HttpClient::FailureStage::Withdrawn:
+        case HttpClient::FailureStage::OwnShortage:
         case HttpClient::FailureStage::BeforeWrite:
             return UpstreamOutcome::NotSent;
         case HttpClient::FailureStage::AfterWrite:
