Name the large VMs to callers, and more as these get busy

Ruled out: weights in look-up answers (callers choose at random), a relay inside the failure domain (one more hop). Change: VMs register their processor time and say in heartbeats when they are busy; each failure domain names its large VMs, two at least, and small ones for those that are busy or lost. Cold upstreams are shared out among the named VMs.

--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -11,6 +11,8 @@
 
     /// Upper bound on the entry VMs that are known although the store doesn't list them.
     constexpr std::size_t maximumIntroduced = 64;
+    /// The set of entry VMs that serve callers is computed again after this time, because some may have fallen silent.
+    constexpr Core::Millis usualTargetsLifetime { 100 };
 
 } // namespace
 
@@ -27,6 +29,7 @@
 
 auto EntryFleet::put(const EntryVmEntry& entry) -> void
 {
+    m_usualTargetsUntil = Core::Instant::min();
     if (entry.id == m_self.id) {
         m_isSelfListed = entry.start == m_self.start;
         m_isIdListed = true;
@@ -43,6 +46,7 @@
         const std::lock_guard lock(m_mutex);
         m_isSelfListed = false;
         m_isIdListed = false;
+        m_usualTargetsUntil = Core::Instant::min();
         for (auto& [id, member] : m_members)
             member.markUnlisted();
         for (const auto& entry : entries)
@@ -73,6 +77,7 @@
 auto EntryFleet::remove(const Core::EntryVmId& id) -> void
 {
     const std::lock_guard lock(m_mutex);
+    m_usualTargetsUntil = Core::Instant::min();
     m_members.erase(id);
 }
 
@@ -100,9 +105,15 @@
 auto EntryFleet::apply(const Heartbeat& heartbeat) -> bool
 {
     const std::lock_guard lock(m_mutex);
+    const auto now = m_environment.clock.now();
     auto* member = senderOf(heartbeat);
-    if (member == nullptr || !member->receive(heartbeat, m_environment.clock.now()))
+    if (member == nullptr)
+        return false;
+    const bool didAccept = acceptsCallers(*member, now);
+    if (!member->receive(heartbeat, now))
         return false;
+    if (acceptsCallers(*member, now) != didAccept)
+        m_usualTargetsUntil = Core::Instant::min();
     return !member->isListed() && heartbeat.introduction && !heartbeat.isForwarded;
 }
 
@@ -176,6 +187,7 @@
     {
         const std::lock_guard lock(m_mutex);
         heartbeat.isLeaving = m_isLeaving;
+        heartbeat.isBusy = m_isBusy;
         if (!m_isSelfListed)
             heartbeat.introduction = m_self;
         for (const auto& [id, member] : m_members) {
@@ -192,6 +204,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_isLeaving = true;
+        m_usualTargetsUntil = Core::Instant::min();
     }
     sendHeartbeats();
 }
@@ -220,15 +233,45 @@
     }
 }
 
+auto EntryFleet::callerTargets(Core::Instant now) const -> CallerTargets
+{
+    CallerTargets targets;
+    if (!m_isLeaving)
+        targets.push_back({ m_self.id, m_self.failureDomain, m_self.processor, m_isBusy });
+    for (const auto& [id, member] : m_members) {
+        if (acceptsCallers(member, now))
+            targets.push_back({ id, member.entry().failureDomain, member.entry().processor, member.isBusy() });
+    }
+    return targets;
+}
+
+auto EntryFleet::usualTargets(Core::Instant now) const -> const std::set<Core::EntryVmId>&
+{
+    if (m_usualTargetsUntil > now)
+        return m_usualTargets;
+    auto targets = callerTargets(now);
+    for (auto& target : targets)
+        target.isBusy = false;
+    m_usualTargets = selectForCallers(std::move(targets));
+    m_usualTargetsUntil = now + usualTargetsLifetime;
+    return m_usualTargets;
+}
+
+auto EntryFleet::setBusy(bool isBusy) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isBusy = isBusy;
+}
+
 auto EntryFleet::callerAddresses() const -> std::vector<Core::Address>
 {
     const std::lock_guard lock(m_mutex);
-    const auto now = m_environment.clock.now();
+    const auto selected = selectForCallers(callerTargets(m_environment.clock.now()));
     std::vector<Core::Address> addresses;
-    if (!m_isLeaving)
+    if (selected.contains(m_self.id))
         addresses.push_back(m_self.front);
     for (const auto& [id, member] : m_members) {
-        if (acceptsCallers(member, now))
+        if (selected.contains(id))
             addresses.push_back(member.entry().front);
     }
     return addresses;
@@ -262,10 +305,7 @@
 auto EntryFleet::regionalCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
-    const auto now = m_environment.clock.now();
-    const auto others = std::count_if(
-        m_members.begin(), m_members.end(), [&](const auto& item) { return acceptsCallers(item.second, now); });
-    return std::max<std::size_t>(1, static_cast<std::size_t>(others) + (m_isLeaving ? 0 : 1));
+    return std::max<std::size_t>(1, usualTargets(m_environment.clock.now()).size());
 }
 
 auto EntryFleet::knownCount() const -> std::size_t
@@ -338,11 +378,13 @@
     const auto now = m_environment.clock.now();
     if (isViewIncomplete(now) || m_isLeaving)
         return false;
+    const auto& serving = usualTargets(now);
+    if (!serving.contains(m_self.id))
+        return false;
     const auto& key = upstream.target.id.value();
     const auto own = Fleet::rendezvousScore(key, m_self.id.value());
-    return std::none_of(m_members.begin(), m_members.end(), [&](const auto& item) {
-        return acceptsCallers(item.second, now) && Fleet::rendezvousScore(key, item.first.value()) > own;
-    });
+    return std::none_of(serving.begin(), serving.end(),
+        [&](const Core::EntryVmId& id) { return Fleet::rendezvousScore(key, id.value()) > own; });
 }
 
 } // namespace EntryFleet
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entryfleet/callerselection.h"
 #include "entryfleet/member.h"
 #include "forwarding/servicepool.h"
 #include "ports/clock.h"
@@ -46,9 +47,10 @@
     auto start() -> void;
     /// Tells the other entry VMs of the region at once that this one accepts no new callers.
     auto leave() -> void;
+    /// Sets whether this entry VM handles its events late, so that look-up answers name further ones beside it.
+    auto setBusy(bool isBusy) -> void;
 
-    /// Returns the front addresses of the entry VMs of the region that accept callers, including this one unless it is
-    /// leaving.
+    /// Returns the front addresses of the entry VMs of the region that callers should use.
     [[nodiscard]] auto callerAddresses() const -> std::vector<Core::Address>;
     /// Returns the peer addresses of the other entry VMs: first the live ones of the region, then all others.
     [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
@@ -68,6 +70,10 @@
 private:
     [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
     /// Returns true if the member is another entry VM of the region that is alive and not leaving.
+    /// Returns the entry VMs of the region that accept callers, including this one unless it is leaving.
+    [[nodiscard]] auto callerTargets(Core::Instant now) const -> CallerTargets;
+    /// Returns those that look-up answers name if none is busy. They share the region's cold upstreams.
+    [[nodiscard]] auto usualTargets(Core::Instant now) const -> const std::set<Core::EntryVmId>&;
     [[nodiscard]] auto acceptsCallers(const Member& member, Core::Instant now) const -> bool;
     /// Returns true if heartbeats of the others may not have arrived yet, after a start or a pause.
     [[nodiscard]] auto isViewIncomplete(Core::Instant now) const -> bool;
@@ -104,6 +110,10 @@
     bool m_hasList = false;
     bool m_isStarted = false;
     bool m_isLeaving = false;
+    bool m_isBusy = false;
+    mutable std::set<Core::EntryVmId> m_usualTargets;
+    /// The set is computed again after this instant.
+    mutable Core::Instant m_usualTargetsUntil = Core::Instant::min();
     Core::Instant m_lastCycle;
     /// This entry VM owns no upstream before this instant, because heartbeats of the others may not have arrived yet.
     Core::Instant m_ownershipStart = Core::Instant::max();
--- a/src/libs/entryfleet/entryvmentry.h
+++ b/src/libs/entryfleet/entryvmentry.h
@@ -7,6 +7,9 @@
 
 namespace EntryFleet {
 
+/// Processor time per time; 1 is one core.
+using Cores = Core::StrongType<struct CoresTag, double>;
+
 /// Registration of an entry VM in the store.
 struct EntryVmEntry {
     Core::EntryVmId id;
@@ -19,6 +22,8 @@
     Core::Address heartbeats;
     /// Address that receives messages of other entry VMs.
     Core::Address peers;
+    /// Processor time that the VM may use; zero if it is not known.
+    Cores processor;
 };
 
 /// Periodic message with which an entry VM shows that it is alive.
@@ -30,6 +35,8 @@
     std::optional<EntryVmEntry> introduction;
     /// The heartbeat was passed on by another entry VM. It is not passed on again.
     bool isForwarded = false;
+    /// The sender handles its events late.
+    bool isBusy = false;
 };
 
 /// Sends heartbeats to other entry VMs without a guarantee of delivery.
--- a/src/libs/entryfleet/member.cpp
+++ b/src/libs/entryfleet/member.cpp
@@ -26,6 +26,7 @@
     m_knownSince = now;
     m_lastHeartbeat = now - heartbeatTimeout;
     m_isLeaving = false;
+    m_isBusy = false;
 }
 
 auto Member::isCurrent(Core::ProcessStartId start, Core::Instant now) const -> bool
@@ -45,6 +46,7 @@
         track(heartbeat.start, now);
     m_lastHeartbeat = now;
     m_isLeaving = heartbeat.isLeaving;
+    m_isBusy = heartbeat.isBusy;
     return true;
 }
 
--- a/src/libs/entryfleet/member.h
+++ b/src/libs/entryfleet/member.h
@@ -27,6 +27,7 @@
     [[nodiscard]] auto entry() const -> const EntryVmEntry& { return m_entry; }
     [[nodiscard]] auto isListed() const -> bool { return m_isListed; }
     [[nodiscard]] auto isLeaving() const -> bool { return m_isLeaving; }
+    [[nodiscard]] auto isBusy() const -> bool { return m_isBusy; }
     [[nodiscard]] auto lastHeartbeat() const -> Core::Instant { return m_lastHeartbeat; }
     /// Missing heartbeats count up to the given instant.
     [[nodiscard]] auto isAlive(Core::Instant observedUntil) const -> bool;
@@ -43,6 +44,7 @@
     Core::Instant m_lastHeartbeat;
     bool m_isListed = false;
     bool m_isLeaving = false;
+    bool m_isBusy = false;
     bool m_wasAlive = false;
 };
 
--- a/src/libs/forwardinghost/delaymonitor.cpp
+++ b/src/libs/forwardinghost/delaymonitor.cpp
@@ -10,6 +10,8 @@
     constexpr Core::Millis recordedDelay { 200 };
     /// Limits the log lines of a process that is late for a long time.
     constexpr Core::Millis recordInterval { 1000 };
+    /// A VM counts as busy for this time, so that callers are not sent back to it at once.
+    constexpr Core::Millis busyTime { 5000 };
 
 } // namespace
 
@@ -26,11 +28,20 @@
     {
         const std::lock_guard lock(m_mutex);
         m_highestDelay = std::max(m_highestDelay.load(), delay);
-        if (delay < recordedDelay || now < m_nextRecord)
+        if (delay < recordedDelay)
+            return;
+        m_busyUntil = now + busyTime;
+        if (now < m_nextRecord)
             return;
         m_nextRecord = now + recordInterval;
     }
     m_events.record({ Ports::EventKind("process.delayed"), {}, { { "delayMs", std::to_string(delay.count()) } } });
 }
 
+auto DelayMonitor::isBusy() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_clock.now() < m_busyUntil;
+}
+
 } // namespace ForwardingHost
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -16,7 +16,7 @@
     auto makeOwnEntry(const EntryVmSettings& settings, Core::WallTime now) -> EntryFleet::EntryVmEntry
     {
         return { settings.id, Core::ProcessStartId(now.time_since_epoch().count()), settings.failureDomain,
-            settings.region, settings.front, settings.heartbeats, settings.peers };
+            settings.region, settings.front, settings.heartbeats, settings.peers, settings.processor };
     }
 
     auto treeMember(const EntryFleet::EntryVmEntry& entry) -> Quotas::TreeMember
@@ -130,6 +130,7 @@
     const auto due = m_environment.clock.now() + probeInterval;
     m_probeTimer = m_environment.scheduler.after(probeInterval, [this, due] {
         m_delays.recordHandled(due);
+        m_fleet.setBusy(m_delays.isBusy());
         m_forwarder.runProbes();
         scheduleProbes();
     });
--- a/src/libs/forwardinghost/entryvmsettings.h
+++ b/src/libs/forwardinghost/entryvmsettings.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "entryfleet/entryvmentry.h"
 #include "quotas/quotabounds.h"
 
 #include <cstdint>
@@ -30,6 +31,8 @@
     std::vector<Core::Address> seeds;
     Core::Address store;
     std::size_t threads = 1;
+    /// Processor time that the process may use.
+    EntryFleet::Cores processor { 1 };
     std::size_t descriptors = 1024;
     Core::Bytes memory { 64UL * 1024 * 1024 };
     /// Time between the request to stop and the forced end of the process.
--- a/src/plugins/datagrampeer/datagrampeer.cpp
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -20,17 +20,21 @@
     constexpr std::size_t maximumDatagramBytes = 1024;
 
     /// Position of the introduction in an encoded heartbeat, which has one only if the store may not list the sender.
-    constexpr std::size_t introductionIndex = 3;
+    constexpr std::size_t introductionIndex = 4;
 
     /// Position, in an introduction, of the mark of a heartbeat that was passed on.
     constexpr std::size_t forwardedIndex = 5;
 
+    /// Position, in an introduction, of the processor time that the sender may use.
+    constexpr std::size_t processorIndex = 6;
+
     auto decodeIntroduction(const EntryFleet::Heartbeat& heartbeat, const nlohmann::json& value)
         -> EntryFleet::EntryVmEntry
     {
         const auto text = [&value](std::size_t index) { return value.at(index).get<std::string>(); };
         return { heartbeat.sender, heartbeat.start, Core::FailureDomainId(text(0)), Core::RegionId(text(1)),
-            Core::Address(text(2)), Core::Address(text(3)), Core::Address(text(4)) };
+            Core::Address(text(2)), Core::Address(text(3)), Core::Address(text(4)),
+            EntryFleet::Cores(value.at(processorIndex).get<double>()) };
     }
 
     auto toUdp(const asio::ip::tcp::endpoint& endpoint) -> Udp::endpoint
@@ -42,10 +46,11 @@
 
 auto encodeHeartbeat(const EntryFleet::Heartbeat& heartbeat) -> std::string
 {
-    auto values = nlohmann::json::array({ heartbeat.sender.value(), heartbeat.start.value(), heartbeat.isLeaving });
+    auto values = nlohmann::json::array(
+        { heartbeat.sender.value(), heartbeat.start.value(), heartbeat.isLeaving, heartbeat.isBusy });
     if (const auto& entry = heartbeat.introduction) {
         values.push_back({ entry->failureDomain.value(), entry->region.value(), entry->front.value(),
-            entry->heartbeats.value(), entry->peers.value(), heartbeat.isForwarded });
+            entry->heartbeats.value(), entry->peers.value(), heartbeat.isForwarded, entry->processor.value() });
     }
     return Cbor::pack(values);
 }
@@ -55,6 +60,7 @@
     return Cbor::unpack(payload, "a heartbeat", [](const nlohmann::json& value) {
         EntryFleet::Heartbeat heartbeat { Core::EntryVmId(value.at(0).get<std::string>()),
             Core::ProcessStartId(value.at(1).get<std::int64_t>()), value.at(2).get<bool>() };
+        heartbeat.isBusy = value.at(3).get<bool>();
         if (value.size() > introductionIndex) {
             heartbeat.introduction = decodeIntroduction(heartbeat, value.at(introductionIndex));
             heartbeat.isForwarded = value.at(introductionIndex).at(forwardedIndex).get<bool>();
--- a/tests/auto/entryfleet/tst_entryfleet.cpp
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -232,6 +232,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OfWhichOneIsBusy)
+
+BOOST_AUTO_TEST_CASE(AreStillAllNamedIfTheyAreOfOneSize)
+{
+    two.setBusy(true);
+    time.runFor(Core::Millis(1000));
+    BOOST_TEST(one.callerAddresses().size() == 2U);
+    BOOST_TEST(two.callerAddresses().size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(OfWhichOneRestarts)
 
 BOOST_AUTO_TEST_CASE(DoNotTreatItsStoreEntryAsAHeartbeat)
@@ -372,17 +384,19 @@
 BOOST_AUTO_TEST_CASE(IsDecodedAsItWasEncoded)
 {
     const auto read = DatagramPeer::decodeHeartbeat(
-        DatagramPeer::encodeHeartbeat({ Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true }));
+        DatagramPeer::encodeHeartbeat({ Core::EntryVmId("atl-1"), Core::ProcessStartId(77), true, {}, false, true }));
     BOOST_REQUIRE(read);
     BOOST_TEST(read->sender.value() == "atl-1");
     BOOST_TEST(read->start.value() == 77);
     BOOST_TEST(read->isLeaving);
+    BOOST_TEST(read->isBusy);
     BOOST_TEST(!read->introduction.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(IsDecodedWithItsIntroduction)
 {
-    const auto entry = entryVm("atl-1", "atl", 77);
+    auto entry = entryVm("atl-1", "atl", 77);
+    entry.processor = EntryFleet::Cores(0.5);
     const auto read
         = DatagramPeer::decodeHeartbeat(DatagramPeer::encodeHeartbeat({ entry.id, entry.start, false, entry, true }));
     BOOST_REQUIRE(read);
@@ -394,7 +408,9 @@
     BOOST_TEST(read->introduction->front.value() == "atl-1:80");
     BOOST_TEST(read->introduction->heartbeats.value() == "atl-1:81");
     BOOST_TEST(read->introduction->peers.value() == "atl-1:82");
+    BOOST_TEST((read->introduction->processor == EntryFleet::Cores(0.5)));
     BOOST_TEST(read->isForwarded);
+    BOOST_TEST(!read->isBusy);
 }
 
 BOOST_AUTO_TEST_CASE(ThatIsMalformedIsRejected)
