--- a/tests/auto/core/tst_bufferaccount.cpp
+++ b/tests/auto/core/tst_bufferaccount.cpp
@@ -12,7 +12,7 @@
 
 struct Account {
     std::shared_ptr<BufferAccount> account = std::make_shared<BufferAccount>(Bytes(1000));
-    const BufferHolder nobody;
+    const BufferHolder nobody { "" };
     const BufferHolder large { "large" };
 };
 
