Start by the ranking of the listed VMs, and bound the chain between a VM and the store

Cause: at a start of the whole fleet nearly every VM read the store. It took any listed VM for a source, and most had no copies; after a restart of all, the entries of the former processes made each region look complete. A VM that began to read the store stated no age until its lists were answered, so its followers turned to the next one.

Change: before heartbeats arrive, a VM goes by the same ranking over the listed VMs; a VM that is just starting too is waited for. An age learnt through others holds on while a VM begins to read. A VM that is more than one VM away from the store is not followed (circles). A VM that reads the store leaves that to others only once one of them has answered with fresh copies.

Ruled out: watchers that give up their place while the store refuses them.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	@tests/model/check.sh 2 claims
 	@tests/model/check.sh 3
 	@tests/model/check-configuration.sh
+	@tests/model/check-storereads.sh 3
 
 # Runs the randomised tests for SECONDS, from SEED on.
 soak: build
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -246,17 +246,6 @@
     return preferred;
 }
 
-auto EntryFleet::regionalPeerAddresses() const -> std::vector<Core::Address>
-{
-    const std::lock_guard lock(m_mutex);
-    std::vector<Core::Address> addresses;
-    for (const auto& [id, member] : m_members) {
-        if (isRegionalPeer(member.entry()))
-            addresses.push_back(member.entry().peers);
-    }
-    return addresses;
-}
-
 auto EntryFleet::regionalCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
@@ -277,40 +266,56 @@
     return now < m_ownershipStart || now - m_lastCycle > maximumCycleGap;
 }
 
+auto EntryFleet::rank(std::vector<EntryVmEntry> entries) const -> std::vector<EntryVmEntry>
+{
+    const auto score
+        = [this](const EntryVmEntry& entry) { return Fleet::rendezvousScore(m_self.region.value(), entry.id.value()); };
+    std::sort(entries.begin(), entries.end(),
+        [&score](const auto& one, const auto& other) { return score(one) > score(other); });
+    // Each failure domain has its first VM in the first round, its second one in the second round, and so on.
+    std::map<Core::FailureDomainId, std::size_t> sizes;
+    std::vector<std::pair<std::size_t, EntryVmEntry>> rounds;
+    for (auto& entry : entries) {
+        const auto round = sizes[entry.failureDomain]++;
+        rounds.emplace_back(round, std::move(entry));
+    }
+    std::stable_sort(
+        rounds.begin(), rounds.end(), [](const auto& one, const auto& other) { return one.first < other.first; });
+    entries.clear();
+    for (auto& [round, entry] : rounds)
+        entries.push_back(std::move(entry));
+    return entries;
+}
+
 auto EntryFleet::regionalRanking() const -> std::vector<EntryVmEntry>
 {
-    struct Ranked {
-        EntryVmEntry entry;
-        std::uint64_t score = 0;
-        /// Number of entry VMs in the same failure domain that come before.
-        std::size_t round = 0;
-    };
-    std::vector<Ranked> ranked;
-    const auto add = [&](const EntryVmEntry& entry) {
-        ranked.push_back({ entry, Fleet::rendezvousScore(m_self.region.value(), entry.id.value()) });
-    };
+    std::vector<EntryVmEntry> entries;
     {
         const std::lock_guard lock(m_mutex);
         const auto now = m_environment.clock.now();
         if (isViewIncomplete(now))
             return {};
         if (!m_isLeaving)
-            add(m_self);
+            entries.push_back(m_self);
         for (const auto& [id, member] : m_members) {
             if (acceptsCallers(member, now))
-                add(member.entry());
+                entries.push_back(member.entry());
         }
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& one, const auto& other) { return one.score > other.score; });
-    std::map<Core::FailureDomainId, std::size_t> rounds;
-    for (auto& one : ranked)
-        one.round = rounds[one.entry.failureDomain]++;
-    std::stable_sort(
-        ranked.begin(), ranked.end(), [](const auto& one, const auto& other) { return one.round < other.round; });
-    std::vector<EntryVmEntry> entries;
-    for (auto& one : ranked)
-        entries.push_back(std::move(one.entry));
-    return entries;
+    return rank(std::move(entries));
+}
+
+auto EntryFleet::knownRanking() const -> std::vector<EntryVmEntry>
+{
+    std::vector<EntryVmEntry> entries { m_self };
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [id, member] : m_members) {
+            if (isRegionalPeer(member.entry()))
+                entries.push_back(member.entry());
+        }
+    }
+    return rank(std::move(entries));
 }
 
 auto EntryFleet::isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -52,12 +52,12 @@
     [[nodiscard]] auto callerAddresses() const -> std::vector<Core::Address>;
     /// Returns the peer addresses of the other entry VMs: first the live ones of the region, then all others.
     [[nodiscard]] auto peerAddresses() const -> std::vector<Core::Address>;
-    /// Returns the peer addresses of the other known entry VMs of the region, alive or not.
-    [[nodiscard]] auto regionalPeerAddresses() const -> std::vector<Core::Address>;
     /// Returns the live entry VMs of the region, including this one unless it is leaving, in an order that is the same
     /// on all VMs with the same view. Neighbours are in different failure domains where possible. Empty as long as
     /// heartbeats of the others may not have arrived yet.
     [[nodiscard]] auto regionalRanking() const -> std::vector<EntryVmEntry>;
+    /// Returns the ranking of all known entry VMs of the region, whether they are alive or not.
+    [[nodiscard]] auto knownRanking() const -> std::vector<EntryVmEntry>;
     /// Returns the number of entry VMs that are listed or have introduced themselves, including this one.
     [[nodiscard]] auto knownCount() const -> std::size_t;
     [[nodiscard]] auto isOwner(const Forwarding::UpstreamEntry& upstream) const -> bool override;
@@ -67,6 +67,7 @@
     [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
     /// Returns true if the member is another entry VM of the region that is alive and not leaving.
     [[nodiscard]] auto acceptsCallers(const Member& member, Core::Instant now) const -> bool;
+    [[nodiscard]] auto rank(std::vector<EntryVmEntry> entries) const -> std::vector<EntryVmEntry>;
     /// Returns true if heartbeats of the others may not have arrived yet, after a start or a pause.
     [[nodiscard]] auto isViewIncomplete(Core::Instant now) const -> bool;
     [[nodiscard]] auto isRegionalPeer(const EntryVmEntry& entry) const -> bool;
--- a/src/libs/forwardinghost/fleetsources.h
+++ b/src/libs/forwardinghost/fleetsources.h
@@ -18,9 +18,12 @@
     [[nodiscard]] auto ranking() const -> std::vector<StoreSync::SourceCandidate> override;
     /// Returns the listed peers, or the seeds if there are none.
     [[nodiscard]] auto knownPeers() const -> std::vector<Core::Address> override;
-    [[nodiscard]] auto regionalPeers() const -> std::vector<Core::Address> override;
+    [[nodiscard]] auto knownRanking() const -> std::vector<StoreSync::SourceCandidate> override;
 
 private:
+    [[nodiscard]] auto candidates(const std::vector<EntryFleet::EntryVmEntry>& entries) const
+        -> std::vector<StoreSync::SourceCandidate>;
+
     const EntryVmSettings& m_settings;
     const EntryFleet::EntryFleet& m_fleet;
 };
--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -9,6 +9,7 @@
     constexpr Core::Millis watchTimeout { 28'000 };
     constexpr Core::Millis firstRetryDelay { 100 };
     constexpr Core::Millis maximumRetryDelay { 800 };
+    constexpr Core::Millis patientRetryDelay { 1600 };
 
 } // namespace
 
@@ -51,6 +52,12 @@
     list();
 }
 
+auto CollectionFollower::setPatient(bool isPatient) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isPatient = isPatient;
+}
+
 auto CollectionFollower::isReading() const -> bool
 {
     const std::lock_guard lock(m_mutex);
@@ -227,12 +234,15 @@
     std::shared_ptr<Ports::StoreCall> call;
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_isLoaded || !m_call)
+        const bool isWaitingToRetry = m_isPatient && m_failures > 0 && m_timer;
+        if (!isWaitingToRetry && (!m_isLoaded || !m_call))
             return;
         call = std::exchange(m_call, nullptr);
+        m_timer.reset();
         ++m_callNumber;
     }
-    call->cancel();
+    if (call)
+        call->cancel();
     list();
 }
 
@@ -265,16 +275,18 @@
 auto CollectionFollower::retryLater(const Core::Error& error) -> void
 {
     std::uint32_t failures = 0;
+    Core::Duration longestDelay;
     {
         const std::lock_guard lock(m_mutex);
         failures = m_failures++;
+        longestDelay = m_isPatient ? patientRetryDelay : maximumRetryDelay;
     }
     if (failures == 0) {
         m_environment.events.record({ Ports::EventKind("store.lost"), {},
             { { "collection", m_name.value() }, { "detail", describe(error) } } });
         m_environment.storeFailed();
     }
-    const auto delay = std::min<Core::Duration>(maximumRetryDelay, firstRetryDelay * (1U << std::min(failures, 4U)));
+    const auto delay = std::min<Core::Duration>(longestDelay, firstRetryDelay * (1U << std::min(failures, 4U)));
     // Jitter spreads the retries of entry VMs that lost access to the store at the same time.
     const auto jitter = static_cast<Core::Duration::rep>(m_environment.random.next() % 512) * delay / 1024;
     // Lists again, because a watch from the old revision may wait for ever if the store has dropped the changes since.
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -58,6 +58,8 @@
     auto suspend() -> void;
     /// Reads the store again, beginning with a list.
     auto resume() -> void;
+    /// A patient follower retries more slowly and relies on refresh() to be told of the end of an outage.
+    auto setPatient(bool isPatient) -> void;
     /// Returns true if the store reports changes to this entry VM.
     [[nodiscard]] auto isReading() const -> bool;
     /// Applies another entry VM's copy of the collection if it is newer than the local one. Returns true if it did so.
@@ -100,6 +102,7 @@
     bool m_isLoadedByStore = false;
     bool m_isStopped = false;
     bool m_isSuspended = true;
+    bool m_isPatient = false;
     /// Number of the pending list or watch. After answers to earlier ones, reading does not go on.
     std::uint64_t m_callNumber = 0;
     std::uint32_t m_failures = 0;
--- a/src/libs/storesync/mirrorport.h
+++ b/src/libs/storesync/mirrorport.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "storesync/collectionmirror.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 
@@ -15,13 +16,23 @@
     /// with a lost one, so that calm follows do not end.
     static constexpr Core::Millis maximumAge { 1500 };
 
+    /// Longest chain of entry VMs between an entry VM that others follow and the store. With a bound, VMs cannot follow
+    /// each other in a circle.
+    static constexpr std::uint32_t maximumHops = 1;
+
     /// The store, or an entry VM that passes its changes on, answers.
     bool isReachable = false;
     /// Time since the store was heard from, directly or through others; nothing if it never was. The copies may lack
     /// changes made since then.
     std::optional<Core::Duration> age;
-
-    [[nodiscard]] auto isFresh() const -> bool { return isReachable && age && *age <= maximumAge; }
+    /// Number of entry VMs that the changes pass on their way to this one.
+    std::uint32_t hops = 0;
+
+    /// Returns true if others may follow.
+    [[nodiscard]] auto isFresh() const -> bool
+    {
+        return isReachable && age && *age <= maximumAge && hops <= maximumHops;
+    }
 };
 
 /// Request for news of the collections, beyond the known revisions.
--- a/src/libs/storesync/sharedreads.cpp
+++ b/src/libs/storesync/sharedreads.cpp
@@ -22,6 +22,10 @@
     /// Time for which a VM keeps reading the store once it has begun to, so that a source that comes and goes does not
     /// cause a list each time.
     constexpr Core::Millis shortestReadTime { 5000 };
+    /// The same at the start, where the view of the other VMs is complete soon.
+    constexpr Core::Millis shortestReadTimeAtStart { 1500 };
+    /// Interval of the pings of a VM that reads the store for others. They have to turn to another one in time.
+    constexpr Core::Millis sharedPingInterval { 500 };
     constexpr Core::Millis unansweredAvoidance { 2000 };
     constexpr Core::Millis outdatedAvoidance { 1000 };
     /// After this many VMs in a row that do not answer, this VM is probably the one that is cut off.
@@ -106,8 +110,7 @@
     const auto fleet = m_followers.find(m_environment.fleet);
     if (list && fleet != m_followers.end())
         fleet->second->applyIfNewer(*list);
-    const bool isSmall = m_choice.isSmall(m_environment.view.regionalPeers().size() + 1);
-    if (!list || isSmall)
+    if (!list)
         readStoreFromStart();
     else
         step();
@@ -149,7 +152,7 @@
     // Pings alone do not show that all changes arrive.
     if (isComplete)
         m_completeUntil = std::max(m_completeUntil, lastAnswer);
-    StoreContact contact { isReachable, {} };
+    StoreContact contact { isReachable, {}, m_hops };
     if (m_completeUntil != Core::Instant())
         contact.age = now - m_completeUntil;
     return contact;
@@ -161,9 +164,9 @@
     const auto overdue = age() - StoreContact::maximumAge;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_environment.watchers == 0 || now < m_readUntil)
-            return {};
-        if (!ranking.empty() && m_choice.isSmall(ranking.size()))
+        if (!ranking.empty())
+            m_isRegionLarge = !m_choice.isSmall(ranking.size());
+        if (m_environment.watchers == 0 || now < m_readUntil || (!ranking.empty() && !m_isRegionLarge))
             return {};
         if (!ranking.empty())
             return m_choice.fromRanking(ranking, overdue, now);
@@ -173,15 +176,16 @@
 
 auto SharedReads::chooseBeforeViewIsKnown(Core::Instant now) -> SourceChoice::Choice
 {
-    const auto peers = m_environment.view.regionalPeers();
+    const auto ranking = m_environment.view.knownRanking();
+    const auto overdue = age() - StoreContact::maximumAge;
     const bool isKnown = hasCopies();
     const std::lock_guard lock(m_mutex);
     const bool mustRead = !isKnown && now >= m_startDeadline;
-    if (m_mode == Mode::ReadingStore || mustRead || peers.empty())
+    if (m_mode == Mode::ReadingStore || mustRead || m_choice.isSmall(ranking.size()))
         return {};
     if (m_mode == Mode::Following && m_isSourceProven)
         return { SourceChoice::Kind::Follow, m_source };
-    return m_choice.fromPeers(peers, now);
+    return m_choice.fromRanking(ranking, isKnown ? overdue : Core::Duration(0), now);
 }
 
 auto SharedReads::age() const -> Core::Duration
@@ -191,6 +195,11 @@
 
 auto SharedReads::hasCopies() const -> bool { return m_environment.watchdog.lastAnswer() != Core::Instant(); }
 
+auto SharedReads::isStarting(const MirrorResponse& response) const -> bool
+{
+    return !hasCopies() && !response.contact.age;
+}
+
 auto SharedReads::step() -> void
 {
     const auto choice = choose(m_environment.follower.clock.now());
@@ -212,15 +221,24 @@
     poll(source, Core::Millis(0));
 }
 
+auto SharedReads::isRegionLarge() const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isRegionLarge;
+}
+
 auto SharedReads::setMode(Mode mode, const Core::Address& source) -> bool
 {
     const std::lock_guard lock(m_mutex);
+    const auto readTime = m_mode == Mode::Undecided ? shortestReadTimeAtStart : shortestReadTime;
     const bool isModeNew = std::exchange(m_mode, mode) != mode;
     const bool isSourceNew = std::exchange(m_source, source) != source;
     if (isModeNew && mode == Mode::ReadingStore)
-        m_readUntil = std::max(m_readUntil, m_environment.follower.clock.now() + shortestReadTime);
+        m_readUntil = std::max(m_readUntil, m_environment.follower.clock.now() + readTime);
     if (isModeNew || isSourceNew)
         m_isSourceProven = false;
+    if (mode == Mode::ReadingStore)
+        m_hops = 0;
     return isModeNew;
 }
 
@@ -229,14 +247,18 @@
     if (setMode(Mode::ReadingStore, {})) {
         m_environment.follower.events.record(
             { Ports::EventKind("store.read-directly"), {}, { { "ageMs", describeAge(contact()) } } });
-        m_environment.watchdog.setPinging(true);
         for (const auto& [name, follower] : m_followers)
             follower->resume();
     }
-    if (m_environment.watchdog.isStoreReachable())
+    const bool isShared = isRegionLarge();
+    m_environment.watchdog.setPingInterval(isShared ? sharedPingInterval : StoreWatchdog::usualPingInterval);
+    for (const auto& [name, follower] : m_followers)
+        follower->setPatient(isShared);
+    if (m_environment.watchdog.isStoreReachable()) {
         scheduleStep(roleInterval);
-    else
-        refreshFromNextPeer();
+        return;
+    }
+    refreshFromNextPeer();
 }
 
 auto SharedReads::refreshFromNextPeer() -> void
@@ -275,7 +297,7 @@
 {
     if (!setMode(Mode::Following, source))
         return;
-    m_environment.watchdog.setPinging(false);
+    m_environment.watchdog.setPingInterval(Core::Millis(0));
     for (const auto& [name, follower] : m_followers)
         follower->suspend();
 }
@@ -323,7 +345,8 @@
         return;
     }
     const bool isFresh = response->contact.isFresh();
-    if (endProbe(source) && isFresh)
+    const bool isProbe = endProbe(source);
+    if (isProbe && isFresh)
         beginFollowing(source);
     const auto avoidance = hasCopies() ? outdatedAvoidance : startRetryInterval;
     {
@@ -331,21 +354,22 @@
         m_unansweredPolls = 0;
         if (isFresh)
             m_choice.accept(source);
-        else
+        else if (!isStarting(*response))
             m_choice.avoid(source, m_environment.follower.clock.now() + avoidance);
     }
     if (isReadingStore())
-        handleWhileReading(source, *response);
+        handleWhileReading(source, *response, isProbe);
     else
         handleWhileFollowing(source, *response);
 }
 
-auto SharedReads::handleWhileReading(const Core::Address& source, const MirrorResponse& response) -> void
+auto SharedReads::handleWhileReading(const Core::Address& source, const MirrorResponse& response, bool isProbe) -> void
 {
     if (response.contact.isFresh())
         m_environment.onRefreshed();
     apply(source, response.news);
-    scheduleStep(retryInterval);
+    // After a probe without success, the next VM is probed at once.
+    scheduleStep(isProbe ? Core::Millis(0) : retryInterval);
 }
 
 auto SharedReads::handleWhileFollowing(const Core::Address& source, const MirrorResponse& response) -> void
@@ -356,10 +380,15 @@
         const std::lock_guard lock(m_mutex);
         wasProven = std::exchange(m_isSourceProven, isFresh);
         m_isToldOfOutage = !response.contact.isReachable;
+        m_hops = response.contact.hops + 1;
     }
     // Entries that expired in an outage are kept for a while if its end is known before they are seen to be gone.
-    if (isFresh)
-        m_environment.watchdog.recordRelayedResponse(m_environment.follower.clock.now() - *response.contact.age);
+    if (isFresh) {
+        const auto heardAt = m_environment.follower.clock.now() - *response.contact.age;
+        m_environment.watchdog.recordRelayedResponse(heardAt);
+        const std::lock_guard lock(m_mutex);
+        m_completeUntil = std::max(m_completeUntil, heardAt);
+    }
     apply(source, response.news);
     if (isFresh != wasProven) {
         m_environment.follower.events.record(
@@ -368,7 +397,7 @@
                     { "reachable", response.contact.isReachable ? "yes" : "no" } } });
         m_environment.sourceLost(!isFresh);
     }
-    scheduleStep(isFresh ? shortestPollInterval : Core::Millis(0));
+    scheduleStep(isFresh ? shortestPollInterval : isStarting(response) ? startRetryInterval : Core::Millis(0));
 }
 
 auto SharedReads::endProbe(const Core::Address& source) -> bool
--- a/src/libs/storesync/sharedreads.h
+++ b/src/libs/storesync/sharedreads.h
@@ -34,8 +34,8 @@
     auto add(const Ports::CollectionName& name, std::shared_ptr<CollectionFollower> follower) -> void;
     /// Starts the followers or their replacement by another VM's copies.
     auto start() -> void;
-    /// To be called when the store has answered the registration of this VM. The entry VMs are listed only then, because
-    /// those that start together would not see each other before.
+    /// To be called when the store has answered the registration of this VM. The entry VMs are listed only then,
+    /// because those that start together would not see each other before.
     auto handleRegistration(bool isRegistered) -> void;
     auto stop() -> void;
     /// Decides anew at once, because the store has become unreachable.
@@ -48,10 +48,11 @@
 private:
     enum class Mode { Undecided, ReadingStore, Following };
 
-    /// Learns the size of the region from the first list of the entry VMs.
+    /// Learns the ranking of the region from the first list of the entry VMs.
     auto handleFleetList(const Core::Result<Ports::CollectionList>& list) -> void;
     auto readStoreFromStart() -> void;
     [[nodiscard]] auto isUndecided() const -> bool;
+    [[nodiscard]] auto isRegionLarge() const -> bool;
     auto step() -> void;
     [[nodiscard]] auto choose(Core::Instant now) -> SourceChoice::Choice;
     [[nodiscard]] auto chooseBeforeViewIsKnown(Core::Instant now) -> SourceChoice::Choice;
@@ -65,7 +66,7 @@
     auto refreshFromNextPeer() -> void;
     auto poll(const Core::Address& source, Core::Millis hold) -> void;
     auto handleResponse(const Core::Address& source, const Core::Result<MirrorResponse>& response) -> void;
-    auto handleWhileReading(const Core::Address& source, const MirrorResponse& response) -> void;
+    auto handleWhileReading(const Core::Address& source, const MirrorResponse& response, bool isProbe) -> void;
     auto handleWhileFollowing(const Core::Address& source, const MirrorResponse& response) -> void;
     /// Returns true if the source was probed.
     [[nodiscard]] auto endProbe(const Core::Address& source) -> bool;
@@ -74,6 +75,8 @@
     /// Records the store as lost if the copies are too old and others have said that they do not reach it.
     auto checkAge() -> void;
     [[nodiscard]] auto hasCopies() const -> bool;
+    /// Returns true if this VM and the one that answered have both just started. Its copies are worth waiting for.
+    [[nodiscard]] auto isStarting(const MirrorResponse& response) const -> bool;
     [[nodiscard]] auto age() const -> Core::Duration;
     auto scheduleStep(Core::Duration delay) -> void;
     [[nodiscard]] auto isReadingAll() const -> bool;
@@ -89,9 +92,13 @@
     Core::Address m_probed;
     /// The source has answered the last poll.
     bool m_isSourceProven = false;
+    /// Number of VMs that the changes pass on their way to this one.
+    std::uint32_t m_hops = 0;
     /// The last answer came from a VM that knows of an outage of the store.
     bool m_isToldOfOutage = false;
     bool m_isStopped = false;
+    /// So many VMs are in the region that few of them read the store.
+    bool m_isRegionLarge = false;
     /// While the ranking is still unknown, this VM reads the store itself from this instant on unless it has copies.
     Core::Instant m_startDeadline;
     /// This VM reads the store itself up to this instant, whatever its view.
@@ -101,7 +108,7 @@
     std::size_t m_nextPeer = 0;
     /// Number of the pending poll. Answers to earlier ones do not lead to further steps.
     std::uint64_t m_pollNumber = 0;
-    /// Up to when the copies are known to be complete while this VM reads the store itself.
+    /// Up to when the copies are known to be complete.
     mutable Core::Instant m_completeUntil;
     std::unique_ptr<Ports::Timer> m_timer;
 };
--- a/src/libs/storesync/sourcechoice.cpp
+++ b/src/libs/storesync/sourcechoice.cpp
@@ -30,13 +30,4 @@
     return { Kind::Follow, near == watchers.end() ? watchers.front().address : near->address };
 }
 
-auto SourceChoice::fromPeers(const std::vector<Core::Address>& peers, Core::Instant now) const -> Choice
-{
-    const auto usable
-        = std::find_if(peers.begin(), peers.end(), [&](const auto& peer) { return !isAvoided(peer, now); });
-    if (usable == peers.end())
-        return { Kind::Wait, {} };
-    return { Kind::Follow, *usable };
-}
-
 } // namespace StoreSync
--- a/src/libs/storesync/sourcechoice.h
+++ b/src/libs/storesync/sourcechoice.h
@@ -26,9 +26,8 @@
     [[nodiscard]] virtual auto ranking() const -> std::vector<SourceCandidate> = 0;
     /// Returns the entry VMs that a VM without access to the store may ask, the best ones first.
     [[nodiscard]] virtual auto knownPeers() const -> std::vector<Core::Address> = 0;
-    /// Returns the listed entry VMs of the region other than this one, whether they are alive or not. To be asked while
-    /// the ranking is unknown, each VM in an order of its own.
-    [[nodiscard]] virtual auto regionalPeers() const -> std::vector<Core::Address> = 0;
+    /// Returns the ranking of all listed entry VMs of the region, whether they are alive or not.
+    [[nodiscard]] virtual auto knownRanking() const -> std::vector<SourceCandidate> = 0;
 };
 
 /// Chooses where an entry VM takes the store's changes from, and remembers who was of no use lately.
@@ -61,8 +60,6 @@
     /// `overdue` is by how much this VM's copies are older than fresh ones.
     [[nodiscard]] auto fromRanking(
         const std::vector<SourceCandidate>& ranking, Core::Duration overdue, Core::Instant now) const -> Choice;
-    /// Returns the first peer that is not avoided, or Wait if there is none.
-    [[nodiscard]] auto fromPeers(const std::vector<Core::Address>& peers, Core::Instant now) const -> Choice;
     auto avoid(const Core::Address& source, Core::Instant until) -> void { m_avoidedUntil[source] = until; }
     auto accept(const Core::Address& source) -> void { m_avoidedUntil.erase(source); }
 
--- a/src/libs/storesync/storewatchdog.cpp
+++ b/src/libs/storesync/storewatchdog.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr Core::Millis pingInterval { 1000 };
     constexpr Core::Millis outagePingInterval { 300 };
 
 } // namespace
@@ -27,15 +26,17 @@
     m_timer.reset();
 }
 
-auto StoreWatchdog::setPinging(bool isPinging) -> void
+auto StoreWatchdog::setPingInterval(Core::Millis interval) -> void
 {
+    bool isIdle = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (std::exchange(m_isPinging, isPinging) == isPinging)
-            return;
-        m_timer.reset();
+        isIdle = std::exchange(m_pingInterval, interval) == Core::Millis(0);
+        if (interval == Core::Millis(0))
+            m_timer.reset();
     }
-    schedule();
+    if (isIdle && interval != Core::Millis(0))
+        schedule();
 }
 
 auto StoreWatchdog::isStoreReachable() const -> bool
@@ -53,12 +54,13 @@
 auto StoreWatchdog::schedule() -> void
 {
     const std::lock_guard lock(m_mutex);
-    if (m_isStopped || !m_isPinging)
+    if (m_isStopped || m_pingInterval == Core::Millis(0))
         return;
-    m_timer = m_environment.scheduler.after(m_isOutage ? outagePingInterval : pingInterval, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->ping();
-    });
+    m_timer
+        = m_environment.scheduler.after(m_isOutage ? outagePingInterval : m_pingInterval, [weak = weak_from_this()] {
+              if (const auto self = weak.lock())
+                  self->ping();
+          });
 }
 
 auto StoreWatchdog::ping() -> void
@@ -85,7 +87,7 @@
         const std::lock_guard lock(m_mutex);
         // Ignores the failure if the store has answered another call since the ping was sent, or if the ping is of a
         // time when this VM still read the store itself.
-        if (!m_isPinging || m_lastAnswer > sentAt || std::exchange(m_isOutage, true))
+        if (m_pingInterval == Core::Millis(0) || m_lastAnswer > sentAt || std::exchange(m_isOutage, true))
             return;
     }
     m_listener.storeLost();
--- a/src/libs/storesync/storewatchdog.h
+++ b/src/libs/storesync/storewatchdog.h
@@ -21,8 +21,12 @@
     auto add(std::shared_ptr<CollectionFollower> follower) -> void { m_followers.push_back(std::move(follower)); }
     auto start() -> void;
     auto stop() -> void;
-    /// Pings only while this VM reads the store itself.
-    auto setPinging(bool isPinging) -> void;
+    /// Interval of the pings of a VM that reads the store for itself only.
+    static constexpr Core::Millis usualPingInterval { 1000 };
+
+    /// Sets the interval of the pings while the store answers. Zero stops them, because another VM reads the store for
+    /// this one.
+    auto setPingInterval(Core::Millis interval) -> void;
     /// Records that the store has answered another call. If this ends an outage, all followers list again.
     auto recordResponse() -> void;
     /// Records that another entry VM, which passes the store's changes on, heard from the store at that instant.
@@ -47,7 +51,7 @@
     bool m_isOutage = false;
     Core::Instant m_lastAnswer;
     bool m_isStopped = false;
-    bool m_isPinging = true;
+    Core::Millis m_pingInterval = usualPingInterval;
     std::unique_ptr<Ports::Timer> m_timer;
 };
 
--- a/src/plugins/mirrorpeer/mirrorpeer.cpp
+++ b/src/plugins/mirrorpeer/mirrorpeer.cpp
@@ -94,8 +94,8 @@
         for (const auto& [name, update] : response.news)
             news[name.value()] = std::visit(NewsEncoder(), update);
         const auto& age = response.contact.age;
-        return Cbor::pack(
-            json::array({ response.contact.isReachable, age ? encodeDuration(*age) : json(), std::move(news) }));
+        return Cbor::pack(json::array({ response.contact.isReachable, age ? encodeDuration(*age) : json(),
+            std::move(news), response.contact.hops }));
     }
 
     auto decodeResponse(const std::string& payload) -> Core::Result<StoreSync::MirrorResponse>
@@ -105,6 +105,7 @@
             response.contact.isReachable = fields.at(0).get<bool>();
             if (!fields.at(1).is_null())
                 response.contact.age = decodeDuration(fields.at(1));
+            response.contact.hops = fields.at(3).get<std::uint32_t>();
             for (const auto& [name, update] : fields.at(2).items())
                 response.news[Ports::CollectionName(name)] = decodeNews(update);
             return response;
--- a/tests/auto/storesync/tst_sharedreads.cpp
+++ b/tests/auto/storesync/tst_sharedreads.cpp
@@ -40,26 +40,29 @@
 public:
     [[nodiscard]] auto ranking() const -> std::vector<StoreSync::SourceCandidate> override
     {
-        std::vector<StoreSync::SourceCandidate> candidates;
-        for (std::size_t index = 0; index < size; ++index)
-            candidates.push_back({ peerAddress(index), index == ownPlace, false });
-        return candidates;
+        return firstCandidates(size);
     }
     [[nodiscard]] auto knownPeers() const -> std::vector<Core::Address> override
     {
         return { peerAddress(0), peerAddress(1) };
     }
-    [[nodiscard]] auto regionalPeers() const -> std::vector<Core::Address> override
+    [[nodiscard]] auto knownRanking() const -> std::vector<StoreSync::SourceCandidate> override
     {
-        std::vector<Core::Address> peers;
-        for (std::size_t index = 0; index < listed; ++index)
-            peers.push_back(peerAddress(index));
-        return peers;
+        return firstCandidates(listed);
     }
 
     std::size_t size = 0;
     std::size_t listed = 0;
     std::size_t ownPlace = 20;
+
+private:
+    [[nodiscard]] auto firstCandidates(std::size_t count) const -> std::vector<StoreSync::SourceCandidate>
+    {
+        std::vector<StoreSync::SourceCandidate> candidates;
+        for (std::size_t index = 0; index < count; ++index)
+            candidates.push_back({ peerAddress(index), index == ownPlace, false });
+        return candidates;
+    }
 };
 
 struct VmOfRegion : StoreSync::StoreListener {
@@ -123,7 +126,7 @@
         : VmOfRegion(2)
     {
         view.size = 40;
-        view.listed = 39;
+        view.listed = 40;
     }
 
     /// Number of lists of the followed collection: the first list of a start is that of the entry VMs.
@@ -323,7 +326,7 @@
 BOOST_AUTO_TEST_CASE(ReadsTheStoreItself)
 {
     view.size = 6;
-    view.listed = 5;
+    view.listed = 6;
     startAndSettle();
     BOOST_TEST(reads->isReadingStore());
     BOOST_TEST(peers.queriedPeers.empty());
--- a/tests/fakes/forwarding/forwardingsite.h
+++ b/tests/fakes/forwarding/forwardingsite.h
@@ -18,6 +18,8 @@
     explicit ForwardingSite(std::uint64_t seed, std::size_t vmCount = defaultSize);
     ~ForwardingSite();
 
+    /// Returns the address of the VM.
+    static auto nodeOf(std::size_t index) -> NodeId;
     auto startVm(std::size_t index) -> void;
     auto crashVm(std::size_t index) -> void;
     auto pauseVm(std::size_t index) -> void;
@@ -62,7 +64,6 @@
     class RunLogSink;
     struct Process;
 
-    static auto nodeOf(std::size_t index) -> NodeId;
     static auto settingsOf(std::size_t index) -> ForwardingHost::EntryVmSettings;
     auto recordDisturbance(std::size_t index) -> void;
     auto recordGlobalDisturbance() -> void;
--- a/tests/fakes/forwarding/virtualcollections.cpp
+++ b/tests/fakes/forwarding/virtualcollections.cpp
@@ -146,11 +146,13 @@
 
 auto CollectionClient::list(const Ports::CollectionName& name, ListCallback callback) -> void
 {
+    ++m_store.m_calls;
     call<Ports::CollectionList>([&store = m_store, name] { return store.list(name); }, std::move(callback));
 }
 
 auto CollectionClient::ping(DoneCallback callback) -> void
 {
+    ++m_store.m_pings;
     call<Ports::StoreRevision>(
         [&store = m_store] { return Ports::StoreRevision(store.m_revision); }, std::move(callback));
 }
@@ -158,6 +160,7 @@
 auto CollectionClient::put(const Ports::CollectionName& name, const Ports::CollectionItem& item, DoneCallback callback)
     -> void
 {
+    ++m_store.m_calls;
     call<Ports::StoreRevision>(
         [&store = m_store, name, item] {
             store.put(name, item.name, item.text);
@@ -185,6 +188,7 @@
 auto CollectionClient::watch(const Ports::CollectionName& name, Ports::StoreRevision after, Core::Millis wait,
     ChangesCallback callback) -> std::shared_ptr<Ports::StoreCall>
 {
+    ++m_store.m_calls;
     auto& world = m_store.m_world;
     auto watch = std::make_shared<VirtualCollections::Watch>();
     watch->vm = m_vm;
--- a/tests/fakes/forwarding/virtualcollections.h
+++ b/tests/fakes/forwarding/virtualcollections.h
@@ -34,6 +34,10 @@
     auto denyAccess(const NodeId& vm) -> void;
     auto restoreAccess() -> void { m_deniedVms.clear(); }
     [[nodiscard]] auto isReachable(const NodeId& vm) const -> bool;
+    /// Returns the number of lists, watches and writes that all VMs have begun, also those that failed. Pings are cheap
+    /// and counted apart.
+    [[nodiscard]] auto calls() const -> std::size_t { return m_calls; }
+    [[nodiscard]] auto pings() const -> std::size_t { return m_pings; }
 
     auto put(const Ports::CollectionName& collection, const std::string& name, std::string text) -> void;
     auto remove(const Ports::CollectionName& collection, const std::string& name) -> void;
@@ -72,6 +76,8 @@
     /// Changes up to this revision have been dropped from the history.
     std::uint64_t m_compactedRevision = 1;
     bool m_areWatchesMuted = false;
+    std::size_t m_calls = 0;
+    std::size_t m_pings = 0;
     std::list<std::shared_ptr<Watch>> m_watches;
 };
 
