Let requests wait in the VM for room, in the order of what it costs their callers

Cause: a VM refused at once what found no room, up to three times for one request. The mean load that it assumed of other VMs never aged: a VM that took its last reports at a peak refused a kind of request for good (in one VM 312 refusals of trail with the same predicted wait of 1.7 s, with 3 of 4 slots taken). And the organisation's priority went before the route's, so that the most urgent kind was refused 1,238 times of 4,839.

Change: library admission. Load of others fades after a second of silence; queues at upstreams are bounded by what more urgent kinds can bear; a bounded queue in the VM by kind, time, shares of work, latest start; returns placed one after the other, within the target latency if possible, and not again for a caller that has come back. The route's priority goes first, that of the organisation decides within it. QueueAdmission goes.

A replay in virtual time (tst_waiting): an upstream that was full when it last reported is tried again when the load may have passed; the code before refuses for good.

--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -39,10 +39,13 @@
 
 auto Forwarder::setUpstreams(const UpstreamEntries& entries, const EvacuatedDomains& evacuated) -> void
 {
-    const std::lock_guard lock(m_mutex);
-    m_entries = entries;
-    m_evacuated = evacuated;
-    applyLists(lock);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_entries = entries;
+        m_evacuated = evacuated;
+        applyLists(lock);
+    }
+    wakeWaiting();
 }
 
 auto Forwarder::applyLists(const std::lock_guard<std::mutex>&) -> void
@@ -60,7 +63,7 @@
     for (const auto& [id, entries] : services) {
         auto& context = (*contexts)[id];
         if (!context)
-            context = std::make_shared<detail::ServiceContext>(id, m_environment.pool);
+            context = makeContext(id);
         context->pool.update(entries, m_evacuated, now);
         context->pool.setListStale(m_isListStale);
         if (configuration && configuration->services.contains(id))
@@ -132,6 +135,7 @@
     const Core::Result<Ports::HealthReport>& report) -> void
 {
     const bool shouldAnnounce = context->pool.recordProbe(target, report, m_environment.clock.now());
+    context->waitingRoom->wake();
     m_environment.events.record({ Ports::EventKind("upstream.probed"), {},
         { { "upstream", target.id.value() }, { "service", context->pool.service().value() },
             { "healthy", report && report->isHealthy ? "yes" : "no" },
@@ -171,7 +175,19 @@
     const auto found = contexts->find(service);
     if (found != contexts->end())
         return found->second;
-    return std::make_shared<detail::ServiceContext>(service, m_environment.pool);
+    return makeContext(service);
+}
+
+auto Forwarder::makeContext(const Core::ServiceId& service) const -> std::shared_ptr<detail::ServiceContext>
+{
+    return std::make_shared<detail::ServiceContext>(
+        service, m_environment.pool, m_environment.clock, m_environment.scheduler);
+}
+
+auto Forwarder::wakeWaiting() -> void
+{
+    for (const auto& [id, context] : *m_contexts.load())
+        context->waitingRoom->wake();
 }
 
 } // namespace Forwarding
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -6,6 +6,7 @@
 #include "forwarding/routingconfiguration.h"
 #include "forwarding/servicepool.h"
 #include "forwarding/upstreamnotice.h"
+#include "forwarding/waitingroom.h"
 #include "forwarding/weightedroundrobin.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
@@ -22,11 +23,14 @@
 
     /// Upstream pool of a service and the retry budget that belongs to it.
     struct ServiceContext {
-        ServiceContext(const Core::ServiceId& service, ServicePool::Environment environment)
+        ServiceContext(const Core::ServiceId& service, ServicePool::Environment environment, const Ports::Clock& clock,
+            Ports::Scheduler& scheduler)
             : pool(service, std::move(environment))
+            , waitingRoom(std::make_shared<WaitingRoom>(clock, scheduler))
         {
         }
         ServicePool pool;
+        std::shared_ptr<WaitingRoom> waitingRoom;
         RollingRetryBudget retryBudget;
     };
 
@@ -84,6 +88,7 @@
     friend class ForwardOperation;
 
     [[nodiscard]] auto contextFor(const Core::ServiceId& service) const -> std::shared_ptr<detail::ServiceContext>;
+    [[nodiscard]] auto makeContext(const Core::ServiceId& service) const -> std::shared_ptr<detail::ServiceContext>;
 
     const Environment m_environment;
     WeightedRoundRobin m_roundRobin;
@@ -106,6 +111,8 @@
     auto recordProbe(const std::shared_ptr<detail::ServiceContext>& context, const Ports::UpstreamTarget& target,
         const Core::Result<Ports::HealthReport>& report) -> void;
     auto accept(const UpstreamNotice& notice) -> void;
+    /// Starts waiting requests after a change of the upstreams.
+    auto wakeWaiting() -> void;
     [[nodiscard]] auto retryAllowance() const -> RetryAllowance { return { m_retryRatio, m_retrySlack }; }
     auto applyLists(const std::lock_guard<std::mutex>& lock) -> void;
 };
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -70,6 +70,8 @@
         return;
     }
     m_context->retryBudget.recordRequest(m_arrivedAt);
+    m_elapsed
+        = m_context->waitingRoom->recordArrival(m_route->id, m_request.callerTimeout.value_or(defaultCallerTimeout));
     {
         const std::lock_guard lock(m_mutex);
         // The timer owns a reference that keeps the operation alive until it has replied, regardless of its exchanges.
@@ -109,9 +111,10 @@
     });
 }
 
-auto ForwardOperation::priority() const -> int
+auto ForwardOperation::urgency() const -> Admission::Urgency
 {
-    return m_organisation ? m_organisation->priority.value_or(m_route->priority) : m_route->priority;
+    const auto kind = m_route->priority;
+    return { kind, m_organisation ? m_organisation->priority.value_or(kind) : kind };
 }
 
 auto ForwardOperation::verifiedCaller() const -> std::optional<Ports::VerifiedCaller>
@@ -183,11 +186,85 @@
         return;
     }
     const auto now = m_environment.clock.now();
+    // Those that wait go first: for them the slot was kept.
+    m_context->waitingRoom->wake();
     const auto choice = m_context->pool.choose(makeQuery(m_tried, now), now);
     if (choice)
         startExchange(*choice, now);
     else
-        refuseChoice(choice.error());
+        waitOrRefuse(choice.error(), now);
+}
+
+auto ForwardOperation::estimateDemand(Core::Duration work) -> void
+{
+    m_demand.urgency = urgency();
+    if (m_organisation)
+        m_demand.organisation = m_organisation->id;
+    m_demand.work = work;
+    m_demand.askedAt = m_arrivedAt - m_elapsed;
+    m_demand.inTimeUntil = m_demand.askedAt + m_route->targetLatency - work;
+    // Nobody is held for an answer that would be late, nor for so long that nothing else can be done afterwards.
+    const auto halfTime = m_arrivedAt + (m_deadline - m_arrivedAt) / 2;
+    m_demand.servableUntil = std::min({ m_deadline - work, halfTime, m_demand.inTimeUntil });
+}
+
+auto ForwardOperation::waitOrRefuse(const ChoiceFailure& failure, Core::Instant now) -> void
+{
+    m_lastFailure = failure;
+    estimateDemand(failure.work);
+    // If all upstreams are excluded for another reason than a pause, waiting for them here helps nobody.
+    const bool isRoomExpected = failure.reason == ChoiceFailureReason::Busy || failure.wait.count() > 0;
+    const bool isServable = isRoomExpected && failure.roomExpected.count() > 0
+        && now + failure.roomExpected < m_demand.servableUntil && now + failure.wait < m_deadline - failure.work;
+    if (!isServable) {
+        refuseChoice(failure);
+        return;
+    }
+    m_roomExpected = failure.roomExpected;
+    m_context->waitingRoom->enter(shared_from_this(), failure.roomExpected);
+}
+
+auto ForwardOperation::hasLeft() const -> bool
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone || m_isClosed)
+            return true;
+    }
+    return hasCallerLeft();
+}
+
+auto ForwardOperation::tryStart() -> bool
+{
+    if (hasLeft()) {
+        turnAway(Admission::TurnAwayReason::NoRoomInTime);
+        return true;
+    }
+    const auto now = m_environment.clock.now();
+    const auto choice = m_context->pool.choose(makeQuery(m_tried, now), now);
+    if (choice) {
+        startExchange(*choice, now);
+        return true;
+    }
+    m_lastFailure = choice.error();
+    m_roomExpected = choice.error().roomExpected;
+    if (choice.error().reason != ChoiceFailureReason::DeadlineUnreachable)
+        return false;
+    refuseChoice(choice.error());
+    return true;
+}
+
+auto ForwardOperation::turnAway(Admission::TurnAwayReason) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDone || m_isClosed)
+            return;
+    }
+    if (hasCallerLeft())
+        refuse(RefusalReason::CallerDisconnected, callerDisconnected, {});
+    else
+        refuseChoice(m_lastFailure);
 }
 
 auto ForwardOperation::makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery
@@ -201,7 +278,7 @@
     query.tried = &tried;
     query.timeLeft = m_deadline - now;
     query.targetLatency = m_route->targetLatency;
-    query.priority = priority();
+    query.priority = m_route->priority;
     return query;
 }
 
@@ -227,6 +304,10 @@
     }
     const auto index = *attempt;
     const auto self = shared_from_this();
+    if (index == 0) {
+        estimateDemand(choice.serviceTime);
+        m_context->waitingRoom->recordStart(m_demand);
+    }
     Ports::ExchangeCall call { choice.target, m_request.id, m_request.message, m_deadline - now,
         [weak = weak_from_this(), target = choice.target] {
             const auto operation = weak.lock();
@@ -301,14 +382,13 @@
         isLast = std::all_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& one) { return one.hasEnded; });
     }
     reportEnd(attempt, result, now);
-    if (isDone)
-        return;
-    if (result.outcome == ExchangeOutcome::Answered) {
+    if (!isDone && result.outcome == ExchangeOutcome::Answered) {
         finish(result.answer);
         cancelExchanges();
-    } else if (isLast) {
+    } else if (!isDone && isLast) {
         retryOrRefuse(result);
     }
+    m_context->waitingRoom->wake();
 }
 
 auto ForwardOperation::reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void
@@ -408,15 +488,40 @@
 auto ForwardOperation::refuseChoice(const ChoiceFailure& failure) -> void
 {
     auto cause = refusalCauseOf(failure);
-    refuse(cause.reason, std::move(cause.message), cause.wait);
+    finishRefused(cause.reason, std::move(cause.message), placeReturn(failure));
+}
+
+auto ForwardOperation::timeLeft() const -> Core::Duration
+{
+    const auto callerTimeout = m_request.callerTimeout.value_or(defaultCallerTimeout);
+    return std::max<Core::Duration>(callerTimeout - (m_environment.clock.now() - m_arrivedAt), {});
+}
+
+auto ForwardOperation::placeReturn(const ChoiceFailure& failure) -> Core::Duration
+{
+    constexpr std::uint64_t jitterSteps = 1024;
+    estimateDemand(failure.work);
+    Admission::ReturnRequest request;
+    request.wait = std::max<Core::Duration>(failure.roomExpected, minimumRetryAfter);
+    request.timeLeft = timeLeft();
+    request.work = failure.work;
+    request.inTimeLeft = m_demand.inTimeUntil - m_environment.clock.now();
+    request.isReturn = m_elapsed.count() > 0;
+    const auto jitter = static_cast<double>(m_environment.random.next() % jitterSteps) / jitterSteps;
+    return m_context->waitingRoom->placeReturn(request, jitter).value_or(Core::Duration(0));
 }
 
 auto ForwardOperation::retryAfter(Core::Duration wait) const -> Core::Duration
 {
-    return retryDelay(wait, m_request.callerTimeout.value_or(defaultCallerTimeout), m_environment.random);
+    return retryDelay(wait, timeLeft(), m_environment.random);
 }
 
 auto ForwardOperation::refuse(RefusalReason reason, std::string message, Core::Duration wait) -> void
+{
+    finishRefused(reason, std::move(message), wait.count() > 0 ? retryAfter(wait) : Core::Duration(0));
+}
+
+auto ForwardOperation::finishRefused(RefusalReason reason, std::string message, Core::Duration retryAfter) -> void
 {
     ForwardRefusal refusal;
     refusal.outcome = m_mayHaveRun ? RunOutcome::Unknown : RunOutcome::NotRun;
@@ -424,8 +529,7 @@
     const bool isReasonKept = reason == RefusalReason::UpstreamTimeout || reason == RefusalReason::CallerDisconnected;
     refusal.reason = m_mayHaveRun && !isReasonKept ? RefusalReason::UpstreamFailed : reason;
     refusal.message = std::move(message);
-    if (wait.count() > 0)
-        refusal.retryAfter = retryAfter(wait);
+    refusal.retryAfter = retryAfter;
     finish(std::move(refusal));
 }
 
@@ -489,6 +593,8 @@
     }
     if (unusedPermit)
         m_environment.quotas->giveBack(*unusedPermit);
+    if (m_context)
+        m_context->waitingRoom->leave(*this);
     m_recorder.recordEnd(reply, { last, attempts, m_environment.clock.now() - m_arrivedAt });
     callback(std::move(reply));
 }
--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -1,18 +1,27 @@
 #pragma once
 
+#include "admission/waiter.h"
 #include "forwarding/forwarder.h"
 #include "forwarding/requestrecorder.h"
 
 namespace Forwarding {
 
 /// Forwards one request: chooses upstreams, retries where that is safe, and delivers exactly one reply.
-class ForwardOperation : public OpenRequest, public std::enable_shared_from_this<ForwardOperation> {
+class ForwardOperation : public OpenRequest,
+                         public Admission::Waiter,
+                         public std::enable_shared_from_this<ForwardOperation> {
 public:
     ForwardOperation(Forwarder& forwarder, ForwardRequest request, ForwardCallback callback);
 
     auto start() -> void;
     auto abandon() -> void override;
 
+    [[nodiscard]] auto demand() const -> const Admission::Demand& override { return m_demand; }
+    [[nodiscard]] auto hasLeft() const -> bool override;
+    [[nodiscard]] auto roomExpected() const -> Core::Duration override { return m_roomExpected; }
+    auto tryStart() -> bool override;
+    auto turnAway(Admission::TurnAwayReason reason) -> void override;
+
 private:
     /// One exchange with an upstream.
     struct Attempt {
@@ -26,7 +35,7 @@
     auto identifyCaller() -> bool;
     /// Determines the regions that the route and the organisation both allow.
     auto restrictRegions() -> void;
-    [[nodiscard]] auto priority() const -> int;
+    [[nodiscard]] auto urgency() const -> Admission::Urgency;
     [[nodiscard]] auto verifiedCaller() const -> std::optional<Ports::VerifiedCaller>;
     /// Takes a permit from the organisation's quota, and then sends the request.
     auto acquirePermit() -> void;
@@ -34,6 +43,10 @@
     auto setDeadline() -> void;
     [[nodiscard]] auto hasCallerLeft() const -> bool { return m_request.caller && m_request.caller->isClosed(); }
     auto send() -> void;
+    /// Lets the request wait for a slot if it can still be served by that, and refuses it otherwise.
+    auto waitOrRefuse(const ChoiceFailure& failure, Core::Instant now) -> void;
+    /// Determines until when the request can be started, given the time that it will take.
+    auto estimateDemand(Core::Duration work) -> void;
     /// Returns the query for an upstream that is not among `tried`, which must outlive it.
     [[nodiscard]] auto makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery;
     /// Returns the index of the new attempt. Returns nullopt if the operation is closed, or if the attempt would hedge
@@ -61,9 +74,14 @@
     auto reportEnd(const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now) -> void;
     auto refuse(Core::RefusalReason reason, std::string message, Core::Duration wait) -> void;
     auto refuseChoice(const ChoiceFailure& failure) -> void;
+    /// Returns the time after which the caller should come back to a service without room; zero if it should not.
+    [[nodiscard]] auto placeReturn(const ChoiceFailure& failure) -> Core::Duration;
+    auto finishRefused(Core::RefusalReason reason, std::string message, Core::Duration retryAfter) -> void;
     auto finish(ForwardReply reply) -> void;
     auto cancelExchanges() -> void;
     [[nodiscard]] auto hasOpenExchange() const -> bool;
+    /// Returns the time that the caller has left, which may be longer than the route allows.
+    [[nodiscard]] auto timeLeft() const -> Core::Duration;
     [[nodiscard]] auto retryAfter(Core::Duration wait) const -> Core::Duration;
 
     Forwarder& m_forwarder;
@@ -74,6 +92,11 @@
     RequestRecorder m_recorder;
     const Core::Instant m_arrivedAt;
     Core::Instant m_deadline;
+    /// Time since the caller first asked, before this request arrived.
+    Core::Duration m_elapsed {};
+    Admission::Demand m_demand;
+    std::atomic<Core::Duration> m_roomExpected { Core::Duration(0) };
+    ChoiceFailure m_lastFailure;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     RoutePointer m_route;
     /// Null if the caller is not identified.
--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -10,8 +10,6 @@
 
     using Ports::ExchangeOutcome;
 
-    /// Weight of the newest report in the moving average of the load from other entry VMs.
-    constexpr double loadSmoothingFactor = 0.1;
     constexpr auto earliestStart = std::numeric_limits<std::int64_t>::min();
 
     auto healthSignalOf(const ExchangeReport& report) -> std::optional<UpstreamState::HealthSignal>
@@ -95,7 +93,7 @@
     if (report.outcome == ExchangeOutcome::Answered || report.outcome == ExchangeOutcome::NotRun)
         state->recordActivity(now);
     if (report.load)
-        m_othersPerSlot += loadSmoothingFactor * (state->othersLoad() / state->slots() - m_othersPerSlot);
+        m_othersLoad.record(state->othersLoad() / state->slots(), now);
     if (const auto signal = healthSignalOf(report))
         state->recordHealthSignal(*signal, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "admission/othersload.h"
+#include "admission/queuebound.h"
 #include "forwarding/placementsettings.h"
-#include "forwarding/queueadmission.h"
 #include "forwarding/replicaplanner.h"
 #include "forwarding/routeservicetimes.h"
 #include "forwarding/routingconfiguration.h"
@@ -57,6 +58,8 @@
     CacheState cacheState = CacheState::NoObject;
     double occupancy = 0;
     Core::Duration predicted {};
+    /// Time for which the request is expected to occupy a slot.
+    Core::Duration serviceTime {};
     OpenExchange exchange;
 };
 
@@ -75,8 +78,12 @@
     ChoiceFailureReason reason = ChoiceFailureReason::NoUpstream;
     /// Number of upstreams that were considered.
     std::size_t candidates = 0;
-    /// Time after which capacity is expected.
+    /// Least time that a request would wait at an upstream.
     Core::Duration wait {};
+    /// Time for which the request would occupy a slot.
+    Core::Duration work {};
+    /// Time after which the estimates show room if nothing is heard meanwhile; zero if that is not known.
+    Core::Duration roomExpected {};
 };
 
 using ChoiceResult = tl::expected<Choice, ChoiceFailure>;
@@ -175,6 +182,11 @@
     [[nodiscard]] static auto fits(
         const Candidate& candidate, const ChoiceQuery& query, RouteServiceTime& routeTime, Core::Instant now) -> bool;
     [[nodiscard]] auto hasCapacity(const Candidate& candidate, int priority, Core::Instant now) const -> bool;
+    /// Returns the number of requests per slot that may queue at an upstream.
+    [[nodiscard]] auto waitingPerSlot(int priority, Core::Instant now) const -> double;
+    /// Returns the time after which the best candidate is expected to have room.
+    [[nodiscard]] auto roomExpected(const Candidates& candidates, int priority, Core::Instant now) const
+        -> Core::Duration;
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
@@ -188,6 +200,8 @@
     /// Returns the time until the first of the upstreams that have asked for a pause accepts requests again, or zero if
     /// there are none.
     [[nodiscard]] auto shortestPause(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration;
+    /// Returns the time until the first upstream that is excluded for a moment may be used again, or zero if none is.
+    [[nodiscard]] auto firstUsable(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration;
     /// Returns the position from which on the incarnations of the upstream stand, in the order of their starts.
     [[nodiscard]] auto firstIncarnation(const Core::UpstreamId& id) -> States::iterator;
     [[nodiscard]] auto findState(const Ports::UpstreamTarget& target) -> UpstreamState*;
@@ -204,9 +218,8 @@
     ServiceTimeEstimator m_serviceTime;
     RouteServiceTimes m_routeTimes;
     ReplicaPlanner m_planner;
-    QueueAdmission m_queueAdmission;
-    /// Moving average of the load from other entry VMs on an upstream, in requests per slot.
-    double m_othersPerSlot = 0;
+    Admission::QueueBound m_queueBound;
+    Admission::OthersLoad m_othersLoad;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -57,7 +57,7 @@
 
 auto ServicePool::occupancy(const UpstreamState& state, Core::Instant now) const -> double
 {
-    return state.occupancy(m_othersPerSlot * state.slots(), now);
+    return state.occupancy(m_othersLoad.perSlot(now) * state.slots(), now);
 }
 
 auto ServicePool::candidatesFor(const ChoiceQuery& query, const RouteServiceTime& routeTime, Core::Instant now)
@@ -155,8 +155,32 @@
 
 auto ServicePool::hasCapacity(const Candidate& candidate, int priority, Core::Instant now) const -> bool
 {
-    const double waitingPerSlot = m_queueAdmission.mayQueue(priority, now) ? m_environment.settings.waitingPerSlot : 0;
-    return candidate.occupancy < candidate.state->slots() * (1 + waitingPerSlot);
+    return candidate.occupancy < candidate.state->slots() * (1 + waitingPerSlot(priority, now));
+}
+
+auto ServicePool::waitingPerSlot(int priority, Core::Instant now) const -> double
+{
+    return std::min(
+        m_environment.settings.waitingPerSlot, m_queueBound.waitingPerSlot(priority, m_serviceTime.mixed(), now));
+}
+
+auto ServicePool::roomExpected(const Candidates& candidates, int priority, Core::Instant now) const -> Core::Duration
+{
+    constexpr Core::Millis shortest { 25 };
+    constexpr Core::Millis longest { 800 };
+    const auto& first = candidates.front();
+    // A slot becomes free each time that one of as many requests as there are slots ends.
+    const double slots = first.state->slots();
+    const double excess = std::max(0.0, first.occupancy - slots * (1 + waitingPerSlot(priority, now))) + 1;
+    const auto departure = scaled(m_serviceTime.mixed(), excess / slots);
+    Core::Duration wait = shortest;
+    for (; wait < std::min<Core::Duration>(longest, departure); wait *= 2) {
+        auto candidate = first;
+        candidate.occupancy = occupancy(*candidate.state, now + wait);
+        if (hasCapacity(candidate, priority, now + wait))
+            break;
+    }
+    return std::max<Core::Duration>(shortest, std::min(wait, departure));
 }
 
 auto ServicePool::waitAt(double occupancy, double slots) const -> Core::Duration
@@ -195,7 +219,7 @@
     const std::lock_guard lock(m_mutex);
     auto choice = chooseLocked(query, now);
     if (!query.isHedge && (!choice || choice->predicted > query.targetLatency))
-        m_queueAdmission.recordShortage(query.priority, now);
+        m_queueBound.recordShortage(query.priority, now);
     return choice;
 }
 
@@ -203,9 +227,12 @@
 {
     m_serviceTime.setInitialEstimate(query.targetLatency);
     auto& routeTime = m_routeTimes.at(query.route, query.targetLatency, now);
+    const auto cacheState = query.object.value().empty() ? CacheState::NoObject : CacheState::Warm;
+    m_queueBound.record(query.priority, query.targetLatency, routeTime.mean(cacheState), now);
     auto candidates = candidatesFor(query, routeTime, now);
     if (candidates.empty())
-        return tl::unexpected(ChoiceFailure { ChoiceFailureReason::NoUpstream, 0, shortestPause(query, now) });
+        return tl::unexpected(ChoiceFailure {
+            ChoiceFailureReason::NoUpstream, 0, shortestPause(query, now), {}, firstUsable(query, now) });
     if (query.object.value().empty()) {
         std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
             return std::tie(a.cost, a.score) < std::tie(b.cost, b.score);
@@ -223,8 +250,8 @@
         if (candidate.cacheState == CacheState::Cold && &candidate != &candidates.front())
             continue;
         if (!fits(candidate, query, routeTime, now))
-            return tl::unexpected(
-                ChoiceFailure { ChoiceFailureReason::DeadlineUnreachable, candidates.size(), minimumWait });
+            return tl::unexpected(ChoiceFailure {
+                ChoiceFailureReason::DeadlineUnreachable, candidates.size(), minimumWait, candidate.serviceTime, {} });
         if (state.isCold(now))
             state.takeColdAllowance(m_settings.coldRate, now);
         if (isUnverified(state, now))
@@ -232,9 +259,10 @@
         const OpenExchange exchange { now, routeTime.responseTimeLimit() };
         state.beginExchange(exchange);
         return Choice { state.entry().target, state.entry().failureDomain, candidate.cacheState, candidate.occupancy,
-            candidate.wait + candidate.serviceTime, exchange };
+            candidate.wait + candidate.serviceTime, candidate.serviceTime, exchange };
     }
-    return tl::unexpected(ChoiceFailure { ChoiceFailureReason::Busy, candidates.size(), minimumWait });
+    return tl::unexpected(ChoiceFailure { ChoiceFailureReason::Busy, candidates.size(), minimumWait,
+        candidates.front().serviceTime, roomExpected(candidates, query.priority, now) });
 }
 
 auto ServicePool::fits(
@@ -257,6 +285,18 @@
     return first ? *first - now : Core::Duration(0);
 }
 
+auto ServicePool::firstUsable(const ChoiceQuery& query, Core::Instant now) const -> Core::Duration
+{
+    std::optional<Core::Instant> first;
+    for (const auto& [target, state] : m_states) {
+        const bool isCandidate = !state.isLeaving() && !m_evacuated.contains(state.entry().failureDomain)
+            && contains(query.homes, state.entry().region);
+        if (isCandidate && state.usableFrom() > now && (!first || state.usableFrom() < *first))
+            first = state.usableFrom();
+    }
+    return first ? *first - now : Core::Duration(0);
+}
+
 auto ServicePool::isUnverified(const UpstreamState& state, Core::Instant now) const -> bool
 {
     return state.isUnverified() || (m_isListStale && state.mayHaveRestarted(now));
--- a/src/libs/forwarding/servicetimeestimator.cpp
+++ b/src/libs/forwarding/servicetimeestimator.cpp
@@ -39,6 +39,9 @@
     // and an object that is assumed to be cached may not have been requested there yet. The measured time
     // distinguishes the two cases.
     const bool looksWarm = micros < (m_warm.micros + m_cold.micros) / 2;
+    const bool isCold = cacheState != CacheState::NoObject && !looksWarm;
+    m_coldShare += smoothingFactor * ((isCold ? 1.0 : 0.0) - m_coldShare);
+    m_noObjectShare += smoothingFactor * ((cacheState == CacheState::NoObject ? 1.0 : 0.0) - m_noObjectShare);
     if (cacheState == CacheState::NoObject)
         m_noObject.add(micros);
     else if (looksWarm)
@@ -48,6 +51,12 @@
     m_cold.micros = std::max(m_cold.micros, m_warm.micros * minimumColdRatio);
 }
 
+auto ServiceTimeEstimator::mixed() const -> Core::Duration
+{
+    return toDuration(m_warm.micros + m_coldShare * (m_cold.micros - m_warm.micros)
+        + m_noObjectShare * (m_noObject.micros - m_warm.micros));
+}
+
 auto ServiceTimeEstimator::replaceWithNext() -> void
 {
     for (auto* mean : { &m_warm, &m_cold, &m_noObject })
--- a/src/libs/forwarding/servicetimeestimator.h
+++ b/src/libs/forwarding/servicetimeestimator.h
@@ -23,6 +23,8 @@
     /// Lets the next recorded time of each cache state replace the estimate for it.
     auto replaceWithNext() -> void;
     [[nodiscard]] auto mean(CacheState cacheState) const -> Core::Duration;
+    /// Returns the mean over the cache states, in the proportion in which they occurred lately.
+    [[nodiscard]] auto mixed() const -> Core::Duration;
     [[nodiscard]] auto warm() const -> Core::Duration { return mean(CacheState::Warm); }
     [[nodiscard]] auto cold() const -> Core::Duration { return mean(CacheState::Cold); }
 
@@ -36,6 +38,9 @@
     };
 
     bool m_hasInitialEstimate = false;
+    /// Shares of the recent times.
+    double m_coldShare = 0;
+    double m_noObjectShare = 0;
     Mean m_warm;
     Mean m_cold;
     Mean m_noObject;
--- a/src/libs/forwarding/upstreamstate.h
+++ b/src/libs/forwarding/upstreamstate.h
@@ -69,6 +69,8 @@
     /// Returns true if the upstream has asked for a pause that has not ended.
     [[nodiscard]] auto isPaused(Core::Instant now) const -> bool { return now < m_pausedUntil; }
     [[nodiscard]] auto pausedUntil() const -> Core::Instant { return m_pausedUntil; }
+    /// Returns the instant from which neither a pause nor a refusal of a moment ago excludes the upstream.
+    [[nodiscard]] auto usableFrom() const -> Core::Instant { return std::max(m_pausedUntil, m_backoffUntil); }
     [[nodiscard]] auto isUsable(Core::Instant now) const -> bool;
     /// Returns true if the last answer is so old that the upstream may have restarted since.
     [[nodiscard]] auto mayHaveRestarted(Core::Instant now) const -> bool;
--- a/src/libs/organisations/organisation.h
+++ b/src/libs/organisations/organisation.h
@@ -21,7 +21,8 @@
 /// Customer of the platform, whose callers identify themselves by API keys.
 struct Organisation {
     Core::OrganisationId id;
-    /// Takes the place of the priority of the routes; none if the routes' own holds. 0 is the most urgent.
+    /// Decides between requests whose routes have the same priority; none if it is that of the route. 0 is the most
+    /// urgent.
     std::optional<int> priority;
     /// Regions that may serve the organisation's requests; empty allows all.
     std::vector<Core::RegionId> homes;
