--- a/src/libs/forwarding/servicepool.cpp
+++ b/src/libs/forwarding/servicepool.cpp
@@ -10,8 +10,6 @@
 
     using Ports::ExchangeOutcome;
 
-    /// Weight of the newest report in the moving average of the load from other entry VMs.
-    constexpr double loadSmoothingFactor = 0.1;
     constexpr auto earliestStart = std::numeric_limits<std::int64_t>::min();
 
     auto healthSignalOf(const ExchangeReport& report) -> std::optional<UpstreamState::HealthSignal>
@@ -97,7 +95,7 @@
     if (report.outcome == ExchangeOutcome::Answered || report.outcome == ExchangeOutcome::NotRun)
         state->recordActivity(now);
     if (report.load)
-        averageOthersLoad(*state);
+        m_othersLoad.record(state->othersLoad() / state->slots(), now);
     if (const auto signal = healthSignalOf(report))
         state->recordHealthSignal(*signal, now);
     if (report.outcome == ExchangeOutcome::Misdirected)
@@ -125,7 +123,7 @@
     state->beginBody(report.exchange, report.load, now);
     state->recordActivity(now);
     if (report.load)
-        averageOthersLoad(*state);
+        m_othersLoad.record(state->othersLoad() / state->slots(), now);
     return news;
 }
 
@@ -138,11 +136,6 @@
     return news;
 }
 
-auto ServicePool::averageOthersLoad(const UpstreamState& state) -> void
-{
-    m_othersPerSlot += loadSmoothingFactor * (state.othersLoad() / state.slots() - m_othersPerSlot);
-}
-
 auto ServicePool::passSignalsOn(const UpstreamState& state, Core::Instant now) -> void
 {
     const auto& target = state.entry().target;
