--- a/src/libs/forwardinghost/entryvmsettings.h
+++ b/src/libs/forwardinghost/entryvmsettings.h
@@ -31,8 +31,8 @@
     std::vector<Core::Address> seeds;
     Core::Address store;
     std::size_t threads = 1;
-    /// Processor time that the process may use.
-    EntryFleet::Cores processor { 1 };
+    /// Processor time that the process may use; zero if it is not known.
+    EntryFleet::Cores processor;
     std::size_t descriptors = 1024;
     Core::Bytes memory { 64UL * 1024 * 1024 };
     /// Time between the request to stop and the forced end of the process.
--- a/tests/platform/tst_settings.cpp
+++ b/tests/platform/tst_settings.cpp
@@ -28,12 +28,23 @@
     BOOST_TEST((settings->host.stopTimeout == Core::Millis(6000)));
     BOOST_TEST((settings->host.lookupLifetime == Core::Millis(2000)));
     BOOST_TEST((settings->host.batchingDelay == Core::Millis(800)));
+    BOOST_TEST(settings->host.processor.value() == 0);
     BOOST_TEST((settings->host.quotaBounds.window == Core::Millis(4000)));
     BOOST_TEST(settings->host.quotaBounds.overshoot == 0.05);
     BOOST_TEST(settings->host.quotaBounds.slack == 12);
     BOOST_TEST(settings->regions.at(Core::FailureDomainId("atl-a")).value() == "atl");
 }
 
+BOOST_AUTO_TEST_CASE(GiveTheProcessorTimeOfTheVm)
+{
+    auto text = valid;
+    const std::string cores = R"("cores":1,)";
+    text.replace(text.find(cores), cores.size(), R"("cores":2,"cpu_share":0.25,)");
+    const auto settings = Platform::decodeSettings(text);
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->host.processor.value() == 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(AreRefusedWithAllTheirProblemsAtOnce)
 {
     const auto settings = Platform::decodeSettings(R"({"node":7,"bounds":{"grace":"6 minutes"}})");
