Let requests wait longer for a permit right after a start

A request with an early deadline that waited behind others was told too late (found by reading).

Change: in the first 2 s, requests wait for up to 1 s. All requests that wait are looked at, not only the first.

--- a/src/libs/quotas/organisationpermits.cpp
+++ b/src/libs/quotas/organisationpermits.cpp
@@ -19,6 +19,9 @@
     constexpr Core::Millis supplyInterval { 500 };
     /// Once a request has waited in vain, requests wait only if a permit is to be expected, for this time.
     constexpr Core::Millis scarceTime { 1000 };
+    /// All VMs may have restarted together, so that no permits are there yet: a late answer is better than none.
+    constexpr Core::Millis startTime { 2000 };
+    constexpr Core::Millis startWait { 1000 };
     constexpr std::size_t maximumWaiters = 1024;
     /// Other VMs may leave this one permits although it took none lately.
     constexpr double lowestSupplyRate = 1;
@@ -61,6 +64,8 @@
 auto OrganisationPermits::refill(const FleetPart& part, Core::Instant now) -> void
 {
     m_room = Permits::of(m_held * part.heldShare);
+    if (m_startedAt == Core::Instant::min())
+        m_startedAt = now;
     m_mintedRate = m_quota.rate * part.mintedShare;
     if (m_refilledAt != Core::Instant::min() && m_stock < m_room) {
         const auto minted = Permits::of(m_mintedRate * Seconds(now - m_refilledAt).count());
@@ -122,10 +127,12 @@
             return;
         }
     }
-    if (mayWait(now))
-        m_waiters.push_back({ std::min<Core::Instant>(latest, now + maximumWait), std::move(callback) });
-    else
+    if (!mayWait(now)) {
         refuse(std::move(callback), decisions);
+        return;
+    }
+    const auto wait = isWithin(startTime, m_startedAt, now) ? startWait : maximumWait;
+    m_waiters.push_back({ std::min<Core::Instant>(latest, now + wait), std::move(callback) });
 }
 
 auto OrganisationPermits::refuse(QuotaGate::Callback callback, Decisions& decisions) -> void
@@ -168,12 +175,13 @@
         decisions.push_back({ std::move(m_waiters.front().callback), std::move(*permit) });
         m_waiters.pop_front();
     }
-    while (!m_waiters.empty() && m_waiters.front().until <= now) {
-        auto callback = std::move(m_waiters.front().callback);
-        m_waiters.pop_front();
+    const auto expired = std::stable_partition(
+        m_waiters.begin(), m_waiters.end(), [now](const Waiter& waiter) { return waiter.until > now; });
+    for (auto waiter = expired; waiter != m_waiters.end(); ++waiter) {
         m_lastExpiry = now;
-        refuse(std::move(callback), decisions);
+        refuse(std::move(waiter->callback), decisions);
     }
+    m_waiters.erase(expired, m_waiters.end());
 }
 
 auto OrganisationPermits::waiting() const -> Permits
--- a/src/libs/quotas/organisationpermits.h
+++ b/src/libs/quotas/organisationpermits.h
@@ -21,7 +21,7 @@
 /// Decides only; runs no callbacks. Not thread-safe.
 class OrganisationPermits {
 public:
-    /// Time for which a request waits for a permit at most.
+    /// Time for which a request waits for a permit at most, except in the first seconds.
     static constexpr Core::Millis maximumWait { 350 };
     /// A permit that comes back unused is good for this time after it was taken, however often it was.
     static constexpr Core::Millis returnLifetime { 250 };
@@ -108,6 +108,7 @@
     double m_held = 0;
     Permits m_stock;
     Permits m_room;
+    Core::Instant m_startedAt = Core::Instant::min();
     Core::Instant m_refilledAt = Core::Instant::min();
     Core::Instant m_lastRequest = Core::Instant::min();
     Core::Instant m_lastExpiry = Core::Instant::min();
