Write nothing behind a streamed body, and let the tests of planned stops pipeline

The end of a body was an optional value within the loop of a coroutine, and its write had temporaries as arguments. Ruled out: the framing itself, which has no part in coroutines, and the test's body.

Change: the writer's arguments are variables, and whether the body is complete is asked before its end is written.

tst_plannedstops: a caller for each VM sends 12 idempotent requests at a time; those without an answer must not have run. tst_shutdown: a stop ends although clients keep sending. It needed no change: the server already tells the end of a stop when its last connection has closed, and each of them closes with its next response.

--- a/src/plugins/httpserver/bodyframing.cpp
+++ b/src/plugins/httpserver/bodyframing.cpp
@@ -37,27 +37,23 @@
     {
     }
 
-    auto BodyFraming::frame(std::size_t partSize) -> std::optional<Frame>
+    auto BodyFraming::accept(std::size_t partSize) -> bool
     {
-        if (m_isChunked)
-            return Frame { chunkHeader(partSize), "\r\n" };
-        if (m_remaining) {
-            if (partSize > *m_remaining)
-                return std::nullopt;
-            *m_remaining -= partSize;
-        }
-        return Frame {};
+        if (!m_remaining)
+            return true;
+        if (partSize > *m_remaining)
+            return false;
+        *m_remaining -= partSize;
+        return true;
     }
 
-    auto BodyFraming::end() const -> std::optional<std::string>
+    auto BodyFraming::frame(std::size_t partSize) const -> Frame
     {
-        if (m_isChunked)
-            return "0\r\n\r\n";
-        if (m_remaining.value_or(0) > 0)
-            return std::nullopt;
-        return std::string();
+        return m_isChunked ? Frame { chunkHeader(partSize), "\r\n" } : Frame {};
     }
 
+    auto BodyFraming::end() const -> Frame { return m_isChunked ? Frame { "0\r\n", "\r\n" } : Frame {}; }
+
 } // namespace detail
 
 } // namespace HttpServer
--- a/src/plugins/httpserver/bodyframing.h
+++ b/src/plugins/httpserver/bodyframing.h
@@ -19,10 +19,13 @@
             std::string prefix;
             std::string suffix;
         };
-        /// Returns std::nullopt if the part is longer than the rest of the body.
-        auto frame(std::size_t partSize) -> std::optional<Frame>;
-        /// Returns what follows the last part, or std::nullopt if the body is not complete.
-        [[nodiscard]] auto end() const -> std::optional<std::string>;
+        /// Returns false if the part is longer than the rest of the body; it must not be written then.
+        auto accept(std::size_t partSize) -> bool;
+        [[nodiscard]] auto frame(std::size_t partSize) const -> Frame;
+        /// Returns true if the accepted parts have the length that the head says.
+        [[nodiscard]] auto isComplete() const -> bool { return m_remaining.value_or(0) == 0; }
+        /// Returns the frame around nothing that ends a complete body.
+        [[nodiscard]] auto end() const -> Frame;
 
     private:
         const bool m_isChunked;
--- a/src/plugins/httpserver/responsewriter.cpp
+++ b/src/plugins/httpserver/responsewriter.cpp
@@ -1,7 +1,5 @@
 #include "httpserver/responsewriter.h"
 
-#include "httpserver/bodyframing.h"
-
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
@@ -48,21 +46,26 @@
         co_return !error;
     }
 
+    // The arguments of these coroutines are variables, because GCC 12 loses temporaries among them.
     auto ResponseWriter::writeBody(const HttpResponse& head, std::shared_ptr<PartReader> body) -> asio::awaitable<bool>
     {
         BodyFraming framing(head);
-        while (const auto part = co_await PartReader::read(body)) {
-            if (part->empty()) {
-                const auto end = framing.end();
-                co_return end&& co_await writeText(*end, {}, {});
-            }
-            const auto frame = framing.frame(part->size());
-            if (!frame)
-                co_return false;
-            if (!co_await writeText(frame->prefix, *part, frame->suffix))
+        std::optional<std::string> part;
+        bool isWritten = true;
+        while (isWritten) {
+            part = co_await PartReader::read(body);
+            if (!part || part->empty())
+                break;
+            if (!framing.accept(part->size()))
                 co_return false;
+            const BodyFraming::Frame frame = framing.frame(part->size());
+            isWritten = co_await writeText(frame, *part);
         }
-        co_return false;
+        if (!isWritten || !part || !framing.isComplete())
+            co_return false;
+        const BodyFraming::Frame end = framing.end();
+        isWritten = co_await writeText(end, *part);
+        co_return isWritten;
     }
 
     auto ResponseWriter::writeContinue() -> asio::awaitable<Error>
@@ -87,10 +90,9 @@
         m_socket.disarmTimeout();
     }
 
-    auto ResponseWriter::writeText(std::string_view prefix, std::string_view part, std::string_view suffix)
-        -> asio::awaitable<bool>
+    auto ResponseWriter::writeText(const BodyFraming::Frame& frame, const std::string& part) -> asio::awaitable<bool>
     {
-        const std::array<asio::const_buffer, 3> text { buffer(prefix), buffer(part), buffer(suffix) };
+        const std::array<asio::const_buffer, 3> text { buffer(frame.prefix), buffer(part), buffer(frame.suffix) };
         beast::buffers_suffix<std::array<asio::const_buffer, 3>> rest(text);
         Error error;
         while (!error && beast::buffer_bytes(rest) > 0) {
--- a/src/plugins/httpserver/responsewriter.h
+++ b/src/plugins/httpserver/responsewriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "httpserver/bodyframing.h"
 #include "httpserver/partreader.h"
 #include "httpserver/timedsocket.h"
 
@@ -30,8 +31,7 @@
         auto discardInput() -> boost::asio::awaitable<void>;
 
     private:
-        auto writeText(std::string_view prefix, std::string_view part, std::string_view suffix)
-            -> boost::asio::awaitable<bool>;
+        auto writeText(const BodyFraming::Frame& frame, const std::string& part) -> boost::asio::awaitable<bool>;
 
         TimedSocket& m_socket;
         Core::Millis m_idleTimeout { 0 };
--- a/tests/auto/httpserver/tst_shutdown.cpp
+++ b/tests/auto/httpserver/tst_shutdown.cpp
@@ -3,6 +3,7 @@
 #include "standins/rawconnection.h"
 #include "support/heldthreads.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 
@@ -110,6 +111,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhileClientsKeepSending)
+
+/// Each answer would be a reason to wait for the next request.
+BOOST_AUTO_TEST_CASE(EndsByTheAnswersToWhatItHadRead)
+{
+    std::atomic<int> answers { 0 };
+    std::vector<StandIns::RawConnection> connections;
+    for (int client = 0; client < 4; ++client)
+        connections.emplace_back(server.port());
+    std::vector<std::jthread> clients;
+    for (auto& connection : connections)
+        clients.emplace_back([&connection, &answers] {
+            for (bool isOpen = true; isOpen;) {
+                connection.send(request);
+                isOpen = connection.readUntil("done").ends_with("done");
+                answers += isOpen ? 1 : 0;
+            }
+        });
+    while (answers < 100)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    const auto end = shutDown();
+    BOOST_TEST((end.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+    BOOST_TEST(server.openRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithAnIdleConnection)
 
 BOOST_AUTO_TEST_CASE(ClosesItAndEnds)
--- a/tests/auto/httpserver/tst_streams.cpp
+++ b/tests/auto/httpserver/tst_streams.cpp
@@ -124,7 +124,8 @@
     stream("/s");
     BOOST_TEST(body->give("part"));
     BOOST_TEST(body->breakOff());
-    BOOST_TEST(connection.readToEnd().ends_with("4\r\npart\r\n"));
+    const auto answer = connection.readToEnd();
+    BOOST_TEST(answer.ends_with("4\r\npart\r\n"), answer);
 }
 
 BOOST_AUTO_TEST_CASE(IsDelimitedByTheConnectionForAnOldClient)
@@ -152,13 +153,28 @@
     BOOST_TEST(connection.readUntil("partpart").ends_with("\r\n\r\npartpart"));
 }
 
+/// Bytes behind the body would be taken for the next response.
+BOOST_AUTO_TEST_CASE(IsFollowedByNothingButTheNextResponse)
+{
+    request("/s");
+    stream("/s", 4);
+    BOOST_TEST(body->give("part"));
+    BOOST_TEST(body->give(""));
+    request("/t");
+    BOOST_TEST(handler.waitForStarted(2));
+    handler.answer("/t");
+    const auto answers = connection.readUntil("to /t\n");
+    BOOST_TEST(answers.find("\r\n\r\npartHTTP/1.1 200 OK\r\n") != std::string::npos, answers);
+}
+
 BOOST_AUTO_TEST_CASE(ThatEndsEarlyEndsTheConnection)
 {
     request("/s");
     stream("/s", 8);
     BOOST_TEST(body->give("part"));
     BOOST_TEST(body->give(""));
-    BOOST_TEST(connection.readToEnd().ends_with("\r\n\r\npart"));
+    const auto answer = connection.readToEnd();
+    BOOST_TEST(answer.ends_with("\r\n\r\npart"), answer);
 }
 
 BOOST_AUTO_TEST_CASE(ThatIsLongerThanThatIsCutAndCancelled)
@@ -167,7 +183,8 @@
     stream("/s", 4);
     BOOST_TEST(body->give("part"));
     BOOST_TEST(body->give("HTTP/1.1 200 OK"));
-    BOOST_TEST(connection.readToEnd().ends_with("\r\n\r\npart"));
+    const auto answer = connection.readToEnd();
+    BOOST_TEST(answer.ends_with("\r\n\r\npart"), answer);
     BOOST_TEST(body->isCancelled());
 }
 
@@ -210,7 +227,8 @@
     BOOST_TEST(body->give("part"));
     BOOST_TEST(body->breakOff());
     BOOST_TEST(handler.waitForAbandoned(1));
-    BOOST_TEST(connection.readToEnd().ends_with("4\r\npart\r\n"));
+    const auto answer = connection.readToEnd();
+    BOOST_TEST(answer.ends_with("4\r\npart\r\n"), answer);
 }
 
 BOOST_AUTO_TEST_CASE(IsCancelledIfItsTurnDoesNotCome)
--- a/tests/platform/keptconnection.cpp
+++ b/tests/platform/keptconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/endpoints.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -49,4 +50,40 @@
     return End::Answered;
 }
 
+auto KeptConnection::sendPipelined(const std::vector<std::string>& ids, bool& isReachable) -> std::vector<int>
+{
+    isReachable = m_socket.is_open() || connect();
+    if (!isReachable)
+        return {};
+    std::string requests;
+    for (const auto& id : ids)
+        requests += "GET /prices/7 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
+            + "\r\nRequest-Deadline: 3000\r\n\r\n";
+    boost::system::error_code error;
+    boost::asio::write(m_socket, boost::asio::buffer(requests), error);
+    std::vector<int> statuses;
+    for (const auto& id : ids) {
+        const auto status = readStatus(id);
+        if (!status)
+            break;
+        statuses.push_back(*status);
+    }
+    return statuses;
+}
+
+auto KeptConnection::readStatus(const std::string& id) -> std::optional<int>
+{
+    if (!m_socket.is_open())
+        return std::nullopt;
+    boost::system::error_code error;
+    http::response<http::string_body> response;
+    http::read(m_socket, m_buffer, response, error);
+    if (error || !response.keep_alive())
+        m_socket.close();
+    // Answers of upstreams bear the id of their request.
+    if (error || (response.result() == http::status::ok && response["Attempt-Id"] != id))
+        return std::nullopt;
+    return static_cast<int>(response.result_int());
+}
+
 } // namespace PlatformTest
--- a/tests/platform/keptconnection.h
+++ b/tests/platform/keptconnection.h
@@ -5,6 +5,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace PlatformTest {
 
@@ -23,9 +26,14 @@
 
     /// Sends the request of a booking and waits for its answer. Sets status if it arrives.
     auto send(const std::string& id, int& status) -> End;
+    /// Sends idempotent requests at once and waits for their answers. Returns the statuses of those that arrived, which
+    /// are answers to the first ones. If the entry VM can't be reached, isReachable is set to false.
+    auto sendPipelined(const std::vector<std::string>& ids, bool& isReachable) -> std::vector<int>;
 
 private:
     auto connect() -> bool;
+    /// Reads the next answer, and closes the connection if it is the last. Returns std::nullopt if there is none.
+    auto readStatus(const std::string& id) -> std::optional<int>;
 
     boost::asio::io_context m_context;
     const boost::asio::ip::tcp::endpoint m_server;
--- a/tests/platform/platformsite.cpp
+++ b/tests/platform/platformsite.cpp
@@ -62,6 +62,10 @@
     const json route { { "name", "r-1" }, { "path_prefix", prefix }, { "kind", "non_idempotent" },
         { "timeout", "2000ms" }, { "target_latency", "400ms" }, { "priority", 0 }, { "service", "pegs" },
         { "attempts", 2 }, { "sticky", true }, { "home_regions", json::array() } };
+    auto reads = route;
+    reads["name"] = "r-2";
+    reads["path_prefix"] = "/prices/";
+    reads["kind"] = "idempotent";
     m_objects.put("config", "main",
         { { "version", version },
             { "services",
@@ -70,7 +74,7 @@
             { "limits",
                 { { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 }, { "header_timeout", "3000ms" },
                     { "idle_timeout", "15s" } } },
-            { "hosts", { { { "host", "desk.example" }, { "paths", { route } } } } } });
+            { "hosts", { { { "host", "desk.example" }, { "paths", { route, reads } } } } } });
 }
 
 auto PlatformSite::address(int index, int offset) const -> Core::Address
--- a/tests/platform/platformsite.h
+++ b/tests/platform/platformsite.h
@@ -26,7 +26,8 @@
     PlatformSite(const PlatformSite&) = delete;
     auto operator=(const PlatformSite&) -> PlatformSite& = delete;
 
-    /// Writes a configuration with a single route, from the path prefix to the upstreams.
+    /// Writes a configuration with a route for bookings, from the path prefix to the upstreams, and an idempotent one
+    /// from /prices/.
     auto configure(std::uint64_t version, const std::string& prefix = "/stock/") -> void;
     auto startEntryVm(int index) -> void;
     auto waitUntilReady(int index) -> void;
--- a/tests/platform/tst_plannedstops.cpp
+++ b/tests/platform/tst_plannedstops.cpp
@@ -10,17 +10,19 @@
 using PlatformTest::KeptConnection;
 using PlatformTest::PlatformSite;
 
-/// What callers saw of their bookings.
+/// What callers saw of their bookings, and of their pipelined requests.
 struct Bookings {
     std::mutex mutex;
     std::map<std::string, int> statuses;
     std::vector<std::string> unanswered;
+    std::size_t pipelined = 0;
 };
 
 /// Site of two entry VMs under a load that never lets them be idle. Some runs take much longer than expected, but less
 /// than the timeout of the route.
 struct LoadedSite {
     static constexpr int callersPerVm = 8;
+    static constexpr int pipelinesPerVm = 1;
 
     LoadedSite()
     {
@@ -33,6 +35,8 @@
             site.waitUntilReady(vm);
         for (int caller = 0; caller < 2 * callersPerVm; ++caller)
             callers.emplace_back([this, caller] { book(caller); });
+        for (int caller = 0; caller < 2 * pipelinesPerVm; ++caller)
+            callers.emplace_back([this, caller] { pipeline(caller); });
     }
 
     ~LoadedSite()
@@ -62,6 +66,25 @@
         }
     }
 
+    /// Sends several idempotent requests at a time on one connection until the entry VM no longer accepts any.
+    auto pipeline(int caller) -> void
+    {
+        KeptConnection connection(site.front(caller % 2));
+        bool isReachable = true;
+        for (int round = 0; !isEnding && isReachable; ++round) {
+            constexpr int depth = 12;
+            std::vector<std::string> ids;
+            for (int number = 0; number < depth; ++number)
+                ids.push_back(
+                    "p" + std::to_string(caller) + '-' + std::to_string(round) + '-' + std::to_string(number));
+            const auto statuses = connection.sendPipelined(ids, isReachable);
+            const std::lock_guard lock(bookings.mutex);
+            bookings.pipelined += statuses.size();
+            bookings.unanswered.insert(
+                bookings.unanswered.end(), ids.begin() + static_cast<std::ptrdiff_t>(statuses.size()), ids.end());
+        }
+    }
+
     auto waitForEnd(int vm) -> void { BOOST_TEST(site.process(vm).wait() == 0); }
 
     /// Checks that each booking was either answered or certainly not run.
@@ -78,6 +101,7 @@
         for (const auto& id : bookings.unanswered)
             BOOST_TEST(!runs.contains(id), id << " ran and got no answer");
         BOOST_TEST(answered > 0U);
+        BOOST_TEST(bookings.pipelined > 0U);
     }
 
     static constexpr int upstreams = 6;
