Let the organisation's priority go before the route's

Cause: the platform defines that an organisation's priority takes precedence; the merged admission had it the other way round. Change: Admission::Urgency orders by organisation, then by route, and bounds queues and floors alike.

--- a/src/libs/admission/demand.h
+++ b/src/libs/admission/demand.h
@@ -5,11 +5,12 @@
 
 namespace Admission {
 
-/// Importance of a request; the smaller, the more urgent. The kind of request goes first, so that a more urgent kind is
-/// not served less often than a less urgent one; the priority of its organisation decides within the kind.
+/// Importance of a request; the smaller, the more urgent. The priority of the caller's organisation goes before that of
+/// the route.
 struct Urgency {
-    int kind = 0;
+    /// That of the route if the organisation has none.
     int organisation = 0;
+    int route = 0;
 
     friend auto operator<=>(const Urgency&, const Urgency&) -> std::strong_ordering = default;
 };
--- a/src/libs/admission/waitingorder.cpp
+++ b/src/libs/admission/waitingorder.cpp
@@ -11,8 +11,7 @@
     {
         const bool isLate = now > demand.inTimeUntil;
         const auto latestStart = isLate ? demand.servableUntil : demand.inTimeUntil;
-        return std::tuple(isLate, shares.isOverFairShare(demand.organisation, now), demand.urgency.organisation,
-            latestStart, demand.askedAt);
+        return std::tuple(isLate, shares.isOverFairShare(demand.organisation, now), latestStart, demand.askedAt);
     }
 
 } // namespace
@@ -20,11 +19,11 @@
 auto LeastCostOrder::precedes(const Demand& a, const Demand& b, const WorkShares& shares, Core::Instant now) const
     -> bool
 {
-    if (a.urgency.kind == b.urgency.kind)
+    if (a.urgency == b.urgency)
         return costKey(a, shares, now) < costKey(b, shares, now);
-    const bool isLessUrgent = a.urgency.kind > b.urgency.kind;
-    const auto lessUrgentKind = isLessUrgent ? a.urgency.kind : b.urgency.kind;
-    const bool isBelowFloor = shares.shareFrom(lessUrgentKind, now) < lessUrgentFloor;
+    const bool isLessUrgent = a.urgency > b.urgency;
+    const auto& lessUrgent = isLessUrgent ? a.urgency : b.urgency;
+    const bool isBelowFloor = shares.shareFrom(lessUrgent, now) < lessUrgentFloor;
     return isLessUrgent == isBelowFloor;
 }
 
--- a/src/libs/admission/workshares.cpp
+++ b/src/libs/admission/workshares.cpp
@@ -33,7 +33,7 @@
         forgetIdle(now);
     const auto work = static_cast<double>(demand.work.count());
     m_byOrganisation[demand.organisation].add(work, now);
-    m_byKind[demand.urgency.kind].add(work, now);
+    m_byUrgency[demand.urgency].add(work, now);
     m_all.add(work, now);
 }
 
@@ -52,13 +52,13 @@
     return active > 1 && found->second.at(now) * static_cast<double>(active) > m_all.at(now);
 }
 
-auto WorkShares::shareFrom(int kind, Core::Instant now) const -> double
+auto WorkShares::shareFrom(const Urgency& urgency, Core::Instant now) const -> double
 {
     const double all = m_all.at(now);
     if (all <= 0)
         return 1;
     double sum = 0;
-    for (auto item = m_byKind.lower_bound(kind); item != m_byKind.end(); ++item)
+    for (auto item = m_byUrgency.lower_bound(urgency); item != m_byUrgency.end(); ++item)
         sum += item->second.at(now);
     return sum / all;
 }
--- a/src/libs/admission/workshares.h
+++ b/src/libs/admission/workshares.h
@@ -6,15 +6,16 @@
 
 namespace Admission {
 
-/// Work that was started recently, by organisation and by kind. Answers the load of an organisation that sends many
+/// Work that was started recently, by organisation and by urgency. Answers the load of an organisation that sends many
 /// times its usual, and of a flood of urgent requests.
 class WorkShares {
 public:
     auto record(const Demand& demand, Core::Instant now) -> void;
     /// Returns true if the organisation has had more than an equal share of the recent work.
     [[nodiscard]] auto isOverFairShare(const Core::OrganisationId& organisation, Core::Instant now) const -> bool;
-    /// Returns the part of the recent work that went to this kind and to less urgent ones; 1 if there was no work.
-    [[nodiscard]] auto shareFrom(int kind, Core::Instant now) const -> double;
+    /// Returns the part of the recent work that went to requests of this urgency and to less urgent ones; 1 if there
+    /// was no work.
+    [[nodiscard]] auto shareFrom(const Urgency& urgency, Core::Instant now) const -> double;
 
 private:
     /// Sum that halves with each half-life.
@@ -29,7 +30,7 @@
     auto forgetIdle(Core::Instant now) -> void;
 
     std::map<Core::OrganisationId, Fading> m_byOrganisation;
-    std::map<int, Fading> m_byKind;
+    std::map<Urgency, Fading> m_byUrgency;
     Fading m_all;
 };
 
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -143,8 +143,8 @@
 
 auto ForwardOperation::urgency() const -> Admission::Urgency
 {
-    const auto kind = m_route->priority;
-    return { kind, m_organisation ? m_organisation->priority.value_or(kind) : kind };
+    const auto route = m_route->priority;
+    return { m_organisation ? m_organisation->priority.value_or(route) : route, route };
 }
 
 auto ForwardOperation::verifiedCaller() const -> std::optional<Ports::VerifiedCaller>
@@ -309,7 +309,7 @@
     query.tried = &tried;
     query.timeLeft = m_deadline - now;
     query.targetLatency = m_route->targetLatency;
-    query.priority = m_route->priority;
+    query.urgency = urgency();
     return query;
 }
 
--- a/src/libs/forwarding/servicepool.h
+++ b/src/libs/forwarding/servicepool.h
@@ -45,8 +45,7 @@
     Core::Duration timeLeft {};
     /// Answers within this time are worth the most.
     Core::Duration targetLatency {};
-    /// 0 is the most urgent.
-    int priority = 0;
+    Admission::Urgency urgency;
     /// The request is open at another upstream that has fallen silent. It is not turned away if there is no room.
     bool isHedge = false;
 };
@@ -186,12 +185,13 @@
     /// Returns true if the candidate is predicted to answer in time, or if the prediction is due for a trial.
     [[nodiscard]] static auto fits(
         const Candidate& candidate, const ChoiceQuery& query, RouteServiceTime& routeTime, Core::Instant now) -> bool;
-    [[nodiscard]] auto hasCapacity(const Candidate& candidate, int priority, Core::Instant now) const -> bool;
+    [[nodiscard]] auto hasCapacity(
+        const Candidate& candidate, const Admission::Urgency& urgency, Core::Instant now) const -> bool;
     /// Returns the number of requests per slot that may queue at an upstream.
-    [[nodiscard]] auto waitingPerSlot(int priority, Core::Instant now) const -> double;
+    [[nodiscard]] auto waitingPerSlot(const Admission::Urgency& urgency, Core::Instant now) const -> double;
     /// Returns the time after which the best candidate is expected to have room.
-    [[nodiscard]] auto roomExpected(const Candidates& candidates, int priority, Core::Instant now) const
-        -> Core::Duration;
+    [[nodiscard]] auto roomExpected(
+        const Candidates& candidates, const Admission::Urgency& urgency, Core::Instant now) const -> Core::Duration;
     [[nodiscard]] auto occupancy(const UpstreamState& state, Core::Instant now) const -> double;
     [[nodiscard]] auto waitAt(double occupancy, double slots) const -> Core::Duration;
     [[nodiscard]] auto distanceCost(const UpstreamEntry& entry) const -> Core::Duration;
--- a/src/libs/forwarding/servicepoolchoice.cpp
+++ b/src/libs/forwarding/servicepoolchoice.cpp
@@ -145,39 +145,41 @@
     const auto replicaCost
         = scaled(m_serviceTime.cold() - m_serviceTime.warm(), m_environment.settings.replicaPrice / entryVmCount);
     // A full upstream would refuse the request, so the extra cost is that of a whole replica.
-    const auto extraCost = hasCapacity(best, query.priority, now) ? best.cost - alternative->cost : replicaCost;
-    if (extraCost.count() <= 0 || !hasCapacity(*alternative, query.priority, now))
+    const auto extraCost = hasCapacity(best, query.urgency, now) ? best.cost - alternative->cost : replicaCost;
+    if (extraCost.count() <= 0 || !hasCapacity(*alternative, query.urgency, now))
         return;
     m_planner.addExtraCost(query.object, extraCost, now);
     if (m_planner.tryReplicate(query.object, replicaCost, now))
         std::rotate(candidates.begin(), alternative, alternative + 1);
 }
 
-auto ServicePool::hasCapacity(const Candidate& candidate, int priority, Core::Instant now) const -> bool
+auto ServicePool::hasCapacity(const Candidate& candidate, const Admission::Urgency& urgency, Core::Instant now) const
+    -> bool
 {
-    return candidate.occupancy < candidate.state->slots() * (1 + waitingPerSlot(priority, now));
+    return candidate.occupancy < candidate.state->slots() * (1 + waitingPerSlot(urgency, now));
 }
 
-auto ServicePool::waitingPerSlot(int priority, Core::Instant now) const -> double
+auto ServicePool::waitingPerSlot(const Admission::Urgency& urgency, Core::Instant now) const -> double
 {
     return std::min(
-        m_environment.settings.waitingPerSlot, m_queueBound.waitingPerSlot(priority, m_serviceTime.mixed(), now));
+        m_environment.settings.waitingPerSlot, m_queueBound.waitingPerSlot(urgency, m_serviceTime.mixed(), now));
 }
 
-auto ServicePool::roomExpected(const Candidates& candidates, int priority, Core::Instant now) const -> Core::Duration
+auto ServicePool::roomExpected(const Candidates& candidates, const Admission::Urgency& urgency, Core::Instant now) const
+    -> Core::Duration
 {
     constexpr Core::Millis shortest { 25 };
     constexpr Core::Millis longest { 800 };
     const auto& first = candidates.front();
     // A slot becomes free each time that one of as many requests as there are slots ends.
     const double slots = first.state->slots();
-    const double excess = std::max(0.0, first.occupancy - slots * (1 + waitingPerSlot(priority, now))) + 1;
+    const double excess = std::max(0.0, first.occupancy - slots * (1 + waitingPerSlot(urgency, now))) + 1;
     const auto departure = scaled(m_serviceTime.mixed(), excess / slots);
     Core::Duration wait = shortest;
     for (; wait < std::min<Core::Duration>(longest, departure); wait *= 2) {
         auto candidate = first;
         candidate.occupancy = occupancy(*candidate.state, now + wait);
-        if (hasCapacity(candidate, priority, now + wait))
+        if (hasCapacity(candidate, urgency, now + wait))
             break;
     }
     return std::max<Core::Duration>(shortest, std::min(wait, departure));
@@ -219,7 +221,7 @@
     const std::lock_guard lock(m_mutex);
     auto choice = chooseLocked(query, now);
     if (!query.isHedge && (!choice || choice->predicted > query.targetLatency))
-        m_queueBound.recordShortage(query.priority, now);
+        m_queueBound.recordShortage(query.urgency, now);
     return choice;
 }
 
@@ -228,7 +230,7 @@
     m_serviceTime.setInitialEstimate(query.targetLatency);
     auto& routeTime = m_routeTimes.at(query.route, query.targetLatency, now);
     const auto cacheState = query.object.value().empty() ? CacheState::NoObject : CacheState::Warm;
-    m_queueBound.record(query.priority, query.targetLatency, routeTime.mean(cacheState), now);
+    m_queueBound.record(query.urgency, query.targetLatency, routeTime.mean(cacheState), now);
     auto candidates = candidatesFor(query, routeTime, now);
     if (candidates.empty())
         return tl::unexpected(ChoiceFailure {
@@ -245,7 +247,7 @@
     for (const auto& candidate : candidates) {
         auto& state = *candidate.state;
         minimumWait = std::min(minimumWait, candidate.wait);
-        if (!hasCapacity(candidate, query.priority, now))
+        if (!hasCapacity(candidate, query.urgency, now))
             continue;
         if (candidate.cacheState == CacheState::Cold && &candidate != &candidates.front())
             continue;
@@ -262,7 +264,7 @@
             candidate.wait + candidate.serviceTime, candidate.serviceTime, exchange };
     }
     return tl::unexpected(ChoiceFailure { ChoiceFailureReason::Busy, candidates.size(), minimumWait,
-        candidates.front().serviceTime, roomExpected(candidates, query.priority, now) });
+        candidates.front().serviceTime, roomExpected(candidates, query.urgency, now) });
 }
 
 auto ServicePool::fits(
--- a/src/libs/organisations/organisation.h
+++ b/src/libs/organisations/organisation.h
@@ -21,7 +21,7 @@
 /// Customer of the platform, whose callers identify themselves by API keys.
 struct Organisation {
     Core::OrganisationId id;
-    /// Decides between requests whose routes have the same priority; none if it is that of the route. 0 is the most
+    /// Goes before the priority of the routes; none if it is that of the route. 0 is the most
     /// urgent.
     std::optional<int> priority;
     /// Regions that may serve the organisation's requests; empty allows all.
--- a/tests/auto/admission/fakewaiter.h
+++ b/tests/auto/admission/fakewaiter.h
@@ -13,9 +13,9 @@
 /// Request with a target latency of 400 ms, a deadline of 2 s and work of 100 ms, unless the test says otherwise.
 class FakeWaiter : public Admission::Waiter {
 public:
-    explicit FakeWaiter(int kind = 0, Core::Instant askedAt = start, const std::string& organisation = "one")
+    explicit FakeWaiter(int priority = 0, Core::Instant askedAt = start, const std::string& organisation = "one")
     {
-        m_demand.urgency = { kind, 0 };
+        m_demand.urgency = { 0, priority };
         m_demand.organisation = Core::OrganisationId(organisation);
         m_demand.work = 100ms;
         m_demand.askedAt = askedAt;
@@ -33,10 +33,10 @@
     Admission::Demand m_demand;
 };
 
-inline auto waiter(int kind = 0, Core::Instant askedAt = start, const std::string& organisation = "one")
+inline auto waiter(int priority = 0, Core::Instant askedAt = start, const std::string& organisation = "one")
     -> std::shared_ptr<FakeWaiter>
 {
-    return std::make_shared<FakeWaiter>(kind, askedAt, organisation);
+    return std::make_shared<FakeWaiter>(priority, askedAt, organisation);
 }
 
 } // namespace AdmissionTest
--- a/tests/auto/admission/tst_estimates.cpp
+++ b/tests/auto/admission/tst_estimates.cpp
@@ -39,26 +39,26 @@
 BOOST_AUTO_TEST_CASE(IsUnboundedForAKindThatIsAlone)
 {
     Admission::QueueBound bound;
-    bound.record(2, 2s, 500ms, start);
-    BOOST_TEST(bound.waitingPerSlot(2, 500ms, start) > 1e6);
+    bound.record({ 0, 2 }, 2s, 500ms, start);
+    BOOST_TEST(bound.waitingPerSlot({ 0, 2 }, 500ms, start) > 1e6);
 }
 
 BOOST_AUTO_TEST_CASE(IsAsLongAsMoreUrgentKindsCanWaitInTime)
 {
     Admission::QueueBound bound;
-    bound.record(0, 400ms, 200ms, start);
-    bound.record(2, 2s, 500ms, start);
-    BOOST_TEST(bound.waitingPerSlot(2, 500ms, start) == 0.4);
-    BOOST_TEST(bound.waitingPerSlot(0, 500ms, start) > 1e6);
+    bound.record({ 0, 0 }, 400ms, 200ms, start);
+    bound.record({ 0, 2 }, 2s, 500ms, start);
+    BOOST_TEST(bound.waitingPerSlot({ 0, 2 }, 500ms, start) == 0.4);
+    BOOST_TEST(bound.waitingPerSlot({ 0, 0 }, 500ms, start) > 1e6);
 }
 
 BOOST_AUTO_TEST_CASE(IsClosedToLessUrgentKindsWhileUrgentOnesAreShort)
 {
     Admission::QueueBound bound;
-    bound.record(0, 400ms, 200ms, start);
-    bound.recordShortage(0, start);
-    BOOST_TEST(bound.waitingPerSlot(2, 500ms, start + 900ms) == 0);
-    BOOST_TEST(bound.waitingPerSlot(2, 500ms, start + 1s) > 0);
+    bound.record({ 0, 0 }, 400ms, 200ms, start);
+    bound.recordShortage({ 0, 0 }, start);
+    BOOST_TEST(bound.waitingPerSlot({ 0, 2 }, 500ms, start + 900ms) == 0);
+    BOOST_TEST(bound.waitingPerSlot({ 0, 2 }, 500ms, start + 1s) > 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/admission/tst_waitingqueue.cpp
+++ b/tests/auto/admission/tst_waitingqueue.cpp
@@ -17,7 +17,7 @@
 };
 
 /// Number of requests that are started in time if a slot becomes free at each interval.
-auto startedInTime(std::unique_ptr<const Admission::WaitingOrder> order, int kind) -> int
+auto startedInTime(std::unique_ptr<const Admission::WaitingOrder> order, int priority) -> int
 {
     Admission::WaitingQueue queue(200, std::move(order));
     int inTime = 0;
@@ -33,7 +33,7 @@
             continue;
         queue.remove(*next.front());
         queue.recordStart(next.front()->demand(), now);
-        if (next.front()->demand().urgency.kind == kind && now <= next.front()->demand().inTimeUntil)
+        if (next.front()->demand().urgency.route == priority && now <= next.front()->demand().inTimeUntil)
             ++inTime;
     }
     return inTime;
