Mend what the review of the parts found

Cause, found by reading (one who wrote none of it for each part): the number of VMs that mint fell at once on a VM whose list had been calm for ten minutes; a flood of refused requests rounded the minting of a small quota away; one quota above a million permits made its messages invalid; a VM whose clock stepped back over a restart was no child for ever; a held poll could be left unanswered by a timer that met a notification; a VM that reads the store could probe one starting VM in a loop; an own entry that is removed by a change was ignored; one caller with a long timeout made all others of its route returning ones; a permit was lost when its request had waited in the VM for more than 250 ms, or its caller left; a wake was lost while another thread tried the only waiting request; counting the active organisations for each comparison; unchecked figures in peers' messages; idempotent methods that are not safe were reordered; a cancelled exchange dropped the idle connections of a sound upstream. Change: each is mended; tests for the callers with a long timeout, VMs of unknown size and the methods.

--- a/src/libs/admission/callerpatience.cpp
+++ b/src/libs/admission/callerpatience.cpp
@@ -25,8 +25,11 @@
 
 auto CallerPatience::elapsed(Core::Duration timeLeft) const -> Core::Duration
 {
-    const auto elapsed = std::max(m_longest, m_longestBefore) - timeLeft;
-    return elapsed <= travelTolerance ? Core::Duration(0) : elapsed;
+    const auto longest = std::max(m_longest, m_longestBefore);
+    const auto elapsed = longest - timeLeft;
+    // A caller that comes back as it was told has most of its time left. One that allows much less is of another kind.
+    const bool isOtherKind = timeLeft < longest / 2;
+    return elapsed <= travelTolerance || isOtherKind ? Core::Duration(0) : elapsed;
 }
 
 } // namespace Admission
--- a/src/libs/admission/queuebound.cpp
+++ b/src/libs/admission/queuebound.cpp
@@ -17,7 +17,11 @@
 auto QueueBound::record(const Urgency& urgency, Core::Duration targetLatency, Core::Duration work, Core::Instant now)
     -> void
 {
-    m_tolerances[urgency] = { std::max<Core::Duration>(targetLatency - work, {}), now };
+    const auto wait = std::max<Core::Duration>(targetLatency - work, {});
+    auto& tolerance = m_tolerances[urgency];
+    // The least tolerant of the recent requests decides.
+    if (wait <= tolerance.wait || now - tolerance.seenAt >= toleranceLifetime)
+        tolerance = { wait, now };
 }
 
 auto QueueBound::waitingPerSlot(const Urgency& urgency, Core::Duration meanWork, Core::Instant now) const -> double
--- a/src/libs/admission/waiter.h
+++ b/src/libs/admission/waiter.h
@@ -13,7 +13,7 @@
     NoRoomInTime,
 };
 
-/// Request that waits for a slot. No function is called while a lock of the queue is held.
+/// Request that waits for a slot. Only demand() and hasLeft() may be called while a lock of the queue is held.
 class Waiter {
 public:
     virtual ~Waiter() = default;
--- a/src/libs/admission/workshares.cpp
+++ b/src/libs/admission/workshares.cpp
@@ -31,6 +31,7 @@
 {
     if (m_byOrganisation.size() >= maximumOrganisations)
         forgetIdle(now);
+    m_activeCountAt = Core::Instant::min();
     const auto work = static_cast<double>(demand.work.count());
     m_byOrganisation[demand.organisation].add(work, now);
     m_byUrgency[demand.urgency].add(work, now);
@@ -47,11 +48,20 @@
     const auto found = m_byOrganisation.find(organisation);
     if (found == m_byOrganisation.end())
         return false;
-    const auto active = std::count_if(m_byOrganisation.begin(), m_byOrganisation.end(),
-        [now](const auto& item) { return item.second.at(now) >= idleWork; });
+    const auto active = activeCount(now);
     return active > 1 && found->second.at(now) * static_cast<double>(active) > m_all.at(now);
 }
 
+auto WorkShares::activeCount(Core::Instant now) const -> std::ptrdiff_t
+{
+    if (m_activeCountAt != now) {
+        m_activeCount = std::count_if(m_byOrganisation.begin(), m_byOrganisation.end(),
+            [now](const auto& item) { return item.second.at(now) >= idleWork; });
+        m_activeCountAt = now;
+    }
+    return m_activeCount;
+}
+
 auto WorkShares::shareFrom(const Urgency& urgency, Core::Instant now) const -> double
 {
     const double all = m_all.at(now);
--- a/src/libs/admission/workshares.h
+++ b/src/libs/admission/workshares.h
@@ -28,10 +28,15 @@
     };
 
     auto forgetIdle(Core::Instant now) -> void;
+    /// Returns the number of organisations that had work recently.
+    [[nodiscard]] auto activeCount(Core::Instant now) const -> std::ptrdiff_t;
 
     std::map<Core::OrganisationId, Fading> m_byOrganisation;
     std::map<Urgency, Fading> m_byUrgency;
     Fading m_all;
+    /// Kept for the comparisons of one instant, of which sorting a queue needs many.
+    mutable std::ptrdiff_t m_activeCount = 0;
+    mutable Core::Instant m_activeCountAt = Core::Instant::min();
 };
 
 } // namespace Admission
--- a/src/libs/entryfleet/callerselection.cpp
+++ b/src/libs/entryfleet/callerselection.cpp
@@ -18,6 +18,13 @@
     /// Selects the VMs of one failure domain.
     auto selectInDomain(CallerTargets& targets, std::set<Core::EntryVmId>& selected) -> void
     {
+        const bool isSizeUnknown = std::any_of(
+            targets.begin(), targets.end(), [](const CallerTarget& target) { return target.processor.value() <= 0; });
+        if (isSizeUnknown) {
+            for (const auto& target : targets)
+                selected.insert(target.id);
+            return;
+        }
         std::sort(targets.begin(), targets.end(), [](const CallerTarget& one, const CallerTarget& other) {
             return one.processor != other.processor ? one.processor > other.processor : one.id < other.id;
         });
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -78,6 +78,10 @@
 {
     const std::lock_guard lock(m_mutex);
     m_usualTargetsUntil = Core::Instant::min();
+    if (id == m_self.id) {
+        m_isSelfListed = false;
+        m_isIdListed = false;
+    }
     m_members.erase(id);
 }
 
--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -71,8 +71,8 @@
         return;
     }
     m_context->retryBudget.recordRequest(m_arrivedAt);
-    m_elapsed
-        = m_context->waitingRoom->recordArrival(m_route->id, m_request.callerTimeout.value_or(defaultCallerTimeout));
+    if (m_request.callerTimeout)
+        m_elapsed = m_context->waitingRoom->recordArrival(m_route->id, *m_request.callerTimeout);
     {
         const std::lock_guard lock(m_mutex);
         // The timer owns a reference that keeps the operation alive until it has replied, regardless of its exchanges.
@@ -237,6 +237,9 @@
     // Nobody is held for an answer that would be late, nor for so long that nothing else can be done afterwards.
     const auto halfTime = m_arrivedAt + (m_deadline - m_arrivedAt) / 2;
     m_demand.servableUntil = std::min({ m_deadline - work, halfTime, m_demand.inTimeUntil });
+    const std::lock_guard lock(m_mutex);
+    if (m_permit)
+        m_demand.servableUntil = std::min(m_demand.servableUntil, m_permit->returnableUntil);
 }
 
 auto ForwardOperation::waitOrRefuse(const ChoiceFailure& failure, Core::Instant now) -> void
@@ -394,6 +397,7 @@
     report.exchange = choice.exchange;
     report.outcome = ExchangeOutcome::Cancelled;
     (void)m_context->pool.endExchange(report, now);
+    m_context->waitingRoom->wake();
 }
 
 auto ForwardOperation::onResult(std::size_t index, const Ports::ExchangeResult& result) -> void
@@ -673,12 +677,12 @@
 
 auto ForwardOperation::abandon() -> void
 {
+    ForwardRefusal abandoned;
     {
         const std::lock_guard lock(m_mutex);
         m_isClosed = true;
+        abandoned.outcome = m_attempts.empty() ? RunOutcome::NotRun : RunOutcome::Unknown;
     }
-    ForwardRefusal abandoned;
-    abandoned.outcome = RunOutcome::Unknown;
     abandoned.reason = RefusalReason::CallerDisconnected;
     abandoned.message = callerDisconnected;
     finish(std::move(abandoned));
--- a/src/libs/forwarding/waitingroom.cpp
+++ b/src/libs/forwarding/waitingroom.cpp
@@ -10,6 +10,8 @@
     constexpr std::size_t maximumWaiting = 64;
     /// Number of waiting requests that are tried without success before the others are left for the next slot.
     constexpr std::size_t maximumMisses = 4;
+    /// Number of looks at the queue in a row; a timer takes over then, since the thread has a request of its own.
+    constexpr int maximumRounds = 3;
     /// Number of routes whose callers' times are remembered.
     constexpr std::size_t maximumRoutes = 256;
 
@@ -52,26 +54,31 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_queue.isEmpty())
+        // While another thread tries a request, that one is not in the queue.
+        if (m_queue.isEmpty() && !m_isWaking)
             return;
         m_roomAt = Core::Instant::max();
         m_mustWakeAgain = true;
         if (std::exchange(m_isWaking, true))
             return;
     }
-    while (finishWaking()) {
+    for (int round = 0; finishWaking(round); ++round) {
         turnAwayLost();
         startReady();
     }
 }
 
-auto WaitingRoom::finishWaking() -> bool
+auto WaitingRoom::finishWaking(int round) -> bool
 {
     const std::lock_guard lock(m_mutex);
-    if (std::exchange(m_mustWakeAgain, false))
+    const bool isSlotFree = std::exchange(m_mustWakeAgain, false);
+    if (isSlotFree && round < maximumRounds)
         return true;
     m_isWaking = false;
-    armTimer(m_clock.now());
+    const auto now = m_clock.now();
+    if (isSlotFree)
+        m_roomAt = now;
+    armTimer(now);
     return false;
 }
 
--- a/src/libs/forwarding/waitingroom.h
+++ b/src/libs/forwarding/waitingroom.h
@@ -37,7 +37,7 @@
     auto startReady() -> void;
     auto turnAwayLost() -> void;
     /// Returns true if the queue has to be looked at again because a slot became free meanwhile.
-    auto finishWaking() -> bool;
+    auto finishWaking(int round) -> bool;
     /// Requires the lock. Zero means that it is not known when there will be room.
     auto noteRoom(Core::Duration expected, Core::Instant now) -> void;
     /// Requires the lock.
--- a/src/libs/quotas/fleetquotas.cpp
+++ b/src/libs/quotas/fleetquotas.cpp
@@ -58,7 +58,11 @@
     }
     if (hasQuotas)
         startMoving();
-    run(std::move(decisions));
+    if (decisions.empty())
+        return;
+    // The caller may hold a lock, and waits to put the configuration in force.
+    m_environment.scheduler.post(
+        [decisions = std::make_shared<Decisions>(std::move(decisions))] { run(std::move(*decisions)); });
 }
 
 auto FleetQuotas::setMembers(std::vector<TreeMember> members) -> void
@@ -109,9 +113,11 @@
 auto FleetQuotas::scheduleMove() -> void
 {
     m_moveTimer = m_environment.scheduler.after(moveInterval, [this] {
+        {
+            const std::lock_guard lock(m_mutex);
+            scheduleMove();
+        }
         move();
-        const std::lock_guard lock(m_mutex);
-        scheduleMove();
     });
 }
 
--- a/src/libs/quotas/organisationpermits.cpp
+++ b/src/libs/quotas/organisationpermits.cpp
@@ -68,7 +68,9 @@
         m_startedAt = now;
     m_mintedRate = m_quota.rate * part.mintedShare;
     if (m_refilledAt != Core::Instant::min() && m_stock < m_room) {
-        const auto minted = Permits::of(m_mintedRate * Seconds(now - m_refilledAt).count());
+        const double exact = m_mintedRate * Seconds(now - m_refilledAt).count() + m_unmintedPart;
+        const auto minted = Permits::of(exact);
+        m_unmintedPart = exact - minted.value();
         m_stock = std::min(m_room, m_stock + minted);
     }
     m_refilledAt = now;
@@ -87,6 +89,7 @@
     } else {
         return std::nullopt;
     }
+    permit.returnableUntil = permit.takenAt + returnLifetime;
     ++m_counts.admitted;
     ++m_takenSinceRecord;
     return permit;
@@ -232,7 +235,9 @@
     m_questionDelay = isFirst ? Core::Duration(shortestQuestionDelay)
                               : std::min<Core::Duration>(2 * m_questionDelay, longestQuestionDelay);
     m_nextQuestion = now + m_questionDelay;
-    return PermitOffer { m_organisation, std::exchange(m_stock, {}), waiting() + childNeeds(now) };
+    const auto given = std::min(m_stock, Permits::mostMoved());
+    m_stock -= given;
+    return PermitOffer { m_organisation, given, std::min(waiting() + childNeeds(now), Permits::mostMoved()) };
 }
 
 auto OrganisationPermits::releaseAll(Core::Instant now, Decisions& decisions) -> void
@@ -275,7 +280,7 @@
     m_nextIdleSurplus = now + idleSurplusDelay;
     m_nextSmallSurplus = now + smallSurplusDelay;
     const auto kept = hasRecentDemand(now) && half() >= onePermit ? half() : Permits();
-    const auto given = (m_stock - kept).notNegative();
+    const auto given = std::min((m_stock - kept).notNegative(), Permits::mostMoved());
     m_stock -= given;
     return given;
 }
--- a/src/libs/quotas/organisationpermits.h
+++ b/src/libs/quotas/organisationpermits.h
@@ -126,6 +126,8 @@
     Core::Instant m_nextIdleSurplus = Core::Instant::min();
     Core::Instant m_nextSmallSurplus = Core::Instant::min();
     double m_mintedRate = 0;
+    /// What was minted beyond the units in which permits are counted.
+    double m_unmintedPart = 0;
 };
 
 } // namespace Quotas
--- a/src/libs/quotas/permits.h
+++ b/src/libs/quotas/permits.h
@@ -22,8 +22,11 @@
     /// Rounds down.
     static auto of(double permits) -> Permits
     {
-        return ofUnits(static_cast<std::int64_t>(std::floor(permits * static_cast<double>(unitsPerPermit))));
+        const double most = static_cast<double>(mostCounted);
+        return ofUnits(static_cast<std::int64_t>(std::floor(std::clamp(permits, -most, most) * unitsPerPermit)));
     }
+    /// Largest amount that one message moves for an organisation.
+    static constexpr auto mostMoved() -> Permits { return ofWhole(1'000'000); }
     static constexpr auto ofWhole(std::int64_t permits) -> Permits { return ofUnits(permits * unitsPerPermit); }
 
     [[nodiscard]] constexpr auto units() const -> std::int64_t { return m_units; }
@@ -61,6 +64,7 @@
 
 private:
     static constexpr std::int64_t unitsPerPermit = 1'000'000;
+    static constexpr std::int64_t mostCounted = 1'000'000'000;
 
     std::int64_t m_units = 0;
 };
--- a/src/libs/quotas/quotagate.h
+++ b/src/libs/quotas/quotagate.h
@@ -14,6 +14,8 @@
     Core::OrganisationId organisation;
     /// A permit that came back keeps the time at which it was first taken.
     Core::Instant takenAt;
+    /// A permit that is given back later than this is lost.
+    Core::Instant returnableUntil = Core::Instant::max();
 };
 
 /// The organisation has used up its quota.
--- a/src/libs/quotas/treeneighbours.cpp
+++ b/src/libs/quotas/treeneighbours.cpp
@@ -1,7 +1,7 @@
 #include "quotas/treeneighbours.h"
 
+#include <algorithm>
 #include <cmath>
-#include <set>
 #include <utility>
 
 namespace Quotas {
@@ -24,6 +24,8 @@
     constexpr Core::Millis scarceInterval { 400 };
     constexpr std::size_t maximumScarce = 256;
     constexpr std::size_t maximumChildren = 1024;
+    /// A message of an earlier start may arrive this late.
+    constexpr Core::Millis replacedAfter { 10'000 };
     /// Time in which the others learn that this VM has joined them, before it mints.
     constexpr Core::Millis joinDelay { 1500 };
     /// A VM that is no longer listed may go on minting; its part stays free for this time.
@@ -40,11 +42,16 @@
 auto TreeNeighbours::setMembers(std::vector<TreeMember> members, Core::Instant now) -> void
 {
     const std::lock_guard lock(m_mutex);
-    m_listedCount = members.size();
     const auto isSelf = [this](const TreeMember& member) { return member.id == m_self.id; };
     const bool isListed = std::any_of(members.begin(), members.end(), isSelf);
-    for (const auto& member : members)
+    // The list was in force until now, also if it has not changed for long.
+    for (const auto& id : m_listed)
+        m_known[id] = now;
+    m_listed.clear();
+    for (const auto& member : members) {
+        m_listed.insert(member.id);
         m_known[member.id] = now;
+    }
     std::erase_if(m_known, [now](const auto& item) { return now - item.second > unlistedLifetime; });
     // A VM that the first list contains was counted by the others already when its previous process ran.
     if (isListed && m_mintsFrom == Core::Instant::max())
@@ -56,9 +63,12 @@
     updateParent();
 }
 
-auto TreeNeighbours::divisor() const -> double
+auto TreeNeighbours::divisor(Core::Instant now) const -> double
 {
-    return static_cast<double>(std::max<std::size_t>({ 1, m_known.size(), m_toldCount }));
+    const auto counted = std::count_if(m_known.begin(), m_known.end(),
+        [&](const auto& item) { return m_listed.contains(item.first) || now - item.second <= unlistedLifetime; });
+    const auto told = now - m_toldAt < unlistedLifetime ? m_toldCount : 0;
+    return static_cast<double>(std::max<std::size_t>({ 1, static_cast<std::size_t>(counted), told }));
 }
 
 auto TreeNeighbours::totalRoom(Core::Instant now) const -> double
@@ -75,7 +85,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto kept = m_parent ? totalRoom(now) / 2 : totalRoom(now);
-    return { now >= m_mintsFrom ? 1 / divisor() : 0, heldShare * kept / divisor() };
+    return { now >= m_mintsFrom ? 1 / divisor(now) : 0, heldShare * kept / divisor(now) };
 }
 
 auto TreeNeighbours::isDown(const Core::EntryVmId& vm) const -> bool
@@ -163,7 +173,7 @@
     message.start = m_start;
     message.sequence = ++m_sequence;
     message.delegatedRoom = isToParent ? totalRoom(now) / 2 : 0;
-    message.vmCount = m_listedCount;
+    message.vmCount = m_listed.size();
     return message;
 }
 
@@ -176,22 +186,23 @@
             return false;
     }
     auto& child = m_children[message.sender];
-    if (!noteArrival(child, message))
+    if (!noteArrival(child, message, now))
         return false;
     if (message.sequence == child.sequence) {
         child.delegatedRoom
-            = std::isfinite(message.delegatedRoom) ? std::clamp(message.delegatedRoom, 0.0, divisor()) : 0;
+            = std::isfinite(message.delegatedRoom) ? std::clamp(message.delegatedRoom, 0.0, divisor(now)) : 0;
     }
     child.heardAt = now;
     return true;
 }
 
-auto TreeNeighbours::noteArrival(Child& child, const PermitMessage& message) -> bool
+auto TreeNeighbours::noteArrival(Child& child, const PermitMessage& message, Core::Instant now) -> bool
 {
     constexpr std::uint64_t rememberedMessages = 64;
-    if (message.start < child.start)
+    // The clock of a VM can step back before its process restarts; then the later start stays silent.
+    if (message.start < child.start && now - child.heardAt < replacedAfter)
         return false;
-    if (message.start > child.start)
+    if (message.start != child.start)
         child = { message.start, 0, 0, 0, {}, {} };
     if (message.sequence > child.sequence) {
         const auto newer = message.sequence - child.sequence;
@@ -218,7 +229,7 @@
 auto TreeNeighbours::vmCount() const -> std::size_t
 {
     const std::lock_guard lock(m_mutex);
-    return m_listedCount;
+    return m_listed.size();
 }
 
 auto TreeNeighbours::markScarce(const Core::OrganisationId& organisation, Core::Instant now) -> void
--- a/src/libs/quotas/treeneighbours.h
+++ b/src/libs/quotas/treeneighbours.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace Quotas {
 
@@ -61,10 +62,11 @@
     };
 
     [[nodiscard]] auto totalRoom(Core::Instant now) const -> double;
-    [[nodiscard]] auto divisor() const -> double;
+    /// Returns the number of VMs that may be minting.
+    [[nodiscard]] auto divisor(Core::Instant now) const -> double;
     auto updateParent() -> void;
     /// Returns false if the message has arrived before, or so late that this is not known.
-    [[nodiscard]] static auto noteArrival(Child& child, const PermitMessage& message) -> bool;
+    [[nodiscard]] static auto noteArrival(Child& child, const PermitMessage& message, Core::Instant now) -> bool;
     [[nodiscard]] auto isDown(const Core::EntryVmId& vm) const -> bool;
 
     const TreeMember m_self;
@@ -74,7 +76,7 @@
     std::optional<TreeMember> m_parent;
     /// Listed VMs and those that were listed lately, with the time at which they last were.
     std::map<Core::EntryVmId, Core::Instant> m_known;
-    std::size_t m_listedCount = 0;
+    std::set<Core::EntryVmId> m_listed;
     bool m_hasList = false;
     /// Minting starts at this instant.
     Core::Instant m_mintsFrom = Core::Instant::max();
--- a/src/libs/storesync/mirrorhost.cpp
+++ b/src/libs/storesync/mirrorhost.cpp
@@ -47,12 +47,12 @@
     const auto number = m_nextNumber++;
     auto timer = m_environment.scheduler.after(poll.hold, [weak = weak_from_this(), number] {
         if (const auto self = weak.lock())
-            self->expire(number);
+            self->answer(number);
     });
     m_waiters.emplace(number, Waiter { poll.known, std::move(respond), std::move(timer) });
 }
 
-auto MirrorHost::expire(std::uint64_t number) -> void
+auto MirrorHost::answer(std::uint64_t number) -> void
 {
     std::map<std::uint64_t, Waiter>::node_type waiter;
     {
@@ -65,21 +65,16 @@
 
 auto MirrorHost::notify() -> void
 {
-    std::map<std::uint64_t, Waiter> waiters;
+    std::vector<std::pair<std::uint64_t, KnownRevisions>> held;
     {
         const std::lock_guard lock(m_mutex);
-        waiters = std::exchange(m_waiters, {});
+        for (const auto& [number, waiter] : m_waiters)
+            held.emplace_back(number, waiter.known);
     }
-    for (auto next = waiters.begin(); next != waiters.end();) {
-        const auto current = next++;
-        const auto response = responseTo(current->second.known);
-        if (!isDue(response))
-            continue;
-        current->second.respond(response);
-        waiters.erase(current);
+    for (const auto& [number, known] : held) {
+        if (isDue(responseTo(known)))
+            answer(number);
     }
-    const std::lock_guard lock(m_mutex);
-    m_waiters.merge(waiters);
 }
 
 auto MirrorHost::waiting() const -> std::size_t
--- a/src/libs/storesync/mirrorhost.h
+++ b/src/libs/storesync/mirrorhost.h
@@ -37,7 +37,8 @@
     [[nodiscard]] auto responseTo(const KnownRevisions& known) const -> MirrorResponse;
     static auto isDue(const MirrorResponse& response) -> bool;
     auto hold(const MirrorPoll& poll, Respond respond) -> void;
-    auto expire(std::uint64_t number) -> void;
+    /// Answers a held poll, unless it has been answered.
+    auto answer(std::uint64_t number) -> void;
 
     const Environment m_environment;
     mutable std::mutex m_mutex;
--- a/src/libs/storesync/sharedreads.cpp
+++ b/src/libs/storesync/sharedreads.cpp
@@ -197,7 +197,7 @@
 
 auto SharedReads::isStarting(const MirrorResponse& response) const -> bool
 {
-    return !hasCopies() && !response.contact.age;
+    return !isReadingStore() && !hasCopies() && !response.contact.age;
 }
 
 auto SharedReads::step() -> void
@@ -247,13 +247,14 @@
     if (setMode(Mode::ReadingStore, {})) {
         m_environment.follower.events.record(
             { Ports::EventKind("store.read-directly"), {}, { { "ageMs", describeAge(contact()) } } });
-        for (const auto& [name, follower] : m_followers)
-            follower->resume();
     }
     const bool isShared = isRegionLarge();
     m_environment.watchdog.setPingInterval(isShared ? sharedPingInterval : StoreWatchdog::usualPingInterval);
-    for (const auto& [name, follower] : m_followers)
+    for (const auto& [name, follower] : m_followers) {
+        // Another thread may have suspended it for a decision that is out of date.
+        follower->resume();
         follower->setPatient(isShared);
+    }
     if (m_environment.watchdog.isStoreReachable()) {
         scheduleStep(roleInterval);
         return;
@@ -348,13 +349,14 @@
     const bool isProbe = endProbe(source);
     if (isProbe && isFresh)
         beginFollowing(source);
-    const auto avoidance = hasCopies() ? outdatedAvoidance : startRetryInterval;
+    const auto avoidance = hasCopies() || isReadingStore() ? outdatedAvoidance : startRetryInterval;
+    const bool mayBeStarting = isStarting(*response);
     {
         const std::lock_guard lock(m_mutex);
         m_unansweredPolls = 0;
         if (isFresh)
             m_choice.accept(source);
-        else if (!isStarting(*response))
+        else if (!mayBeStarting)
             m_choice.avoid(source, m_environment.follower.clock.now() + avoidance);
     }
     if (isReadingStore())
@@ -412,7 +414,7 @@
     const bool isReading = isReadingStore();
     const bool isKnown = hasCopies();
     const bool isOverdue = age() > maximumUnansweredAge;
-    const auto avoidance = isKnown ? unansweredAvoidance : startRetryInterval;
+    const auto avoidance = isKnown || isReading ? unansweredAvoidance : startRetryInterval;
     bool wasProven = false;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/plugins/datagrampeer/datagrampeer.cpp
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
+#include <cmath>
+#include <stdexcept>
 
 namespace DatagramPeer {
 
@@ -28,13 +30,21 @@
     /// Position, in an introduction, of the processor time that the sender may use.
     constexpr std::size_t processorIndex = 6;
 
+    auto decodeCores(const nlohmann::json& value) -> EntryFleet::Cores
+    {
+        const auto cores = value.get<double>();
+        if (!std::isfinite(cores) || cores < 0)
+            throw std::out_of_range("the processor time is not in the expected range");
+        return EntryFleet::Cores(cores);
+    }
+
     auto decodeIntroduction(const EntryFleet::Heartbeat& heartbeat, const nlohmann::json& value)
         -> EntryFleet::EntryVmEntry
     {
         const auto text = [&value](std::size_t index) { return value.at(index).get<std::string>(); };
         return { heartbeat.sender, heartbeat.start, Core::FailureDomainId(text(0)), Core::RegionId(text(1)),
             Core::Address(text(2)), Core::Address(text(3)), Core::Address(text(4)),
-            EntryFleet::Cores(value.at(processorIndex).get<double>()) };
+            decodeCores(value.at(processorIndex)) };
     }
 
     auto toUdp(const asio::ip::tcp::endpoint& endpoint) -> Udp::endpoint
--- a/src/plugins/httpclient/connectionpool.cpp
+++ b/src/plugins/httpclient/connectionpool.cpp
@@ -145,7 +145,8 @@
 
     auto ConnectionPool::dropAfterFailure(const Call& call, const Connection& connection) -> void
     {
-        if (!connection.isReused)
+        // A cancelled exchange says nothing about the server.
+        if (!connection.isReused || connection.isCancelled)
             return;
         m_pools.with(call.address, [&](Pool& pool) { pool.erase(keyOf(call)); });
     }
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -84,8 +84,10 @@
             co_return tl::unexpected(withdrawn(*connection));
         if (call->isStillWanted && !call->isStillWanted()) {
             ++connection->exchangeNumber;
+            // Another exchange may take the connection as soon as it is back.
+            auto failure = withdrawn(*connection);
             self->m_idleConnections->put(*call, connection);
-            co_return tl::unexpected(withdrawn(*connection));
+            co_return tl::unexpected(std::move(failure));
         }
         connection->stream.expires_at(deadline);
         Error error;
--- a/src/plugins/httpforward/forwardfront.cpp
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -185,6 +185,10 @@
 
 auto ForwardFront::mayOverlap(const HttpRequest& request) const -> bool
 {
+    // Methods that are not safe must not be reordered with others, though they may run twice (RFC 9112, section 9.3.2).
+    const auto method = request.method();
+    if (method != http::verb::get && method != http::verb::head && method != http::verb::options)
+        return false;
     const auto configuration = m_forwarder.configuration();
     if (!configuration)
         return false;
--- a/src/plugins/mirrorpeer/mirrorpeer.cpp
+++ b/src/plugins/mirrorpeer/mirrorpeer.cpp
@@ -13,6 +13,18 @@
     constexpr Core::Millis answerTime { 400 };
     /// Time for an answer with whole collections.
     constexpr Core::Millis firstAnswerTime { 1000 };
+    constexpr Core::Millis longestHold { 5000 };
+    /// Copies may be kept for as long as the store is away.
+    constexpr Core::Millis longestAge { std::chrono::hours(24 * 365) };
+    constexpr std::uint32_t mostHops = 1000;
+
+    auto decodeMillis(const json& value, Core::Millis most) -> Core::Millis
+    {
+        const Core::Millis time(value.get<Core::Millis::rep>());
+        if (time.count() < 0 || time > most)
+            throw std::out_of_range("a time is not in the expected range");
+        return time;
+    }
 
     auto encodePoll(const StoreSync::MirrorPoll& poll) -> std::string
     {
@@ -26,7 +38,7 @@
     {
         return Cbor::unpack(payload, "a poll for news of collections", [](const json& fields) {
             StoreSync::MirrorPoll poll;
-            poll.hold = Core::Millis(fields.at(0).get<Core::Millis::rep>());
+            poll.hold = decodeMillis(fields.at(0), longestHold);
             for (const auto& [name, revision] : fields.at(1).items())
                 poll.known[Ports::CollectionName(name)] = Ports::StoreRevision(revision.get<std::uint64_t>());
             return poll;
@@ -38,7 +50,7 @@
         return std::chrono::duration_cast<Core::Millis>(duration).count();
     }
 
-    auto decodeDuration(const json& value) -> Core::Duration { return Core::Millis(value.get<Core::Millis::rep>()); }
+    auto decodeDuration(const json& value) -> Core::Duration { return decodeMillis(value, longestAge); }
 
     auto encodeItem(const Ports::CollectionItem& item) -> json
     {
@@ -106,6 +118,8 @@
             if (!fields.at(1).is_null())
                 response.contact.age = decodeDuration(fields.at(1));
             response.contact.hops = fields.at(3).get<std::uint32_t>();
+            if (response.contact.hops > mostHops)
+                throw std::out_of_range("the chain of VMs is too long");
             for (const auto& [name, update] : fields.at(2).items())
                 response.news[Ports::CollectionName(name)] = decodeNews(update);
             return response;
--- a/src/plugins/quotapeer/quotapeer.cpp
+++ b/src/plugins/quotapeer/quotapeer.cpp
@@ -15,8 +15,9 @@
     /// The permits in a message that is not answered in this time are lost.
     constexpr Core::Millis sendTimeout { 300 };
     constexpr std::size_t maximumEntries = 1024;
-    /// A larger number is not believed.
-    constexpr auto maximumPermits = Permits::ofWhole(1'000'000);
+    /// A larger number is not believed. An answer may grant permits and return given ones.
+    const auto maximumPermits = Permits::mostMoved() + Permits::mostMoved();
+    constexpr std::size_t maximumVms = 100'000;
 
     auto decodePermits(const json& value) -> Permits
     {
@@ -26,6 +27,14 @@
         return permits;
     }
 
+    auto decodeVmCount(const json& value) -> std::size_t
+    {
+        const auto count = value.get<std::int64_t>();
+        if (count < 0 || static_cast<std::size_t>(count) > maximumVms)
+            throw std::out_of_range("the number of VMs is not in the expected range");
+        return static_cast<std::size_t>(count);
+    }
+
     template <typename Entry, typename Read> auto decodeList(const json& values, Read read) -> std::vector<Entry>
     {
         if (!values.is_array() || values.size() > maximumEntries)
@@ -58,7 +67,7 @@
             message.start = Core::ProcessStartId(fields.at(1).get<std::int64_t>());
             message.sequence = fields.at(2).get<std::uint64_t>();
             message.delegatedRoom = fields.at(3).get<double>();
-            message.vmCount = fields.at(4).get<std::size_t>();
+            message.vmCount = decodeVmCount(fields.at(4));
             message.offers = decodeList<Quotas::PermitOffer>(fields.at(5), [](const json& offer) {
                 return Quotas::PermitOffer { decodeOrganisation(offer.at(0)), decodePermits(offer.at(1)),
                     decodePermits(offer.at(2)) };
@@ -82,7 +91,7 @@
     {
         return Cbor::unpack(payload, "an answer about permits", [](const json& fields) {
             Quotas::PermitReply reply;
-            reply.vmCount = fields.at(0).get<std::size_t>();
+            reply.vmCount = decodeVmCount(fields.at(0));
             reply.grants = decodeList<Quotas::PermitGrant>(fields.at(1), [](const json& grant) {
                 return Quotas::PermitGrant { decodeOrganisation(grant.at(0)), decodePermits(grant.at(1)) };
             });
--- a/tests/auto/admission/tst_estimates.cpp
+++ b/tests/auto/admission/tst_estimates.cpp
@@ -114,6 +114,14 @@
     BOOST_TEST((patience.elapsed(3980ms) == 0s));
 }
 
+BOOST_AUTO_TEST_CASE(CountsAsNewBesideOneThatAllowsMuchMore)
+{
+    Admission::CallerPatience patience;
+    patience.record(30s, start);
+    patience.record(3s, start);
+    BOOST_TEST((patience.elapsed(3s) == 0s));
+}
+
 BOOST_AUTO_TEST_CASE(CountsAsNewWhenCallersAllowLessFromNowOn)
 {
     Admission::CallerPatience patience;
--- a/tests/auto/entryfleet/tst_callerselection.cpp
+++ b/tests/auto/entryfleet/tst_callerselection.cpp
@@ -124,6 +124,9 @@
     region.targets.clear();
     region.add("atl-a", "vm", 5, 0);
     BOOST_TEST(selectForCallers(region.targets).size() == 5U);
+    region.add("atl-b", "large", 3, largeCores);
+    region.add("atl-b", "unknown", 1, 0);
+    BOOST_TEST(selectForCallers(region.targets).size() == 9U);
     BOOST_TEST(EntryFleet::selectForCallers({}).empty());
 }
 
--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -93,8 +93,9 @@
 
 BOOST_AUTO_TEST_CASE(LetsOnlyRequestsOverlapThatMayRunTwice)
 {
-    const auto mayOverlap = [this](const std::string& target) {
-        HttpServer::HttpRequest request { boost::beast::http::verb::get, target, 11 };
+    using boost::beast::http::verb;
+    const auto mayOverlap = [this](const std::string& target, verb method = verb::get) {
+        HttpServer::HttpRequest request { method, target, 11 };
         request.set(boost::beast::http::field::host, "desk.example");
         return front.mayOverlap(request);
     };
@@ -113,6 +114,8 @@
     forwarder.setConfiguration(configuration);
     BOOST_TEST(mayOverlap("/stock/7"));
     BOOST_TEST(mayOverlap("/stock/7?all=1"));
+    BOOST_TEST(!mayOverlap("/stock/7", verb::delete_));
+    BOOST_TEST(!mayOverlap("/stock/7", verb::put));
     BOOST_TEST(!mayOverlap("/stock/orders/7"));
     BOOST_TEST(!mayOverlap("/unknown"));
 }
