--- a/src/libs/forwarding/forwardoperation.cpp
+++ b/src/libs/forwarding/forwardoperation.cpp
@@ -16,7 +16,6 @@
     /// Upper bound on the attempts of a request, including connections that could not be opened.
     constexpr std::size_t maximumAttempts = 4;
     constexpr Core::Millis defaultCallerTimeout { 30'000 };
-    constexpr auto callerDisconnected = "the caller disconnected";
 
     /// Returns true if the upstream may have run the request.
     auto isOutcomeUnknown(ExchangeOutcome outcome) -> bool
@@ -83,34 +82,6 @@
         acquirePermit();
 }
 
-auto ForwardOperation::reserveBuffers() -> bool
-{
-    const auto& settings = m_environment.buffers;
-    if (!settings.account)
-        return true;
-    const auto size = m_forwarder.m_answerSizes.usual(m_route->id).value_or(settings.perAnswer);
-    const Core::BufferHolder holder(m_organisation ? m_organisation->id.value() : std::string());
-    auto reservation = settings.account->reserve(size, holder);
-    if (!reservation) {
-        refuse(RefusalReason::Overloaded, "the buffers for answers are full", minimumRetryAfter);
-        return false;
-    }
-    const std::lock_guard lock(m_mutex);
-    if (!m_isDone)
-        m_buffers.emplace(std::move(*reservation));
-    return true;
-}
-
-auto ForwardOperation::recordAnswerSize(Core::Bytes size) -> void
-{
-    if (!m_environment.buffers.account)
-        return;
-    m_forwarder.m_answerSizes.record(m_route->id, size);
-    const std::lock_guard lock(m_mutex);
-    if (m_buffers)
-        m_buffers->resize(size);
-}
-
 auto ForwardOperation::identifyCaller() -> bool
 {
     const auto& organisations = m_configuration->organisations;
@@ -226,81 +197,6 @@
         waitOrRefuse(choice.error(), now);
 }
 
-auto ForwardOperation::estimateDemand(Core::Duration work) -> void
-{
-    m_demand.urgency = urgency();
-    if (m_organisation)
-        m_demand.organisation = m_organisation->id;
-    m_demand.work = work;
-    m_demand.askedAt = m_arrivedAt - m_elapsed;
-    m_demand.inTimeUntil = m_demand.askedAt + m_route->targetLatency - work;
-    // Nobody is held for an answer that would be late, nor for so long that nothing else can be done afterwards.
-    const auto halfTime = m_arrivedAt + (m_deadline - m_arrivedAt) / 2;
-    m_demand.servableUntil = std::min({ m_deadline - work, halfTime, m_demand.inTimeUntil });
-    const std::lock_guard lock(m_mutex);
-    if (m_permit)
-        m_demand.servableUntil = std::min(m_demand.servableUntil, m_permit->returnableUntil);
-}
-
-auto ForwardOperation::waitOrRefuse(const ChoiceFailure& failure, Core::Instant now) -> void
-{
-    m_lastFailure = failure;
-    estimateDemand(failure.work);
-    // If all upstreams are excluded for another reason than a pause, waiting for them here helps nobody.
-    const bool isRoomExpected = failure.reason == ChoiceFailureReason::Busy || failure.wait.count() > 0;
-    const bool isServable = isRoomExpected && failure.roomExpected.count() > 0
-        && now + failure.roomExpected < m_demand.servableUntil && now + failure.wait < m_deadline - failure.work;
-    if (!isServable) {
-        refuseChoice(failure);
-        return;
-    }
-    m_roomExpected = failure.roomExpected;
-    m_context->waitingRoom->enter(shared_from_this(), failure.roomExpected);
-}
-
-auto ForwardOperation::hasLeft() const -> bool
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_isDone || m_isClosed)
-            return true;
-    }
-    return hasCallerLeft();
-}
-
-auto ForwardOperation::tryStart() -> bool
-{
-    if (hasLeft()) {
-        turnAway(Admission::TurnAwayReason::NoRoomInTime);
-        return true;
-    }
-    const auto now = m_environment.clock.now();
-    const auto choice = m_context->pool.choose(makeQuery(m_tried, now), now);
-    if (choice) {
-        startExchange(*choice, now);
-        return true;
-    }
-    m_lastFailure = choice.error();
-    m_roomExpected = choice.error().roomExpected;
-    if (choice.error().reason != ChoiceFailureReason::DeadlineUnreachable)
-        return false;
-    refuseChoice(choice.error());
-    return true;
-}
-
-auto ForwardOperation::turnAway(Admission::TurnAwayReason) -> void
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_isDone || m_isClosed)
-            return;
-    }
-    if (hasCallerLeft())
-        refuse(RefusalReason::CallerDisconnected, callerDisconnected, {});
-    else
-        refuseChoice(m_lastFailure);
-}
-
 auto ForwardOperation::makeQuery(const std::vector<Core::UpstreamId>& tried, Core::Instant now) const -> ChoiceQuery
 {
     ChoiceQuery query;
@@ -434,78 +330,6 @@
     m_context->waitingRoom->wake();
 }
 
-auto ForwardOperation::onHead(std::size_t index, const Ports::ExchangeResult& result) -> void
-{
-    const auto now = m_environment.clock.now();
-    ExchangeReport head;
-    {
-        const std::lock_guard lock(m_mutex);
-        auto& attempt = m_attempts[index];
-        attempt.isStreaming = true;
-        attempt.isUpstreamError = result.isUpstreamError;
-        head.target = attempt.choice.target;
-        head.exchange = attempt.choice.exchange;
-    }
-    head.load = result.load;
-    head.signals = result.signals;
-    m_recorder.recordSignals(head.target, m_context->pool.recordHead(head, now));
-    auto body = std::make_shared<AnswerBody>(
-        result.body, m_environment.clock, [weak = weak_from_this(), index](const BodyEnd& end) {
-            if (const auto operation = weak.lock())
-                operation->onBodyEnd(index, end);
-        });
-    recordAnswerSize(m_environment.buffers.perAnswer);
-    if (finish(StreamedAnswer { result.answer, std::move(body) })) {
-        cancelExchanges();
-        return;
-    }
-    result.body->cancel();
-    endStreaming(index, {});
-}
-
-auto ForwardOperation::onBodyEnd(std::size_t index, const BodyEnd& end) -> void
-{
-    // The timer may own the last reference to this operation.
-    const auto self = shared_from_this();
-    std::unique_ptr<Ports::Timer> deadlineTimer;
-    std::shared_ptr<Ports::BodyStream> body;
-    {
-        const std::lock_guard lock(m_mutex);
-        deadlineTimer = std::move(m_deadlineTimer);
-        body = std::move(m_body);
-        m_buffers.reset();
-    }
-    endStreaming(index, end);
-}
-
-auto ForwardOperation::endStreaming(std::size_t index, const BodyEnd& end) -> void
-{
-    Attempt attempt;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_attempts[index].hasEnded = true;
-        attempt = m_attempts[index];
-        m_attempts[index].exchange.reset();
-    }
-    Ports::ExchangeResult result;
-    result.outcome = end.outcome;
-    result.isUpstreamError = attempt.isUpstreamError;
-    result.detail = end.detail;
-    reportEnd(attempt, result, m_environment.clock.now(), end.readerTime);
-    m_context->waitingRoom->wake();
-}
-
-auto ForwardOperation::cancelBody() -> void
-{
-    std::shared_ptr<Ports::BodyStream> body;
-    {
-        const std::lock_guard lock(m_mutex);
-        body = m_body;
-    }
-    if (body)
-        body->cancel();
-}
-
 auto ForwardOperation::reportEnd(
     const Attempt& attempt, const Ports::ExchangeResult& result, Core::Instant now, Core::Duration readerTime) -> void
 {
@@ -602,32 +426,12 @@
         refuse(RefusalReason::Overloaded, "no upstream accepted the request: " + result.detail, minimumRetryAfter);
 }
 
-auto ForwardOperation::refuseChoice(const ChoiceFailure& failure) -> void
-{
-    auto cause = refusalCauseOf(failure);
-    finishRefused(cause.reason, std::move(cause.message), placeReturn(failure));
-}
-
 auto ForwardOperation::timeLeft() const -> Core::Duration
 {
     const auto callerTimeout = m_request.callerTimeout.value_or(defaultCallerTimeout);
     return std::max<Core::Duration>(callerTimeout - (m_environment.clock.now() - m_arrivedAt), {});
 }
 
-auto ForwardOperation::placeReturn(const ChoiceFailure& failure) -> Core::Duration
-{
-    constexpr std::uint64_t jitterSteps = 1024;
-    estimateDemand(failure.work);
-    Admission::ReturnRequest request;
-    request.wait = std::max<Core::Duration>(failure.roomExpected, minimumRetryAfter);
-    request.timeLeft = timeLeft();
-    request.work = failure.work;
-    request.inTimeLeft = m_demand.inTimeUntil - m_environment.clock.now();
-    request.isReturn = m_elapsed.count() > 0;
-    const auto jitter = static_cast<double>(m_environment.random.next() % jitterSteps) / jitterSteps;
-    return m_context->waitingRoom->placeReturn(request, jitter).value_or(Core::Duration(0));
-}
-
 auto ForwardOperation::retryAfter(Core::Duration wait) const -> Core::Duration
 {
     return retryDelay(wait, timeLeft(), m_environment.random);
--- a/src/libs/forwarding/refusals.h
+++ b/src/libs/forwarding/refusals.h
@@ -6,6 +6,9 @@
 
 namespace Forwarding {
 
+/// Message of a refusal that nobody waits for any more.
+constexpr auto callerDisconnected = "the caller disconnected";
+
 /// Lower bound of every retry delay.
 constexpr Core::Millis minimumRetryAfter { 100 };
 
