Let large VMs head the groups of the permits' tree and read the store for others

Cause: callers meet the large VMs, but the tree's heads and the VMs that read the store were chosen without regard to size. Ruled out: processor time of the large VMs themselves (busiest 0.10 of 0.5 cores). Change: the largest VM of a group is its head, and the ranking of readers begins with the largest VMs of each failure domain.

--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -329,10 +329,16 @@
 
 auto EntryFleet::rank(std::vector<EntryVmEntry> entries) const -> std::vector<EntryVmEntry>
 {
-    const auto score
-        = [this](const EntryVmEntry& entry) { return Fleet::rendezvousScore(m_self.region.value(), entry.id.value()); };
-    std::sort(entries.begin(), entries.end(),
-        [&score](const auto& one, const auto& other) { return score(one) > score(other); });
+    // Those that come first work for the others, so the large VMs do.
+    const auto isBefore = [this](const EntryVmEntry& one, const EntryVmEntry& other) {
+        if (one.processor != other.processor)
+            return one.processor > other.processor;
+        const auto score = [this](const EntryVmEntry& entry) {
+            return Fleet::rendezvousScore(m_self.region.value(), entry.id.value());
+        };
+        return score(one) > score(other);
+    };
+    std::sort(entries.begin(), entries.end(), isBefore);
     // Each failure domain has its first VM in the first round, its second one in the second round, and so on.
     std::map<Core::FailureDomainId, std::size_t> sizes;
     std::vector<std::pair<std::size_t, EntryVmEntry>> rounds;
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -21,7 +21,9 @@
 
     auto treeMember(const EntryFleet::EntryVmEntry& entry) -> Quotas::TreeMember
     {
-        return { entry.id, entry.failureDomain, entry.region, entry.peers };
+        constexpr double hundredths = 100;
+        return { entry.id, entry.failureDomain, entry.region, entry.peers,
+            Core::Percent(static_cast<std::uint32_t>(entry.processor.value() * hundredths)) };
     }
 
 } // namespace
--- a/src/libs/quotas/permittree.cpp
+++ b/src/libs/quotas/permittree.cpp
@@ -38,6 +38,15 @@
 {
     std::sort(m_members.begin(), m_members.end(),
         [](const TreeMember& one, const TreeMember& other) { return sortKey(one) < sortKey(other); });
+    // A head answers all others of its group, so the largest VM of the group becomes it.
+    const auto groups = groupCount(m_members.size());
+    for (std::size_t group = 0; group < groups; ++group) {
+        const auto iteratorAt = [this](std::size_t index) {
+            return m_members.begin() + static_cast<std::ptrdiff_t>(groupBegin(index, m_members.size()));
+        };
+        std::stable_sort(iteratorAt(group), iteratorAt(group + 1),
+            [](const TreeMember& one, const TreeMember& other) { return one.processor > other.processor; });
+    }
     const auto found = std::find_if(
         m_members.begin(), m_members.end(), [&self](const TreeMember& member) { return member.id == self; });
     m_self = static_cast<Slot>(found - m_members.begin());
--- a/src/libs/quotas/permittree.h
+++ b/src/libs/quotas/permittree.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/units.h"
 
 #include <functional>
 #include <vector>
@@ -12,12 +13,14 @@
     Core::FailureDomainId failureDomain;
     Core::RegionId region;
     Core::Address peers;
+    /// Processor time that the VM may use, in hundredths of a core; 0 if it is not known.
+    Core::Percent processor;
 };
 
 /// Tree over the VMs along which permits move. Every VM computes it from the list of VMs. VMs of a region and a failure
-/// domain are near each other in it, so that few messages leave them. Each group has a head that is the parent of the
-/// others; the heads form the groups of the next level. The next member of a group takes the place of a head that does
-/// not answer.
+/// domain are near each other in it, so that few messages leave them. The largest VM of each group is its head, the
+/// parent of the others; the heads form the groups of the next level. The next member of a group takes the place of a
+/// head that does not answer.
 class PermitTree {
 public:
     /// Largest number of VMs in a group.
