--- a/tests/auto/entryfleet/tst_entryfleet.cpp
+++ b/tests/auto/entryfleet/tst_entryfleet.cpp
@@ -186,6 +186,19 @@
     BOOST_TEST((one.callerAddresses() == expected));
 }
 
+BOOST_AUTO_TEST_CASE(AreRankedWithTheLargestFirst)
+{
+    for (const auto* largest : { "atl-1", "atl-2" }) {
+        auto entries = std::vector { entryVm("atl-1", "atl"), entryVm("atl-2", "atl") };
+        for (auto& entry : entries)
+            entry.processor = EntryFleet::Cores(entry.id.value() == largest ? 0.5 : 0.1);
+        EntryFleet::EntryFleet fleet(entries.front(), { time, time, events, channel });
+        fleet.replaceAll(entries);
+        BOOST_REQUIRE(fleet.knownRanking().size() == 2U);
+        BOOST_TEST(fleet.knownRanking().front().id.value() == largest);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(DivideTheColdUpstreamsOfTheirRegion)
 {
     int owned = 0;
--- a/tests/auto/quotas/tst_quotas.cpp
+++ b/tests/auto/quotas/tst_quotas.cpp
@@ -181,6 +181,21 @@
 
 BOOST_AUTO_TEST_SUITE(TheTreeOfVms)
 
+BOOST_AUTO_TEST_CASE(HasTheLargestVmOfAGroupAsItsHead)
+{
+    std::vector<Quotas::TreeMember> members;
+    for (const auto* id : { "a", "b", "c", "d" })
+        members.push_back({ Core::EntryVmId(id), {}, {}, {}, Core::Percent(10) });
+    members[2].processor = Core::Percent(50);
+    const auto isDown = [](const Core::EntryVmId&) { return false; };
+    BOOST_TEST((Quotas::PermitTree(members, Core::EntryVmId("c")).parent(isDown) == nullptr));
+    for (const auto* id : { "a", "b", "d" }) {
+        const Quotas::PermitTree tree(members, Core::EntryVmId(id));
+        BOOST_REQUIRE(tree.parent(isDown));
+        BOOST_TEST(tree.parent(isDown)->id.value() == "c");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(HasHeadsOfTheirOwnRegionThatOthersReplace)
 {
     std::vector<Quotas::TreeMember> members;
