Share the event of a strand and the upstream that reads late

Cause: the client will wait for an event of its strand as the server does, and another test needs the upstream that accepts a request and reads nothing of it. Change: the server's Signal becomes Runtime::StrandEvent, a name that does not meet SignalListener beside it; LateReader moves to a header of its own. No behaviour changes.

--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -3,6 +3,7 @@
 #include "httpserver/answerqueue.h"
 #include "httpserver/replywriter.h"
 #include "httpserver/requestreader.h"
+#include "runtime/strandevent.h"
 
 namespace HttpServer {
 
@@ -62,7 +63,7 @@
         AnswerQueue m_answers;
         std::shared_ptr<const Limits> m_limits;
         /// Tells the coroutine that a reply was delivered.
-        Signal m_delivered;
+        Runtime::StrandEvent m_delivered;
         bool m_isIdle = false;
         bool m_hasServed = false;
         /// No further request is started, because the connection closes behind the open ones.
--- a/src/plugins/httpserver/partreader.cpp
+++ b/src/plugins/httpserver/partreader.cpp
@@ -11,7 +11,7 @@
         : m_body(std::move(body))
         , m_executor(std::move(executor))
         , m_server(std::move(server))
-        , m_signal(m_executor)
+        , m_wakeUp(m_executor)
     {
     }
 
@@ -29,7 +29,7 @@
                         reader->deliver(std::move(part));
                 });
         while (!self->m_part && !self->m_isStopped)
-            co_await self->m_signal.wait();
+            co_await self->m_wakeUp.wait();
         if (self->m_isStopped || !*self->m_part) {
             self->m_hasEnded = !self->m_isStopped;
             co_return std::nullopt;
@@ -43,14 +43,14 @@
         if (m_hasEnded || std::exchange(m_isStopped, true))
             return;
         m_body->cancel();
-        m_signal.notify();
+        m_wakeUp.notify();
     }
 
     auto PartReader::deliver(Core::Result<std::string> part) -> void
     {
         boost::asio::post(m_executor, [self = shared_from_this(), part = std::move(part)]() mutable {
             self->m_part = std::move(part);
-            self->m_signal.notify();
+            self->m_wakeUp.notify();
         });
     }
 
--- a/src/plugins/httpserver/partreader.h
+++ b/src/plugins/httpserver/partreader.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "httpserver/serverstate.h"
-#include "httpserver/signal.h"
 #include "httpserver/timedsocket.h"
+#include "runtime/strandevent.h"
 
 #include <optional>
 
@@ -30,7 +30,7 @@
         const std::shared_ptr<Ports::BodyStream> m_body;
         const Strand m_executor;
         const std::shared_ptr<const ServerState> m_server;
-        Signal m_signal;
+        Runtime::StrandEvent m_wakeUp;
         std::optional<Core::Result<std::string>> m_part;
         bool m_isStopped = false;
         bool m_hasEnded = false;
--- a/src/plugins/httpserver/requestreader.h
+++ b/src/plugins/httpserver/requestreader.h
@@ -2,6 +2,7 @@
 
 #include "httpserver/responsewriter.h"
 #include "httpserver/serverstate.h"
+#include "runtime/strandevent.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -57,7 +58,7 @@
         bool m_isHeldBack = false;
         bool m_isReadingAhead = false;
         bool m_isStopping = false;
-        Signal m_stopped;
+        Runtime::StrandEvent m_stopped;
     };
 
 } // namespace detail
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -1,56 +1,10 @@
-#include "exchangefixture.h"
+#include "latereader.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace HttpForwardTest;
 using Ports::ExchangeOutcome;
 
-namespace {
-
-/// Upstream that accepts a connection and reads nothing until the test does.
-struct LateReader : ExchangeClientFixture {
-    auto startLargeRequest(Core::Duration timeLeft) -> std::shared_ptr<Ports::Exchange>
-    {
-        constexpr std::size_t bodyBytes = 32UL * 1024 * 1024;
-        HttpServer::HttpRequest request { boost::beast::http::verb::post, "/stock/7", 11 };
-        request.set("Request-Id", "r1");
-        request.body() = std::string(bodyBytes, 'x');
-        auto large = call(Core::Address("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())), "r1");
-        large.request = std::make_shared<HttpForward::RequestMessage>(request);
-        large.timeLeft = timeLeft;
-        auto pending = exchanges.start(
-            std::move(large), [this](const Ports::ExchangeResult& result) { outcome.set_value(result.outcome); });
-        acceptor.accept(socket);
-        return pending;
-    }
-
-    /// Waits until the sender's buffer has filled.
-    auto waitUntilBlocked() -> void
-    {
-        for (std::size_t before = 0, available = 1; before != available; available = socket.available()) {
-            before = available;
-            std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        }
-    }
-
-    /// Reads what was delivered, and returns how the connection ended.
-    auto readToEnd() -> boost::system::error_code
-    {
-        boost::system::error_code error;
-        std::vector<char> bytes(64UL * 1024);
-        while (!error)
-            socket.read_some(boost::asio::buffer(bytes), error);
-        return error;
-    }
-
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor { context, { boost::asio::ip::address_v4::loopback(), 0 } };
-    boost::asio::ip::tcp::socket socket { context };
-    std::promise<Ports::ExchangeOutcome> outcome;
-};
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(AnExchange, ExchangeClientFixture)
 
 BOOST_AUTO_TEST_SUITE(ForwardsTheRequest)
@@ -337,14 +291,14 @@
     const auto pending = startLargeRequest(Core::Millis(5000));
     waitUntilBlocked();
     pending->cancel();
-    BOOST_TEST((outcome.get_future().get() == ExchangeOutcome::Cancelled));
+    BOOST_TEST((result.get_future().get().outcome == ExchangeOutcome::Cancelled));
     BOOST_TEST(readToEnd() == boost::asio::error::connection_reset);
 }
 
 BOOST_AUTO_TEST_CASE(DeliversNoMoreOfItAfterTheTimeout)
 {
     startLargeRequest(Core::Millis(300));
-    BOOST_TEST((outcome.get_future().get() == ExchangeOutcome::TimedOut));
+    BOOST_TEST((result.get_future().get().outcome == ExchangeOutcome::TimedOut));
     BOOST_TEST(readToEnd() == boost::asio::error::connection_reset);
 }
 
