Hold an answer without length for broken off when its reset met the upload

What callers saw: an upstream answered a long upload at once with a 200 without length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with the length of the part.

Cause: a long request is written while its answer is read. The kernel reports a reset once, to the operation that meets it first; the other finds the end of the stream. The reactor performs a connection's write before its read, so the write took the reset, its result was only used to keep the connection out of the pool, and the read took the end of the stream for the end of the body. A dead peer's timeout can be taken in the same way.

Change: all parts of a response are read by one function. When a body that ends with its connection has ended while the request's write had not succeeded, it closes the stream, waits for the write's result and fails with it. A result that the own close or the exchange's timeout caused, and the one after which the upstream had ended its stream in order (EPIPE), leave the answer whole. Large bodies that are streamed, whose reading is a coroutine now, and responses that are skipped pass through the same function.

Evidence: AnAnswerWithoutLengthDuringTheUpload in tst_httpforward, with an upstream that reads nothing of 32 MB. Answers that end in order, also with a reset right behind, arrive whole as before. Passed as well: the same program under ThreadSanitizer and AddressSanitizer.

Why it works: the result of the write is kept by the operation that met the error, whichever thread runs its handler first, so that waiting for it leaves no order of events in which the reset is missed. Ruled out: looking at the socket's state at the end of the stream, which cannot tell a reset before the end from one behind it.

--- a/src/plugins/httpclient/connectionpool.cpp
+++ b/src/plugins/httpclient/connectionpool.cpp
@@ -32,7 +32,7 @@
 
         auto isReusable(const Connection& connection, const ResponseParser& response) -> bool
         {
-            return response.keep_alive() && connection.buffer.size() == 0 && !connection.hasUnwrittenRequest
+            return response.keep_alive() && connection.buffer.size() == 0 && !connection.requestWrite.isIncomplete()
                 && !connection.hasUnmatchedResponse && !connection.isCancelled;
         }
 
@@ -136,7 +136,7 @@
                 connection->buffer.shrink_to_fit();
             connection->setUsableFor(keepAliveTimeOf(response.get().base(), m_idleTimeout));
             put(call, connection);
-        } else if (connection->hasUnwrittenRequest || connection->hasUnmatchedResponse) {
+        } else if (connection->requestWrite.isIncomplete() || connection->hasUnmatchedResponse) {
             connection->stream.close();
         } else {
             connection->closeInOrder();
--- a/src/plugins/httpclient/connectionpool.h
+++ b/src/plugins/httpclient/connectionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/sharded.h"
+#include "httpclient/concurrentwrite.h"
 #include "httpclient/httpclient.h"
 #include "httpclient/responseparser.h"
 
@@ -29,6 +30,7 @@
     struct Connection {
         explicit Connection(boost::asio::io_context& context)
             : stream(boost::asio::make_strand(context))
+            , requestWrite(stream.get_executor())
         {
         }
         ~Connection();
@@ -49,7 +51,8 @@
         /// Number of the exchange in progress; incremented when it starts and when it ends. Accessed on the strand, or
         /// while there is only one owner.
         std::uint64_t exchangeNumber = 0;
-        bool hasUnwrittenRequest = false;
+        /// Write of a request that is longer than what is written before the response is read.
+        ConcurrentWrite requestWrite;
         /// A response arrived that does not belong to the request, or may not.
         bool hasUnmatchedResponse = false;
         std::chrono::steady_clock::time_point usableUntil;
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "httpclient/connectionpool.h"
 #include "httpclient/responsebody.h"
+#include "httpclient/responsereader.h"
 #include "httpclient/transporterror.h"
 #include "runtime/endpoints.h"
 #include "runtime/socketoptions.h"
@@ -10,7 +11,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace HttpClient {
@@ -124,10 +124,9 @@
     /// Starts to write the request and returns at once, so that the response can be read meanwhile.
     static auto writeConcurrently(const ConnectionPointer& connection, const std::shared_ptr<Call>& call) -> void
     {
-        connection->hasUnwrittenRequest = true;
-        http::async_write(connection->stream, call->request, [connection, call](const Error& error, std::size_t) {
-            connection->hasUnwrittenRequest = static_cast<bool>(error);
-        });
+        connection->requestWrite.start();
+        http::async_write(connection->stream, call->request,
+            [connection, call](const Error& error, std::size_t) { connection->requestWrite.end(error); });
     }
 
     /// Reads responses until the final one that belongs to the call, or its first part. Skips a limited number of
@@ -171,8 +170,7 @@
         Error error;
         const auto isLarge = [&] { return parser.get().body().size() > largeBody.value(); };
         while (!error && !parser.is_done() && !(call.streamsLargeBody && isLarge()))
-            co_await http::async_read_some(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            error = co_await detail::readSome(connection, parser);
         co_return error;
     }
 
@@ -185,8 +183,7 @@
             skipped += std::exchange(parser.get().body(), {}).size();
             if (skipped > m_limits.maximumBody.value())
                 co_return http::make_error_code(http::error::body_limit);
-            co_await http::async_read_some(
-                connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            error = co_await detail::readSome(connection, parser);
         }
         co_return error;
     }
--- a/src/plugins/httpclient/responsebody.cpp
+++ b/src/plugins/httpclient/responsebody.cpp
@@ -1,14 +1,13 @@
 #include "httpclient/responsebody.h"
 
+#include "httpclient/responsereader.h"
 #include "httpclient/transporterror.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/co_spawn.hpp>
 
 namespace HttpClient::detail {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using Error = boost::system::error_code;
 
 namespace {
@@ -39,41 +38,45 @@
 
 auto ResponseBody::read(PartCallback callback) -> void
 {
-    asio::post(
-        m_connection->stream.get_executor(), [self = shared_from_this(), callback = std::move(callback)]() mutable {
-            self->deliverOrReceive(std::move(callback));
+    asio::co_spawn(m_connection->stream.get_executor(), readPart(shared_from_this()),
+        [callback = std::move(callback)](const std::exception_ptr& exception, Core::Result<std::string> part) {
+            if (exception)
+                callback(Core::fail(Core::ErrorKind::Internal, "the body could not be read", "report it as a defect"));
+            else
+                callback(std::move(part));
         });
 }
 
 auto ResponseBody::cancel() -> void { cancelExchange(m_connection, m_exchange); }
 
-auto ResponseBody::deliverOrReceive(PartCallback callback) -> void
+auto ResponseBody::readPart(std::shared_ptr<ResponseBody> self) -> asio::awaitable<Core::Result<std::string>>
 {
-    auto& received = m_parser->get().body();
-    if (m_connection->isCancelled && m_connection->exchangeNumber == m_exchange)
-        callback(failed(asio::error::operation_aborted));
-    else if (!received.empty() || m_parser->is_done())
-        callback(std::exchange(received, {}));
-    else
-        receive(std::move(callback));
+    auto& received = self->m_parser->get().body();
+    while (!self->isCancelled()) {
+        if (!received.empty() || self->m_parser->is_done())
+            co_return std::exchange(received, {});
+        if (const auto error = co_await self->receive())
+            co_return self->failed(error);
+    }
+    co_return self->failed(asio::error::operation_aborted);
+}
+
+auto ResponseBody::isCancelled() const -> bool
+{
+    return m_connection->isCancelled && m_connection->exchangeNumber == m_exchange;
 }
 
-auto ResponseBody::receive(PartCallback callback) -> void
+auto ResponseBody::receive() -> asio::awaitable<Error>
 {
     m_connection->buffer.reserve(receiveBufferBytes);
-    http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
-        [self = shared_from_this(), callback = std::move(callback)](Error error, std::size_t) mutable {
-            if (error) {
-                auto failure = self->failed(error);
-                self->m_pool->dropAfterFailure(*self->m_call, *self->m_connection);
-                self->m_connection->stream.close();
-                callback(std::move(failure));
-                return;
-            }
-            if (self->m_parser->is_done())
-                self->m_pool->settle(*self->m_call, self->m_connection, *self->m_parser);
-            self->deliverOrReceive(std::move(callback));
-        });
+    const auto error = co_await readSome(*m_connection, *m_parser);
+    if (error) {
+        m_pool->dropAfterFailure(*m_call, *m_connection);
+        m_connection->stream.close();
+    } else if (m_parser->is_done()) {
+        m_pool->settle(*m_call, m_connection, *m_parser);
+    }
+    co_return error;
 }
 
 auto ResponseBody::failed(const Error& error) const -> tl::unexpected<Core::Error>
--- a/src/plugins/httpclient/responsebody.h
+++ b/src/plugins/httpclient/responsebody.h
@@ -18,8 +18,11 @@
     auto cancel() -> void override;
 
 private:
-    auto deliverOrReceive(PartCallback callback) -> void;
-    auto receive(PartCallback callback) -> void;
+    /// Returns the bytes that were received and not read yet. Receives some first if there are none; returns no byte
+    /// behind the end.
+    static auto readPart(std::shared_ptr<ResponseBody> self) -> boost::asio::awaitable<Core::Result<std::string>>;
+    [[nodiscard]] auto isCancelled() const -> bool;
+    auto receive() -> boost::asio::awaitable<boost::system::error_code>;
     [[nodiscard]] auto failed(const boost::system::error_code& error) const -> tl::unexpected<Core::Error>;
 
     const std::shared_ptr<ConnectionPool> m_pool;
