Wait in one place for an upstream's peer to close

Cause: two test programs' fixtures held the same function. Change: it stands beside the scripted upstream; no assertion changes. Measured: tst_httpforward passes.

--- a/tests/auto/httpforward/scriptedupstreams.h
+++ b/tests/auto/httpforward/scriptedupstreams.h
@@ -7,6 +7,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -191,4 +192,14 @@
     std::thread m_thread;
 };
 
+/// Waits until the peer has closed a connection whose request was not answered. Returns false if it has not within the
+/// limit.
+inline auto closesWithin(const ScriptedUpstream& upstream, std::chrono::milliseconds limit) -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!upstream.hasPeerClosed() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return upstream.hasPeerClosed();
+}
+
 } // namespace HttpForwardTest
--- a/tests/auto/httpforward/tst_endlessanswers.cpp
+++ b/tests/auto/httpforward/tst_endlessanswers.cpp
@@ -26,14 +26,6 @@
         : ExchangeClientFixture(smallLimits())
     {
     }
-
-    static auto closesWithin(const ScriptedUpstream& upstream, Core::Millis limit) -> bool
-    {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!upstream.hasPeerClosed() && std::chrono::steady_clock::now() < end)
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        return upstream.hasPeerClosed();
-    }
 };
 
 /// Exchanges whose large answers do not end by themselves.
--- a/tests/auto/httpforward/tst_streamedanswers.cpp
+++ b/tests/auto/httpforward/tst_streamedanswers.cpp
@@ -33,14 +33,6 @@
         return whole.error().kind;
     }
 
-    static auto closesWithin(const ScriptedUpstream& upstream, Core::Millis limit) -> bool
-    {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!upstream.hasPeerClosed() && std::chrono::steady_clock::now() < end)
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        return upstream.hasPeerClosed();
-    }
-
     const std::string body = numberedBody(largeBytes);
 };
 
