Name what the end of a stream tells of a response

Cause: the names and comments of the response reader said too little to a newcomer. Change: names and comments only. Measured: tst_httpforward passes.

--- a/src/plugins/httpclient/connectionpool.h
+++ b/src/plugins/httpclient/connectionpool.h
@@ -51,7 +51,7 @@
         /// Number of the exchange in progress; incremented when it starts and when it ends. Accessed on the strand, or
         /// while there is only one owner.
         std::uint64_t exchangeNumber = 0;
-        /// Write of a request that is longer than what is written before the response is read.
+        /// Write of the request, if it is too long to be written before the response is read.
         ConcurrentWrite requestWrite;
         /// A response arrived that does not belong to the request, or may not.
         bool hasUnmatchedResponse = false;
--- a/src/plugins/httpclient/responsebody.h
+++ b/src/plugins/httpclient/responsebody.h
@@ -18,8 +18,8 @@
     auto cancel() -> void override;
 
 private:
-    /// Returns the bytes that were received and not read yet. Receives some first if there are none; returns no byte
-    /// behind the end.
+    /// Returns the bytes that were received and not read yet, after it has received some if there are none. They are
+    /// empty once the body has ended.
     static auto readPart(std::shared_ptr<ResponseBody> self) -> boost::asio::awaitable<Core::Result<std::string>>;
     [[nodiscard]] auto isCancelled() const -> bool;
     auto receive() -> boost::asio::awaitable<boost::system::error_code>;
--- a/src/plugins/httpclient/responsereader.cpp
+++ b/src/plugins/httpclient/responsereader.cpp
@@ -14,23 +14,23 @@
 
 namespace {
 
-    /// Returns true if the write ended because this side closed the connection or its time expired, or because the
-    /// server had ended the stream in order before it reset the connection.
-    auto saysNothingAboutTheResponse(const Error& writeResult) -> bool
+    /// Returns true if the end of the stream was one in order although the write ended so: this side closed the
+    /// connection, its time expired, or the server reset it after the end of the stream (EPIPE; ECONNRESET otherwise).
+    auto wasStreamEndedInOrder(const Error& writeResult) -> bool
     {
         return writeResult == asio::error::operation_aborted || writeResult == asio::error::bad_descriptor
             || writeResult == beast::error::timeout || writeResult == asio::error::broken_pipe;
     }
 
-    /// Returns the error that ended the connection, if any, after the end of the stream was read while the request was
-    /// still being written. The operating system reports an error once, here to the write, and to later reads the end
-    /// of the stream.
-    auto errorBehindEnd(Connection& connection) -> asio::awaitable<Error>
+    /// Returns the error that ended the connection, if there was one, after the end of the stream was read while the
+    /// request was being written. The operating system reports such an error to one operation only; if that was the
+    /// write, a read finds the end of the stream.
+    auto connectionErrorAtEnd(Connection& connection) -> asio::awaitable<Error>
     {
         // Ends the write, unless it has met the error already.
         connection.stream.close();
         const auto result = co_await connection.requestWrite.wait();
-        co_return saysNothingAboutTheResponse(result) ? Error() : result;
+        co_return wasStreamEndedInOrder(result) ? Error() : result;
     }
 
 } // namespace
@@ -42,7 +42,7 @@
         connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     const bool endedWithConnection = !error && parser.is_done() && parser.need_eof();
     if (endedWithConnection && connection.requestWrite.isIncomplete())
-        error = co_await errorBehindEnd(connection);
+        error = co_await connectionErrorAtEnd(connection);
     co_return error;
 }
 
