Tests of a store that returns from an older copy, as known red

Cause: no test let the platform's store come back from a copy that lacks what it had acknowledged.

Change: the stand-in of the store states its era in every answer, keeps a copy, returns to it, answers a watch from a revision that it lacks with 410, and counts its calls. Each entry VM reaches it by a way of its own, on which it can be turned away alone. Upstreams write a rising seq. The fixture of the process tests is shared.

--- a/tests/platform/platformsite.cpp
+++ b/tests/platform/platformsite.cpp
@@ -34,6 +34,11 @@
         m_upstreamServers.push_back(std::make_unique<HttpServer::Server>(
             m_runtime.context(), Core::Address("127.0.0.1:0"), *m_upstreams.back()));
     }
+    for (int index = 0; index < m_options.entryVms; ++index) {
+        m_doors.push_back(std::make_unique<StoreDoor>(m_objects));
+        m_doorServers.push_back(
+            std::make_unique<HttpServer::Server>(m_runtime.context(), Core::Address("127.0.0.1:0"), *m_doors.back()));
+    }
     m_thread = std::thread([this] { m_runtime.run(); });
     for (int index = 0; index < m_options.upstreams; ++index)
         registerUpstream(index);
@@ -54,7 +59,7 @@
     m_objects.put("servers", "i-" + std::to_string(index),
         { { "address", "127.0.0.1:" + std::to_string(port) }, { "born", 1 },
             { "info", { { "service", "pegs" }, { "version", "v1" }, { "zone", "atl-a" }, { "slots", 4 } } } },
-        { { "state", state }, { "seq", 1 }, { "cold_left", "0ms" } });
+        { { "state", state }, { "seq", ++m_seqs[index] }, { "cold_left", "0ms" } });
 }
 
 auto PlatformSite::configure(std::uint64_t version, const std::string& prefix) -> void
@@ -97,7 +102,7 @@
         { "bounds",
             { { "grace", "6s" }, { "drain", "2500ms" }, { "ttl_max", "5s" }, { "retry_budget_ratio", 0.2 },
                 { "retry_slack", 60 } } },
-        { "platform", { { "address", "127.0.0.1:" + std::to_string(m_objectServer.port()) } } } };
+        { "platform", { { "address", "127.0.0.1:" + std::to_string(m_doorServers.at(index)->port()) } } } };
 }
 
 auto PlatformSite::startEntryVm(int index) -> void
--- a/tests/platform/platformsite.h
+++ b/tests/platform/platformsite.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/objectstandin.h"
+#include "platform/storedoor.h"
 #include "platform/upstreamstandin.h"
 #include "runtime/asioruntime.h"
 #include "standins/blockingclient.h"
@@ -33,7 +34,11 @@
     auto waitUntilReady(int index) -> void;
     auto process(int index) -> StandIns::ChildProcess& { return *m_processes.at(index); }
     auto objects() -> ObjectStandIn& { return m_objects; }
+    /// The entry VM's own way to the store.
+    auto storeDoor(int entryVm) -> StoreDoor& { return *m_doors.at(entryVm); }
     auto upstream(int index) -> UpstreamStandIn& { return *m_upstreams.at(index); }
+    [[nodiscard]] auto upstreamPort(int index) const -> std::uint16_t { return m_upstreamServers.at(index)->port(); }
+    /// Writes the entry of the upstream, with a higher seq than before.
     auto registerUpstream(int index, const std::string& state = "ready") -> void;
 
     auto send(int entryVm, const std::string& id, const std::string& target = "/stock/7")
@@ -56,9 +61,12 @@
     const int m_basePort;
     Runtime::AsioRuntime m_runtime { 4 };
     ObjectStandIn m_objects { m_runtime };
-    HttpServer::Server m_objectServer { m_runtime.context(), Core::Address("127.0.0.1:0"), m_objects };
+    std::vector<std::unique_ptr<StoreDoor>> m_doors;
+    std::vector<std::unique_ptr<HttpServer::Server>> m_doorServers;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
     std::vector<std::unique_ptr<HttpServer::Server>> m_upstreamServers;
+    /// Last seq that each upstream has written.
+    std::map<int, int> m_seqs;
     std::map<int, std::unique_ptr<StandIns::ChildProcess>> m_processes;
     std::filesystem::path m_directory;
     std::thread m_thread;
--- a/tests/platform/tst_objectapi.cpp
+++ b/tests/platform/tst_objectapi.cpp
@@ -163,6 +163,30 @@
     BOOST_TEST((watched->get_future().get() == Core::ErrorKind::InvalidMessage));
 }
 
+BOOST_AUTO_TEST_CASE(StatesAHigherEraOnceItHasReturnedFromAnOlderCopy)
+{
+    objects.put("things", "a", 1);
+    objects.keepCopy();
+    objects.put("things", "b", 2);
+    const auto before = list();
+    objects.returnToCopy();
+    const auto after = list();
+    BOOST_REQUIRE((before && after));
+    BOOST_TEST(after->items.size() == 1U);
+    BOOST_TEST((before->revision.era() == Ports::StoreEra(1)));
+    BOOST_TEST((after->revision.era() == Ports::StoreEra(2)));
+    const auto lost = watch(before->revision.number());
+    BOOST_REQUIRE(!lost);
+    BOOST_TEST((lost.error().kind == Core::ErrorKind::Conflict));
+    // The lost number is given out again.
+    objects.put("things", "c", 3);
+    BOOST_TEST(list()->revision.number() == before->revision.number());
+    const auto changes = watch(after->revision.number());
+    BOOST_REQUIRE(changes);
+    BOOST_REQUIRE(changes->changes.size() == 1U);
+    BOOST_TEST(changes->changes[0].item.name == "c");
+}
+
 BOOST_AUTO_TEST_SUITE(WithAnOddObjectAmongOthers)
 
 BOOST_AUTO_TEST_CASE(StillListsTheOthers)
--- a/tests/platform/upstreamstandin.cpp
+++ b/tests/platform/upstreamstandin.cpp
@@ -37,6 +37,12 @@
     m_retryAfter = seconds;
 }
 
+auto UpstreamStandIn::setStatus(unsigned status) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_status = status;
+}
+
 auto UpstreamStandIn::setSlowRuns(Core::Millis time) -> void
 {
     const std::lock_guard lock(m_mutex);
@@ -84,6 +90,7 @@
         return;
     }
     ++m_runs[id];
+    response.result(m_status);
     ++m_running;
     response.set("Server-Load", std::to_string(m_running) + ",0," + std::to_string(slots));
     auto timer = std::make_shared<std::unique_ptr<Ports::Timer>>();
--- a/tests/platform/upstreamstandin.h
+++ b/tests/platform/upstreamstandin.h
@@ -20,6 +20,8 @@
     auto setLeaving(bool isLeaving) -> void;
     /// Sets the value of Retry-After in refusals; empty for none.
     auto setRetryAfter(const std::string& seconds) -> void;
+    /// Sets the status of the answers to runs, which need not be one that HTTP defines.
+    auto setStatus(unsigned status) -> void;
     /// Takes the given time for every third run from now on.
     auto setSlowRuns(Core::Millis time) -> void;
     /// Number of requests that were refused.
@@ -39,6 +41,7 @@
     bool m_isRefusing = false;
     bool m_isLeaving = false;
     std::string m_retryAfter;
+    unsigned m_status = 200;
     Core::Millis m_slowTime { 0 };
     int m_started = 0;
     int m_refusals = 0;
