--- a/tests/platform/platformsite.cpp
+++ b/tests/platform/platformsite.cpp
@@ -17,6 +17,15 @@
     constexpr int portRange = 9000;
     constexpr int metricsPort = 9464;
 
+    /// Begin of the addresses of a site's entry VMs. Differs between test programs that run at the same time, because
+    /// the port of the metrics is the same on all VMs.
+    auto ownNetwork() -> std::string
+    {
+        constexpr int values = 250;
+        const auto id = static_cast<int>(::getpid());
+        return "127." + std::to_string(1 + id / values % values) + '.' + std::to_string(1 + id % values) + '.';
+    }
+
     enum PortOffset : std::uint8_t { Front, Ready, Control, Directory, Internal };
 
 } // namespace
@@ -25,6 +34,7 @@
     : m_binary(std::move(binary))
     , m_options(options)
     , m_basePort(firstPort + static_cast<int>(::getpid()) * portsPerSite % portRange)
+    , m_network(ownNetwork())
     , m_directory(std::filesystem::temp_directory_path() / ("dragonflywinch-site-" + std::to_string(::getpid())))
 {
     std::filesystem::create_directories(m_directory);
--- a/tests/platform/platformsite.h
+++ b/tests/platform/platformsite.h
@@ -54,11 +54,12 @@
 private:
     auto settings(int index) -> nlohmann::json;
     [[nodiscard]] auto address(int index, int offset) const -> Core::Address;
-    static auto ip(int index) -> std::string { return "127.0.7." + std::to_string(index + 1); }
+    [[nodiscard]] auto ip(int index) const -> std::string { return m_network + std::to_string(index + 1); }
 
     const std::string m_binary;
     const Options m_options;
     const int m_basePort;
+    const std::string m_network;
     Runtime::AsioRuntime m_runtime { 4 };
     ObjectStandIn m_objects { m_runtime };
     std::vector<std::unique_ptr<StoreDoor>> m_doors;
--- a/tests/platform/tst_storereturns.cpp
+++ b/tests/platform/tst_storereturns.cpp
@@ -187,6 +187,16 @@
     checkNothingIsSentTo(leaving, Core::Millis(500));
 }
 
+BOOST_AUTO_TEST_CASE(PutAConfigurationInForceOnBothWhenItTurnsOneAway)
+{
+    writeWhatWillBeLost(fewRevisions);
+    objects().keepCopy();
+    site.storeDoor(1).setTurningAway(true);
+    goAwayAndReturnFromCopy();
+    publish("/audit/");
+    checkInForceOnBoth("/audit/");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AndTheOperatorWrites)
