Take the copy of a collection apart from its reading

Change: CollectionCopy orders and keeps, CollectionFollower reads. Same behaviour. Measured: tst_storesync passes unchanged.

--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -20,8 +20,9 @@
 CollectionFollower::CollectionFollower(
     Ports::CollectionName name, CollectionListener& listener, Environment environment)
     : m_name(std::move(name))
-    , m_listener(listener)
     , m_environment(environment)
+    , m_copy(std::make_shared<CollectionCopy>(
+          m_name, listener, CollectionCopy::Environment { environment.mirror, environment.changed }))
 {
 }
 
@@ -33,6 +34,7 @@
         const std::lock_guard lock(m_mutex);
         m_isStopped = true;
     }
+    m_copy->stop();
     cancelCall();
 }
 
@@ -132,7 +134,7 @@
         return;
     }
     const auto known = revision();
-    const bool isApplied = applyUnlessOlder(*result);
+    const bool isApplied = m_copy->applyUnlessOlder(*result);
     countList(isApplied);
     m_environment.events.record({ Ports::EventKind("store.listed"), {},
         { { "collection", m_name.value() }, { "items", std::to_string(result->items.size()) },
@@ -150,74 +152,14 @@
     watch();
 }
 
-auto CollectionFollower::applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>&) -> void
-{
-    m_environment.mirror.replaceAll(m_name, list);
-    m_listener.replaceAll(list);
-    m_listener.commit();
-    const std::lock_guard lock(m_mutex);
-    m_revision = list.revision;
-    m_isLoaded = true;
-}
-
-auto CollectionFollower::applyUnlessOlder(const Ports::CollectionList& list) -> bool
-{
-    {
-        const std::lock_guard listenerLock(m_listenerMutex);
-        if (list.revision < revision())
-            return false;
-        applyList(list, listenerLock);
-    }
-    m_environment.changed();
-    return true;
-}
-
-auto CollectionFollower::applyIfNewer(const Ports::CollectionList& list) -> bool
-{
-    {
-        const std::lock_guard listenerLock(m_listenerMutex);
-        {
-            const std::lock_guard lock(m_mutex);
-            if (m_isStopped || list.revision <= m_revision)
-                return false;
-        }
-        applyList(list, listenerLock);
-    }
-    m_environment.changed();
-    return true;
-}
+auto CollectionFollower::applyIfNewer(const Ports::CollectionList& list) -> bool { return m_copy->applyIfNewer(list); }
 
 auto CollectionFollower::applyChangesSince(const ChangesSince& since) -> bool
 {
-    return applyChanges(since.changes, since.base);
-}
-
-auto CollectionFollower::applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool
-{
-    {
-        const std::lock_guard listenerLock(m_listenerMutex);
-        if (revision() != base)
-            return false;
-        m_environment.mirror.apply(m_name, changes);
-        for (const auto& change : changes.changes) {
-            if (change.isDeleted)
-                m_listener.remove(change.item.name);
-            else
-                m_listener.upsert(change.item);
-        }
-        m_listener.commit();
-        const std::lock_guard lock(m_mutex);
-        m_revision = std::max(m_revision, changes.revision);
-    }
-    m_environment.changed();
-    return true;
+    return m_copy->applyChanges(since.changes, since.base);
 }
 
-auto CollectionFollower::revision() const -> Ports::StoreRevision
-{
-    const std::lock_guard lock(m_mutex);
-    return m_revision;
-}
+auto CollectionFollower::revision() const -> Ports::StoreRevision { return m_copy->revision(); }
 
 auto CollectionFollower::watch() -> void
 {
@@ -242,7 +184,7 @@
     {
         const std::lock_guard lock(m_mutex);
         const bool isWaitingToRetry = m_isPatient && m_failures > 0 && m_timer;
-        if (!isWaitingToRetry && (!m_isLoaded || !m_call))
+        if (!isWaitingToRetry && (!m_copy->isLoaded() || !m_call))
             return;
         call = std::exchange(m_call, nullptr);
         m_timer.reset();
@@ -269,7 +211,7 @@
         }
         return;
     }
-    const bool isApplied = applyChanges(*result, base);
+    const bool isApplied = m_copy->applyChanges(*result, base);
     m_environment.events.record({ Ports::EventKind("store.watched"), {},
         { { "collection", m_name.value() }, { "changes", std::to_string(result->changes.size()) },
             { "revision", numberOf(result->revision) }, { "era", eraOf(result->revision) },
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -5,7 +5,7 @@
 #include "ports/eventsink.h"
 #include "ports/randomsource.h"
 #include "ports/scheduler.h"
-#include "storesync/collectionmirror.h"
+#include "storesync/collectioncopy.h"
 
 #include <functional>
 #include <memory>
@@ -14,18 +14,6 @@
 
 namespace StoreSync {
 
-/// Receives the content and the changes of a followed collection. Called by one thread at a time.
-class CollectionListener {
-public:
-    virtual ~CollectionListener() = default;
-    /// Replaces the content by the given list. Items that are not in it no longer exist.
-    virtual auto replaceAll(const Ports::CollectionList& list) -> void = 0;
-    virtual auto upsert(const Ports::CollectionItem& item) -> void = 0;
-    virtual auto remove(const std::string& name) -> void = 0;
-    /// Called after all changes of one answer.
-    virtual auto commit() -> void = 0;
-};
-
 /// Number of answers of the store since the start.
 struct ReadCounts {
     std::uint64_t lists = 0;
@@ -87,13 +75,6 @@
     /// Returns the number of the call that is about to be made, or nothing if the store is not to be read.
     [[nodiscard]] auto beginCall() -> std::optional<std::uint64_t>;
     [[nodiscard]] auto isCurrent(std::uint64_t callNumber) const -> bool;
-    /// The caller must hold m_listenerMutex.
-    auto applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>& listenerLock) -> void;
-    /// Returns false if a newer copy came from another entry VM while the store was asked.
-    auto applyUnlessOlder(const Ports::CollectionList& list) -> bool;
-    /// Applies changes since the base revision. Returns false if the collection is at another revision by now, because
-    /// a copy came from another entry VM.
-    auto applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool;
     auto handleList(const Core::Result<Ports::CollectionList>& result, std::uint64_t callNumber) -> void;
     auto handleChanges(const Core::Result<Ports::CollectionChanges>& result, Ports::StoreRevision base) -> void;
     auto retryLater(const Core::Error& error) -> void;
@@ -103,13 +84,9 @@
     auto schedule(Core::Duration delay, void (CollectionFollower::*step)()) -> void;
 
     const Ports::CollectionName m_name;
-    CollectionListener& m_listener;
     const Environment m_environment;
-    /// Held while the listener is called and the revision changes, so that both always agree.
-    std::mutex m_listenerMutex;
+    const std::shared_ptr<CollectionCopy> m_copy;
     mutable std::mutex m_mutex;
-    Ports::StoreRevision m_revision;
-    bool m_isLoaded = false;
     /// The store has answered a list since reading began.
     bool m_isLoadedByStore = false;
     bool m_isStopped = false;
