--- a/tests/platform/tst_objectapi.cpp
+++ b/tests/platform/tst_objectapi.cpp
@@ -6,7 +6,10 @@
 #include "runtime/asioruntime.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <future>
+#include <mutex>
+#include <optional>
 #include <thread>
 
 namespace {
@@ -37,6 +40,43 @@
     const std::string m_toWatches;
 };
 
+/// Answer of a store in one of its eras. The header is left out if there is no text of an era.
+struct StatedAnswer {
+    std::string body;
+    std::optional<std::string> era;
+    boost::beast::http::status status = boost::beast::http::status::ok;
+};
+
+/// Store that gives the answers of a test one after the other, the last one again and again.
+class StatedAnswers : public HttpServer::HttpHandler {
+public:
+    auto set(std::vector<StatedAnswer> answers) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answers.assign(answers.begin(), answers.end());
+    }
+    auto handle(HttpServer::HttpRequest, Respond respond) -> void override
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto answer = m_answers.front();
+        if (m_answers.size() > 1)
+            m_answers.pop_front();
+        HttpServer::HttpResponse response { answer.status, 11 };
+        if (answer.era)
+            response.set("Store-Era", *answer.era);
+        response.body() = answer.body;
+        respond(std::move(response));
+    }
+    auto malformedResponse(boost::beast::http::status status, const std::string&) -> HttpServer::HttpResponse override
+    {
+        return { status, 11 };
+    }
+
+private:
+    std::mutex m_mutex;
+    std::deque<StatedAnswer> m_answers;
+};
+
 struct StoreFixture {
     StoreFixture()
         : thread([this] { runtime.run(); })
@@ -82,6 +122,57 @@
     std::thread thread;
 };
 
+/// Store whose answers state eras.
+struct StoreWithEras : StoreFixture {
+    auto list() -> Core::Result<Ports::CollectionList>
+    {
+        return wait<Ports::CollectionList>([this](auto callback) { stated.list(things, std::move(callback)); });
+    }
+
+    auto watch() -> Core::Result<Ports::CollectionChanges>
+    {
+        std::shared_ptr<Ports::StoreCall> call;
+        return wait<Ports::CollectionChanges>([&](auto callback) {
+            call = stated.watch(things, Ports::StoreRevision(3), Core::Millis(300), std::move(callback));
+        });
+    }
+
+    auto ping() -> Core::Result<Ports::StoreRevision>
+    {
+        return wait<Ports::StoreRevision>([this](auto callback) { stated.ping(std::move(callback)); });
+    }
+
+    auto put() -> Core::Result<Ports::StoreRevision>
+    {
+        return wait<Ports::StoreRevision>([this](auto callback) {
+            stated.put(things, { "a", {}, "1" }, std::move(callback));
+        });
+    }
+
+    template <typename Answer>
+    static auto wait(const std::function<void(std::function<void(Core::Result<Answer>)>)>& call) -> Core::Result<Answer>
+    {
+        const auto promise = std::make_shared<std::promise<Core::Result<Answer>>>();
+        call([promise](Core::Result<Answer> result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
+    }
+
+    static auto revisionOf(std::uint64_t number, std::uint64_t era) -> Ports::StoreRevision
+    {
+        return Ports::StoreRevision(number, Ports::StoreEra(era));
+    }
+
+    const std::string object = R"({"metadata":{"name":"a","revision":4},"spec":1})";
+    const std::string page = R"({"items":[)" + object + R"(],"store_revision":9})";
+    const std::string firstPage = R"({"items":[)" + object + R"(],"more":true,"store_revision":9})";
+    const std::string secondPage = R"({"items":[{"metadata":{"name":"b","revision":5},"spec":1}],"store_revision":10})";
+    const std::string changes = R"({"events":[{"object":)" + object + R"(,"deleted":false}],"store_revision":9})";
+    StatedAnswers answers;
+    HttpServer::Server statedServer { runtime.context(), Core::Address("127.0.0.1:0"), answers };
+    Platform::ObjectApi stated { client, Core::Address("127.0.0.1:" + std::to_string(statedServer.port())),
+        "things/own" };
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ThePlatformsStore, StoreFixture)
@@ -260,3 +351,132 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(TheErasOfThePlatformsStore, StoreWithEras)
+
+BOOST_AUTO_TEST_SUITE(AreRead)
+
+BOOST_AUTO_TEST_CASE(FromListsWithTheirItems)
+{
+    answers.set({ { page, "3" } });
+    const auto listed = list();
+    BOOST_REQUIRE(listed);
+    BOOST_TEST(listed->revision == revisionOf(9, 3));
+    BOOST_TEST(listed->items.at(0).revision == revisionOf(4, 3));
+}
+
+BOOST_AUTO_TEST_CASE(FromWatchesWithTheirChanges)
+{
+    answers.set({ { changes, "3" } });
+    const auto watched = watch();
+    BOOST_REQUIRE(watched);
+    BOOST_TEST(watched->revision == revisionOf(9, 3));
+    BOOST_TEST(watched->changes.at(0).item.revision == revisionOf(4, 3));
+}
+
+BOOST_AUTO_TEST_CASE(FromPings)
+{
+    answers.set({ { object, "3" } });
+    const auto pinged = ping();
+    BOOST_REQUIRE(pinged);
+    BOOST_TEST(pinged->era().value() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(FromPingsWhoseObjectDoesNotExist)
+{
+    answers.set({ { "", "4", boost::beast::http::status::not_found } });
+    const auto pinged = ping();
+    BOOST_REQUIRE(pinged);
+    BOOST_TEST(pinged->era().value() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(FromWritesThatReplace)
+{
+    answers.set({ { object, "3" } });
+    const auto written = put();
+    BOOST_REQUIRE(written);
+    BOOST_TEST(*written == revisionOf(4, 3));
+}
+
+BOOST_AUTO_TEST_CASE(FromWritesThatCreate)
+{
+    answers.set(
+        { { "", "3", boost::beast::http::status::not_found }, { object, "4", boost::beast::http::status::created } });
+    const auto written = put();
+    BOOST_REQUIRE(written);
+    BOOST_TEST(*written == revisionOf(4, 4));
+}
+
+BOOST_AUTO_TEST_CASE(UpToTheLargestNumber)
+{
+    answers.set({ { page, "18446744073709551615" } });
+    const auto listed = list();
+    BOOST_REQUIRE(listed);
+    BOOST_TEST(listed->revision.era().value() == 18'446'744'073'709'551'615U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatAreNotStated)
+
+BOOST_AUTO_TEST_CASE(AreTheFirst)
+{
+    answers.set({ { page, std::nullopt } });
+    BOOST_TEST(list()->revision == revisionOf(9, 0));
+    answers.set({ { changes, std::nullopt } });
+    BOOST_TEST(watch()->revision == revisionOf(9, 0));
+    answers.set({ { object, std::nullopt } });
+    BOOST_TEST(ping()->era().value() == 0U);
+    BOOST_TEST(*put() == revisionOf(4, 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatCannotBeRead)
+
+BOOST_AUTO_TEST_CASE(AreAnErrorOfEachCall)
+{
+    for (const auto* era : { "-1", "two", "3x", "0x3", "1.5", "3 4", "18446744073709551616", "1e3" }) {
+        answers.set({ { page, era } });
+        BOOST_REQUIRE_MESSAGE(!list(), era);
+        BOOST_TEST((list().error().kind == Core::ErrorKind::InvalidMessage), era);
+        answers.set({ { changes, era } });
+        BOOST_TEST((watch().error().kind == Core::ErrorKind::InvalidMessage), era);
+        answers.set({ { object, era } });
+        BOOST_TEST((ping().error().kind == Core::ErrorKind::InvalidMessage), era);
+        BOOST_TEST((put().error().kind == Core::ErrorKind::InvalidMessage), era);
+        BOOST_TEST(!list().error().remedy.empty(), era);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatChangeBetweenThePagesOfAList)
+
+BOOST_AUTO_TEST_CASE(EndItWithAnErrorAfterWhichItCanBeRetried)
+{
+    answers.set({ { firstPage, "3" }, { secondPage, "4" } });
+    const auto listed = list();
+    BOOST_REQUIRE(!listed);
+    BOOST_TEST((listed.error().kind == Core::ErrorKind::Unavailable));
+    BOOST_TEST(!listed.error().remedy.empty());
+}
+
+BOOST_AUTO_TEST_CASE(EndItAlsoIfALatePageIsOfTheEarlierEra)
+{
+    answers.set({ { firstPage, "4" }, { secondPage, "3" } });
+    BOOST_TEST(!list());
+}
+
+BOOST_AUTO_TEST_CASE(DoNotEndItIfTheyStayTheSame)
+{
+    answers.set({ { firstPage, "3" }, { secondPage, "3" } });
+    const auto listed = list();
+    BOOST_REQUIRE(listed);
+    BOOST_TEST(listed->items.size() == 2U);
+    BOOST_TEST(listed->revision == revisionOf(9, 3));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/tst_objectcodec.cpp
+++ b/tests/platform/tst_objectcodec.cpp
@@ -63,6 +63,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(GivesTheNumberOfItsReport)
+{
+    const auto entry = codec.decodeUpstream(upstream(info, status), now);
+    BOOST_REQUIRE(entry);
+    BOOST_TEST(entry->report.value() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(GivesNoNumberOfItsReportIfItIsMissingOrOdd)
+{
+    for (const auto* number : { "", R"(,"seq":null)", R"(,"seq":-4)", R"(,"seq":"4")", R"(,"seq":4.5)",
+             R"(,"seq":1e30)", R"(,"seq":[4])", R"(,"seq":{})", R"(,"seq":true)" }) {
+        const auto odd = R"({"state":"ready","cold_left":"0ms")" + std::string(number) + "}";
+        const auto entry = codec.decodeUpstream(upstream(info, odd), now);
+        BOOST_REQUIRE_MESSAGE(entry.has_value(), number);
+        BOOST_TEST(entry->report.value() == 0U, number);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(OfAnotherWriter)
 
 BOOST_AUTO_TEST_CASE(NamesNoUpstreamWhenItsAddressCannotBeUsed)
