--- a/tests/auto/forwardingsoak/randomisedforwardingrun.h
+++ b/tests/auto/forwardingsoak/randomisedforwardingrun.h
@@ -34,6 +34,14 @@
     /// Unlists some live upstreams for the duration of a store outage, and lists them again after it.
     auto expireEntries(Core::Duration outageTime) -> void;
     auto clearStoreFault() -> void;
+    /// Lets the store go away after a while and return from a copy of now.
+    auto beginDrill() -> void;
+    auto endDrill() -> void;
+    /// Lets the operator and the upstreams write again what the store has lost.
+    auto writeAgain(const Fakes::VirtualCollections::ItemName& item) -> void;
+    auto writeUpstreamAgain(const Core::UpstreamId& id) -> void;
+    /// Runs the task once the store can be written to.
+    auto onceStoreIsReachable(Ports::Scheduler::Task task) -> void;
     auto addUpstream(const Core::Address& address) -> void;
     [[nodiscard]] auto makeEntry(const Core::UpstreamId& id, const Core::Address& address) -> Forwarding::UpstreamEntry;
     [[nodiscard]] auto randomUpstream() -> std::optional<Core::UpstreamId>;
@@ -47,6 +55,8 @@
     std::set<Core::UpstreamId> m_upstreams;
     /// Upstreams that are draining, or that crashed and have not restarted yet.
     std::set<Core::UpstreamId> m_leaving;
+    /// Those of the draining upstreams that announced it.
+    std::set<Core::UpstreamId> m_announced;
     std::set<Core::FailureDomainId> m_evacuated;
     double m_sendRate = 0.8;
     std::uint64_t m_nextRequest = 0;
@@ -54,5 +64,7 @@
     std::uint64_t m_version = 0;
     std::int64_t m_nextStart = 1;
     bool m_hasStoreFault = false;
+    /// A copy has been kept, and the store has not returned from it yet.
+    bool m_hasDrill = false;
     bool m_isRecovering = false;
 };
--- a/tests/fakes/forwarding/virtualupstreams.h
+++ b/tests/fakes/forwarding/virtualupstreams.h
@@ -36,6 +36,8 @@
 /// Upstreams in virtual time. Checks each request that reaches them.
 class VirtualUpstreams {
 public:
+    /// Upstreams that a process of an entry VM has seen in the store, each with its start.
+    using KnownStarts = std::set<std::pair<Core::UpstreamId, Core::ProcessStartId>>;
     using IsStable = std::function<bool(const NodeId& vm)>;
 
     VirtualUpstreams(VirtualWorld& world, RequestTracker& requestTracker, IsStable isStable);
@@ -45,7 +47,12 @@
     auto end(const Core::UpstreamId& id) -> void;
     /// Records that the store has acknowledged the retirement of the upstream.
     auto retire(const Core::UpstreamId& id) -> void;
+    /// Returns the number of the upstream's next statement about itself.
+    auto nextReport(const Core::UpstreamId& id) -> Forwarding::ReportNumber;
     auto setEvacuated(const Core::FailureDomainId& domain, bool isEvacuated) -> void;
+    /// The store has lost the evacuation, which binds those VMs only that have been told of it until it is written
+    /// again.
+    auto loseEvacuation(const Core::FailureDomainId& domain) -> void { m_evacuatedAt.erase(domain); }
     auto setFaults(UpstreamFaults faults) -> void { m_faults = faults; }
     [[nodiscard]] auto isUp(const Core::UpstreamId& id) const -> bool { return m_upstreams.contains(id); }
     [[nodiscard]] auto entry(const Core::UpstreamId& id) const -> const Forwarding::UpstreamEntry&;
@@ -81,6 +88,7 @@
         std::vector<JobPointer> jobs;
         std::deque<ColdArrival> coldArrivals;
         std::map<Sender, Told, std::owner_less<Sender>> told;
+        std::uint64_t reports = 0;
     };
 
     auto arrive(const JobPointer& job) -> void;
@@ -88,6 +96,8 @@
     auto checkCold(Upstream& upstream, const Job& job) -> void;
     /// Checks that the sender heeds what the upstream has told it.
     auto checkTold(Upstream& upstream, const Job& job) -> void;
+    /// Records what the store has told the VM for longer than the bounds.
+    auto recordToldByStore(const Sender& sender, const KnownStarts& known) -> void;
     /// Tells the sender in a refusal to pause, or not.
     auto askForPause(const JobPointer& job, Ports::ExchangeResult& refusal) -> void;
     /// Records what the answer of the upstream says once the sender has received it; a paused VM receives it later.
@@ -105,6 +115,8 @@
     UpstreamFaults m_faults;
     std::map<Core::UpstreamId, Upstream> m_upstreams;
     std::map<Core::FailureDomainId, Core::Instant> m_evacuatedAt;
+    /// Evacuations that each process knew of before the store lost any.
+    std::map<Sender, Forwarding::EvacuatedDomains, std::owner_less<Sender>> m_toldEvacuations;
 };
 
 /// Exchange client that connects one VM's process to the virtual upstreams.
@@ -119,6 +131,12 @@
     auto start(Ports::ExchangeCall call, ResultCallback callback) -> std::shared_ptr<Ports::Exchange> override;
     auto probeHealth(const Ports::UpstreamTarget& target, const std::string& path, HealthCallback callback)
         -> void override;
+    /// Records that this process knows of the evacuations, and of the departures of known upstreams, that were written
+    /// long enough ago. It has to heed them from now on, whatever the store loses.
+    auto recordKnownState(const VirtualUpstreams::KnownStarts& known) -> void
+    {
+        m_virtualUpstreams.recordToldByStore(m_life, known);
+    }
 
 private:
     /// Reports that an idle connection was closed because the upstream process that it led to has ended.
