Count the hold from the first sight of the store's era, and end watches of an earlier one

Cause: the hold began with a collection's own list, which may come over a second after the VM has seen the era; and a copy of the later era from a peer hid that the pending watch was of the earlier one, which the store had forgotten. The era of the pending watch is known, and one of an earlier era is ended.

--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -139,8 +139,7 @@
         return evacuationHold;
     if (name == names.entryVms)
         return entryVmHold;
-    // What is written in time is read up to a batching delay later, and by other VMs after that.
-    return Forwarding::UpstreamRegistry::storeReturnGracePeriod + 2 * m_settings.batchingDelay;
+    return Forwarding::UpstreamRegistry::storeReturnGracePeriod;
 }
 
 auto EntryVm::registerSelf() -> void
--- a/src/libs/storesync/collectioncopy.cpp
+++ b/src/libs/storesync/collectioncopy.cpp
@@ -8,6 +8,8 @@
 
     /// Interval at which a hold that is over waits for a copy that shows the store's present state.
     constexpr Core::Millis holdCheckInterval { 200 };
+    /// A list that comes late in the time of a hold leaves this part of it at least.
+    constexpr int shortestHoldDivisor = 4;
 
 } // namespace
 
@@ -37,19 +39,19 @@
     return m_isLoaded;
 }
 
-auto CollectionCopy::expectEra(Ports::StoreEra era) -> bool
+auto CollectionCopy::expectEra(Ports::StoreEra era) -> void
 {
     const std::lock_guard lock(m_mutex);
-    if (era <= m_leastEra)
-        return false;
-    m_leastEra = era;
-    return true;
+    if (era <= m_latestEra)
+        return;
+    m_latestEra = era;
+    m_eraSeenAt = m_environment.clock.now();
 }
 
 auto CollectionCopy::isOutdated(Ports::StoreEra era) const -> bool
 {
     const std::lock_guard lock(m_mutex);
-    return era < m_leastEra;
+    return era < m_latestEra;
 }
 
 auto CollectionCopy::applyUnlessOlder(const Ports::CollectionList& list) -> bool
@@ -70,7 +72,7 @@
         const std::lock_guard listenerLock(m_listenerMutex);
         {
             const std::lock_guard lock(m_mutex);
-            if (m_isStopped || list.revision <= m_revision || list.revision.era() < m_leastEra)
+            if (m_isStopped || list.revision <= m_revision || list.revision.era() < m_latestEra)
                 return false;
         }
         applyList(list, listenerLock);
@@ -82,6 +84,7 @@
 auto CollectionCopy::applyList(const Ports::CollectionList& list, const std::lock_guard<std::mutex>&) -> void
 {
     const bool isReturn = isLoaded() && list.revision.era() > revision().era();
+    expectEra(list.revision.era());
     const auto knownBefore = m_environment.mirror.itemNames(m_name);
     m_environment.mirror.replaceAll(m_name, list);
     if (isReturn)
@@ -103,7 +106,7 @@
     recordReturn(list);
     ++m_holdNumber;
     if (!m_held.isEmpty())
-        scheduleEndOfHold(m_holdNumber, m_environment.returnHold);
+        scheduleEndOfHold(m_holdNumber, remainingHold());
 }
 
 auto CollectionCopy::replaceAllButHeld(const Ports::CollectionList& list, const std::set<std::string>& knownBefore)
@@ -128,6 +131,13 @@
             { "held", std::to_string(m_held.size()) } } });
 }
 
+auto CollectionCopy::remainingHold() const -> Core::Duration
+{
+    const std::lock_guard lock(m_mutex);
+    const auto passed = m_environment.clock.now() - m_eraSeenAt;
+    return std::max(m_environment.returnHold - passed, m_environment.returnHold / shortestHoldDivisor);
+}
+
 auto CollectionCopy::scheduleEndOfHold(std::uint64_t number, Core::Duration delay) -> void
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/storesync/collectioncopy.h
+++ b/src/libs/storesync/collectioncopy.h
@@ -34,10 +34,12 @@
 class CollectionCopy : public std::enable_shared_from_this<CollectionCopy> {
 public:
     struct Environment {
+        const Ports::Clock& clock;
         Ports::Scheduler& scheduler;
         Ports::EventSink& events;
         CollectionMirror& mirror;
-        /// Time for which items that a store that returned from an older copy lacks count as existing.
+        /// Time for which items that a store that returned from an older copy lacks count as existing, from when the
+        /// store was first seen in its era.
         Core::Duration returnHold;
         /// Returns true if the copy shows what the store has now. Held items are not given up before.
         std::function<bool()> isCurrent;
@@ -56,9 +58,8 @@
     /// Applies changes since the base revision. Returns false if the copy is at another revision, or if the changes are
     /// of another era than their base or of one that has passed.
     auto applyChanges(const Ports::CollectionChanges& changes, Ports::StoreRevision base) -> bool;
-    /// Records that the store was seen in this era: nothing of an earlier one is applied from then on. Returns true if
-    /// that is news.
-    auto expectEra(Ports::StoreEra era) -> bool;
+    /// Records that the store was seen in this era: nothing of an earlier one is applied from then on.
+    auto expectEra(Ports::StoreEra era) -> void;
     /// Returns true if the store was seen in a later era.
     [[nodiscard]] auto isOutdated(Ports::StoreEra era) const -> bool;
     [[nodiscard]] auto revision() const -> Ports::StoreRevision;
@@ -72,6 +73,8 @@
     /// Applies a list while items are held that it lacks. Same lock.
     auto replaceAllButHeld(const Ports::CollectionList& list, const std::set<std::string>& knownBefore) -> void;
     auto recordReturn(const Ports::CollectionList& list) -> void;
+    /// Returns how long the items that the returned store lacks are to be held from now on.
+    [[nodiscard]] auto remainingHold() const -> Core::Duration;
     auto scheduleEndOfHold(std::uint64_t number, Core::Duration delay) -> void;
     /// Gives up the items that have not been written again, unless another hold has begun meanwhile.
     auto endHold(std::uint64_t number) -> void;
@@ -87,8 +90,9 @@
     std::uint64_t m_holdNumber = 0;
     mutable std::mutex m_mutex;
     Ports::StoreRevision m_revision;
-    /// Latest era in which the store was seen.
-    Ports::StoreEra m_leastEra;
+    /// Latest era in which the store was seen, and since when.
+    Ports::StoreEra m_latestEra;
+    Core::Instant m_eraSeenAt;
     bool m_isLoaded = false;
     bool m_isStopped = false;
     std::unique_ptr<Ports::Timer> m_holdTimer;
--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -21,8 +21,8 @@
     : m_name(std::move(name))
     , m_environment(environment)
     , m_copy(std::make_shared<CollectionCopy>(m_name, listener,
-          CollectionCopy::Environment { environment.scheduler, environment.events, environment.mirror,
-              environment.returnHold, environment.isCurrent, environment.changed }))
+          CollectionCopy::Environment { environment.clock, environment.scheduler, environment.events,
+              environment.mirror, environment.returnHold, environment.isCurrent, environment.changed }))
 {
 }
 
@@ -92,8 +92,11 @@
     if (m_isStopped || m_isSuspended)
         return std::nullopt;
     m_isListing = read == Read::List;
-    if (read == Read::Watch)
+    m_watchedEra.reset();
+    if (read == Read::Watch) {
+        m_watchedEra = m_copy->revision().era();
         m_pace.recordWatchBegun(m_environment.clock.now());
+    }
     return ++m_callNumber;
 }
 
@@ -220,13 +223,14 @@
 
 auto CollectionFollower::expectEra(Ports::StoreEra era) -> void
 {
-    if (!m_copy->expectEra(era))
-        return;
+    m_copy->expectEra(era);
     std::shared_ptr<Ports::StoreCall> call;
     {
         const std::lock_guard lock(m_mutex);
+        const bool isWatchOutdated = m_watchedEra && *m_watchedEra < era;
+        const bool isCopyOutdated = m_copy->revision().era() < era;
         // A list that is under way is looked at when it is answered.
-        if (!m_copy->isLoaded() || m_isListing || m_isSuspended || m_copy->revision().era() >= era)
+        if (!m_copy->isLoaded() || m_isListing || m_isSuspended || !(isCopyOutdated || isWatchOutdated))
             return;
         m_isLoadedByStore = false;
         call = std::exchange(m_call, nullptr);
@@ -244,6 +248,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_call.reset();
+        m_watchedEra.reset();
         m_pace.recordWatchEnded(m_environment.clock.now());
     }
     if (!result) {
@@ -264,7 +269,7 @@
     recordRecovery();
     if (result->revision.era() != base.era()) {
         // The changes lead from a revision of another era.
-        (void)m_copy->expectEra(result->revision.era());
+        m_copy->expectEra(result->revision.era());
         m_environment.eraSeen(result->revision.era());
         listAfterUselessAnswer();
         return;
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -111,6 +111,8 @@
     bool m_isPatient = false;
     /// A list is under way.
     bool m_isListing = false;
+    /// Era of the revision from which the pending watch began.
+    std::optional<Ports::StoreEra> m_watchedEra;
     /// Number of the pending list or watch. After answers to earlier ones, reading does not go on.
     std::uint64_t m_callNumber = 0;
     std::uint32_t m_failures = 0;
--- a/tests/auto/forwardinghost/tst_storereturns.cpp
+++ b/tests/auto/forwardinghost/tst_storereturns.cpp
@@ -236,10 +236,38 @@
     fleet.site.addUpstream(makeUpstream("3"), {});
     fleet.runFor(Core::Millis(1000));
     BOOST_TEST(!fleet.hasLogged("upstream.left upstream=1 start=1 service= failureDomain= address=10.0.1.1:80"));
+    BOOST_TEST(!fleet.hasLogged("upstream.given-up upstream=1 start=1 service= failureDomain= address=10.0.1.1:80"));
     BOOST_TEST(fleet.hasLogged("upstream.listed upstream=2 start=1 service= failureDomain= address=10.0.1.2:80"));
     fleet.site.listUpstream(Core::UpstreamId("1"), false);
     fleet.runFor(countedTime);
     BOOST_TEST(!fleet.hasLogged("upstream.left upstream=1 start=1 service= failureDomain= address=10.0.1.1:80"));
+    BOOST_TEST(!fleet.hasLogged("upstream.given-up upstream=1 start=1 service= failureDomain= address=10.0.1.1:80"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(HoldsWhatItMayHaveLost)
+
+/// A VM whose list after the return came late held an upstream that had left for longer than leaving may take.
+BOOST_DATA_TEST_CASE(NoLongerThanUntilItsVmsCountAsStable, bdata::xrange(20), step)
+{
+    ReturningFleet fleet(5);
+    fleet.site.addUpstream(makeUpstream("1"), {});
+    fleet.runFor(Core::Millis(1000));
+    fleet.site.keepStoreCopy();
+    fleet.site.takeStoreAway(false);
+    fleet.runFor(Core::Millis(300 + 85 * step));
+    fleet.returnStore();
+    constexpr Core::Millis timeToLeave { 100 };
+    fleet.runFor(timeToLeave);
+    fleet.site.unlistUpstream(Core::UpstreamId("1"));
+    fleet.runFor(ForwardingSite::stabilityTime - timeToLeave);
+    const auto& log = fleet.site.runLog();
+    const auto left = std::count_if(log.begin(), log.end(), [](const auto& line) {
+        return line.find("upstream.left upstream=1 ") != std::string::npos
+            || line.find("upstream.given-up upstream=1 ") != std::string::npos;
+    });
+    BOOST_TEST(static_cast<std::size_t>(left) == fleet.size);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/storesync/tst_storereturns.cpp
+++ b/tests/auto/storesync/tst_storereturns.cpp
@@ -62,6 +62,32 @@
 
 BOOST_FIXTURE_TEST_SUITE(AStoreThatReturnsFromAnOlderCopy, FollowerAtRevision100)
 
+BOOST_AUTO_TEST_SUITE(AndIsLearntOfFromAnotherVm)
+
+/// A watch that the store had forgotten went on after a peer's copy of the later era, and nothing was read any more.
+BOOST_AUTO_TEST_CASE(IsListedThoughAWatchOfTheEarlierEraWaits)
+{
+    BOOST_REQUIRE(follower->applyIfNewer(listOf({ "a", "d" }, revisionOf(40, 2))));
+    store.content = listOf({ "a", "d", "e" }, revisionOf(41, 2));
+    follower->expectEra(Ports::StoreEra(2));
+    BOOST_TEST(listener.names.contains("e"));
+    BOOST_TEST(store.watches.back()->after == revisionOf(41, 2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ThatGoesBackWithoutANewEra)
+
+BOOST_AUTO_TEST_CASE(IsNotTakenForOneThatReportsChanges)
+{
+    BOOST_TEST(follower->isReading());
+    returnStore({ "a", "d" }, 40, 1);
+    BOOST_TEST(!follower->isReading());
+    BOOST_TEST(follower->counts().unappliedLists == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AndIsListed)
 
 BOOST_AUTO_TEST_CASE(IsFollowedFromItsLowerRevision)
--- a/tests/fakes/forwarding/virtualupstreams.cpp
+++ b/tests/fakes/forwarding/virtualupstreams.cpp
@@ -195,16 +195,17 @@
 auto VirtualUpstreams::checkArrival(Upstream& upstream, const Job& job) -> void
 {
     const auto now = m_world.now();
-    const auto details = job.call.id.value() + " at " + upstream.entry.target.id.value() + " from " + job.vm.value();
+    const auto details
+        = "upstream " + upstream.entry.target.id.value() + " by " + job.call.id.value() + " from " + job.vm.value();
     if (now < upstream.coldUntil)
         checkCold(upstream, job);
     if (!m_isStable(job.vm))
         return;
     if (upstream.retiredAt && now - *upstream.retiredAt > m_bounds.drain)
-        m_requestTracker.recordViolation("sent to a retired upstream: " + details);
+        m_requestTracker.recordViolation("retired, but reached: " + details);
     const auto evacuated = m_evacuatedAt.find(upstream.entry.failureDomain);
     if (evacuated != m_evacuatedAt.end() && now - evacuated->second > m_bounds.evacuation)
-        m_requestTracker.recordViolation("sent to an evacuated failure domain: " + details);
+        m_requestTracker.recordViolation("evacuated, but reached: " + details);
 }
 
 auto VirtualUpstreams::checkTold(Upstream& upstream, const Job& job) -> void
