Test that a VM whose entry the store lost registers again, and what counts as a current copy

Change: a fleet of 5 and of 18 VMs whose store loses one entry; a VM that is turned away and asks peers that are fresh, then outdated.

--- a/tests/auto/forwardinghost/tst_storereturns.cpp
+++ b/tests/auto/forwardinghost/tst_storereturns.cpp
@@ -62,6 +62,13 @@
         return site.requestTracker.violations().empty();
     }
 
+    [[nodiscard]] auto countOfLogged(const std::string& text) const -> std::ptrdiff_t
+    {
+        const auto& log = site.runLog();
+        return std::count_if(
+            log.begin(), log.end(), [&text](const auto& line) { return line.find(text) != std::string::npos; });
+    }
+
     [[nodiscard]] auto hasLogged(const std::string& text) const -> bool
     {
         const auto& log = site.runLog();
@@ -262,16 +269,36 @@
     fleet.runFor(timeToLeave);
     fleet.site.unlistUpstream(Core::UpstreamId("1"));
     fleet.runFor(ForwardingSite::stabilityTime - timeToLeave);
-    const auto& log = fleet.site.runLog();
-    const auto left = std::count_if(log.begin(), log.end(), [](const auto& line) {
-        return line.find("upstream.left upstream=1 ") != std::string::npos
-            || line.find("upstream.given-up upstream=1 ") != std::string::npos;
-    });
+    const auto left
+        = fleet.countOfLogged("upstream.left upstream=1 ") + fleet.countOfLogged("upstream.given-up upstream=1 ");
     BOOST_TEST(static_cast<std::size_t>(left) == fleet.size);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(HasLostTheEntryOfAVm)
+
+BOOST_DATA_TEST_CASE(ThatRegistersAgainOnceWhileTheOthersDoNot, bdata::make({ 5, 18 }), size)
+{
+    const auto last = static_cast<std::size_t>(size) - 1;
+    ReturningFleet fleet(last + 1);
+    fleet.site.crashVm(last);
+    fleet.runFor(Core::Millis(1000));
+    fleet.site.keepStoreCopy();
+    fleet.site.startVm(last);
+    fleet.runFor(Core::Millis(4000));
+    BOOST_TEST(fleet.countOfLogged("registration.lost") == 0);
+    BOOST_REQUIRE(fleet.site.vm(last)->fleet().isSelfListed());
+    fleet.site.takeStoreAway(false);
+    fleet.runFor(absence);
+    fleet.returnStore();
+    fleet.runFor(Core::Millis(6000));
+    BOOST_TEST(fleet.site.vm(last)->fleet().isSelfListed());
+    BOOST_TEST(fleet.countOfLogged("registration.lost") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(IsCalled)
 
 auto checkCalls(std::size_t vmCount) -> void
--- a/tests/auto/storesync/tst_sharedreads.cpp
+++ b/tests/auto/storesync/tst_sharedreads.cpp
@@ -143,6 +143,14 @@
 
 BOOST_FIXTURE_TEST_SUITE(AVmWithoutStoreAccess, VmWithoutStoreAccess)
 
+BOOST_AUTO_TEST_CASE(HasCurrentCopiesAsLongAsAPeerDoes)
+{
+    BOOST_TEST(reads->isCurrent());
+    peers.outdated = { peerAddress(0), peerAddress(1) };
+    time.runFor(Core::Millis(2000));
+    BOOST_TEST(!reads->isCurrent());
+}
+
 BOOST_AUTO_TEST_CASE(AppliesNewerCopiesOfAPeer)
 {
     BOOST_TEST(isLost);
