--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	@tests/model/check-configuration.sh
 	@tests/model/check-quotas.sh
 	@tests/model/check-storereads.sh 3
+	@tests/model/check-storereturn.sh
 
 # Runs the randomised tests for SECONDS, from SEED on.
 soak: build
