Split SharedReads by job: its loop, and what answers of other VMs lead to

Change: sharedreadsresponses.cpp, with the times that both need in sharedreadstiming.h; CollectionFollower::endRead(). Same behaviour.

--- a/src/libs/storesync/collectionfollower.cpp
+++ b/src/libs/storesync/collectionfollower.cpp
@@ -78,14 +78,19 @@
         const std::lock_guard lock(m_mutex);
         m_isLoadedByStore = false;
         m_isListing = false;
-        m_timer.reset();
-        ++m_callNumber;
-        call = std::exchange(m_call, nullptr);
+        call = endRead();
     }
     if (call)
         call->cancel();
 }
 
+auto CollectionFollower::endRead() -> std::shared_ptr<Ports::StoreCall>
+{
+    m_timer.reset();
+    ++m_callNumber;
+    return std::exchange(m_call, nullptr);
+}
+
 auto CollectionFollower::beginCall(Read read) -> std::optional<std::uint64_t>
 {
     const std::lock_guard lock(m_mutex);
@@ -212,9 +217,7 @@
         const bool isWaitingToRetry = m_isPatient && m_failures > 0 && m_timer;
         if (!isWaitingToRetry && (!m_copy->isLoaded() || !m_call))
             return;
-        call = std::exchange(m_call, nullptr);
-        m_timer.reset();
-        ++m_callNumber;
+        call = endRead();
     }
     if (call)
         call->cancel();
@@ -233,9 +236,7 @@
         if (!m_copy->isLoaded() || m_isListing || m_isSuspended || !(isCopyOutdated || isWatchOutdated))
             return;
         m_isLoadedByStore = false;
-        call = std::exchange(m_call, nullptr);
-        m_timer.reset();
-        ++m_callNumber;
+        call = endRead();
     }
     if (call)
         call->cancel();
--- a/src/libs/storesync/collectionfollower.h
+++ b/src/libs/storesync/collectionfollower.h
@@ -82,6 +82,9 @@
     auto watch() -> void;
     /// Cancels the pending call, whose answer no longer counts.
     auto cancelCall() -> void;
+    /// Returns the pending call, whose answer no longer counts. The caller must hold m_mutex and cancel the call after
+    /// it.
+    [[nodiscard]] auto endRead() -> std::shared_ptr<Ports::StoreCall>;
     enum class Read { List, Watch };
     /// Returns the number of the call that is about to be made, or nothing if the store is not to be read.
     [[nodiscard]] auto beginCall(Read read) -> std::optional<std::uint64_t>;
--- a/src/libs/storesync/sharedreads.cpp
+++ b/src/libs/storesync/sharedreads.cpp
@@ -1,46 +1,28 @@
 #include "storesync/sharedreads.h"
 
+#include "storesync/sharedreadstiming.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace StoreSync {
 
+using namespace detail;
+
 namespace {
 
     /// Time for which a source may hold a poll. It bounds how late a silent source is noticed.
     constexpr Core::Millis pollHold { 400 };
-    /// Interval between polls while nobody has fresh copies, or while this VM reads the store but does not reach it.
-    constexpr Core::Millis retryInterval { 400 };
     /// Interval at which a VM that reads the store checks whether it still has to.
     constexpr Core::Millis roleInterval { 500 };
-    /// Shortest time between two polls.
-    constexpr Core::Millis shortestPollInterval { 50 };
     /// Time at the start within which another VM must have passed on its copies. Jitter is added.
     constexpr Core::Millis startPatience { 800 };
-    /// Interval between attempts at the start: the VMs that are asked may have started at the same moment.
-    constexpr Core::Millis startRetryInterval { 100 };
-    /// Time for which a VM keeps reading the store once it has begun to, so that a source that comes and goes does not
-    /// cause a list each time.
-    constexpr Core::Millis shortestReadTime { 5000 };
-    /// The same at the start, where the view of the other VMs is complete soon.
+    /// Time for which a VM reads the store at the start, where the view of the other VMs is complete soon.
     constexpr Core::Millis shortestReadTimeAtStart { 1500 };
     /// Interval of the pings of a VM that reads the store for others. They have to turn to another one in time.
     constexpr Core::Millis sharedPingInterval { 500 };
-    constexpr Core::Millis unansweredAvoidance { 2000 };
-    constexpr Core::Millis outdatedAvoidance { 1000 };
-    /// After this many VMs in a row that do not answer, this VM is probably the one that is cut off.
-    constexpr std::size_t unansweredBeforeStore = 3;
-    /// The same if one VM does not answer and the copies are older than this.
-    constexpr Core::Millis maximumUnansweredAge { 1200 };
     constexpr Core::Duration::rep jitterRange = 1'000'000;
 
-    auto describeAge(const StoreContact& contact) -> std::string
-    {
-        if (!contact.age)
-            return "unknown";
-        return std::to_string(std::chrono::duration_cast<Core::Millis>(*contact.age).count());
-    }
-
 } // namespace
 
 SharedReads::SharedReads(Environment environment)
@@ -351,129 +333,6 @@
         });
 }
 
-auto SharedReads::handleResponse(
-    const Core::Address& source, const Core::Result<MirrorResponse>& response, Ports::StoreEra sentIn) -> void
-{
-    if (!response) {
-        handleFailure(source, response.error());
-        return;
-    }
-    // A VM that has not heard of the era in which it was asked has outdated copies, whatever their age.
-    const bool isFresh = response->contact.isFresh() && response->contact.era >= sentIn;
-    const bool isProbe = endProbe(source);
-    if (isProbe && isFresh)
-        beginFollowing(source);
-    const auto avoidance = hasCopies() || isReadingStore() ? outdatedAvoidance : startRetryInterval;
-    const bool mayBeStarting = isStarting(*response);
-    {
-        const std::lock_guard lock(m_mutex);
-        m_unansweredPolls = 0;
-        if (isFresh)
-            m_choice.accept(source);
-        else if (!mayBeStarting)
-            m_choice.avoid(source, m_environment.follower.clock.now() + avoidance);
-    }
-    if (isReadingStore())
-        handleWhileReading(source, *response, isFresh, isProbe);
-    else
-        handleWhileFollowing(source, *response, isFresh);
-}
-
-auto SharedReads::handleWhileReading(
-    const Core::Address& source, const MirrorResponse& response, bool isFresh, bool isProbe) -> void
-{
-    apply(source, response.news);
-    if (isFresh) {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_refreshedAt = m_environment.follower.clock.now();
-        }
-        m_environment.onRefreshed();
-    }
-    // After a probe without success, the next VM is probed at once.
-    scheduleStep(isProbe ? Core::Millis(0) : retryInterval);
-}
-
-auto SharedReads::handleWhileFollowing(const Core::Address& source, const MirrorResponse& response, bool isFresh)
-    -> void
-{
-    bool wasProven = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        wasProven = std::exchange(m_isSourceProven, isFresh);
-        m_isToldOfOutage = !response.contact.isReachable;
-        m_hops = response.contact.hops + 1;
-    }
-    // Entries that expired in an outage are kept for a while if its end is known before they are seen to be gone.
-    if (isFresh) {
-        const auto heardAt = m_environment.follower.clock.now() - *response.contact.age;
-        m_environment.watchdog.recordRelayedResponse(heardAt);
-        const std::lock_guard lock(m_mutex);
-        m_completeUntil = std::max(m_completeUntil, heardAt);
-    }
-    apply(source, response.news);
-    if (isFresh != wasProven) {
-        m_environment.follower.events.record(
-            { Ports::EventKind(isFresh ? "store.followed-through-peer" : "store.peer-outdated"), {},
-                { { "peer", source.value() }, { "ageMs", describeAge(response.contact) },
-                    { "reachable", response.contact.isReachable ? "yes" : "no" } } });
-        m_environment.sourceLost(!isFresh);
-    }
-    scheduleStep(isFresh ? shortestPollInterval : isStarting(response) ? startRetryInterval : Core::Millis(0));
-}
-
-auto SharedReads::endProbe(const Core::Address& source) -> bool
-{
-    const std::lock_guard lock(m_mutex);
-    return m_mode == Mode::ReadingStore && std::exchange(m_probed, {}) == source;
-}
-
-auto SharedReads::handleFailure(const Core::Address& source, const Core::Error& error) -> void
-{
-    const auto now = m_environment.follower.clock.now();
-    const bool isReading = isReadingStore();
-    const bool isKnown = hasCopies();
-    const bool isOverdue = age() > maximumUnansweredAge;
-    const auto avoidance = isKnown || isReading ? unansweredAvoidance : startRetryInterval;
-    bool wasProven = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        wasProven = std::exchange(m_isSourceProven, false);
-        m_choice.avoid(source, now + avoidance);
-        const bool isCutOff = ++m_unansweredPolls >= unansweredBeforeStore || isOverdue;
-        if (!isReading && isKnown && isCutOff) {
-            m_unansweredPolls = 0;
-            m_readUntil = now + shortestReadTime + jitter() * 2;
-        }
-    }
-    if (wasProven) {
-        m_environment.follower.events.record(
-            { Ports::EventKind("store.peer-lost"), {}, { { "peer", source.value() }, { "detail", describe(error) } } });
-        m_environment.sourceLost(true);
-    }
-    scheduleStep(isReading ? retryInterval : Core::Millis(0));
-}
-
-auto SharedReads::apply(const Core::Address& source, const MirrorNews& news) -> void
-{
-    for (const auto& [name, update] : news) {
-        const auto found = m_followers.find(name);
-        if (found == m_followers.end())
-            continue;
-        auto& follower = *found->second;
-        const auto* list = std::get_if<Ports::CollectionList>(&update);
-        const bool isApplied = list != nullptr ? follower.applyIfNewer(*list)
-                                               : follower.applyChangesSince(std::get<ChangesSince>(update));
-        if (!isApplied)
-            continue;
-        const auto revision = list != nullptr ? list->revision : std::get<ChangesSince>(update).changes.revision;
-        m_environment.follower.events.record({ Ports::EventKind("store.learnt-from-peer"), {},
-            { { "collection", name.value() }, { "peer", source.value() },
-                { "revision", std::to_string(revision.number()) },
-                { "era", std::to_string(revision.era().value()) } } });
-    }
-}
-
 auto SharedReads::scheduleStep(Core::Duration delay) -> void
 {
     const std::lock_guard lock(m_mutex);
