Name the quarantine of upstreams that a returned store lists again

Cause: 'held' (used although unlisted) and 'held back' (unused although listed) were near-opposites. Change: names only; the era's log line says what follows from it.

--- a/src/libs/forwarding/departedupstreams.cpp
+++ b/src/libs/forwarding/departedupstreams.cpp
@@ -36,33 +36,34 @@
     return isSameStatement || isOutdatedCopy(entry, last) ? &last : nullptr;
 }
 
-auto DepartedUpstreams::holdBack(const UpstreamEntry& entry, Core::Instant now) -> void
+auto DepartedUpstreams::quarantine(const UpstreamEntry& entry, Core::Instant now) -> void
 {
-    auto& held = m_heldBack.try_emplace(entry.target.id, HeldBack { {}, now + holdTime }).first->second;
-    held.entry = entry;
+    auto& quarantined
+        = m_quarantined.try_emplace(entry.target.id, Quarantined { {}, now + quarantineTime }).first->second;
+    quarantined.entry = entry;
 }
 
 auto DepartedUpstreams::releaseUnlisted(const std::set<Core::UpstreamId>& listed) -> void
 {
-    std::erase_if(m_heldBack, [&listed](const auto& item) { return !listed.contains(item.first); });
+    std::erase_if(m_quarantined, [&listed](const auto& item) { return !listed.contains(item.first); });
 }
 
 auto DepartedUpstreams::takeDue(Core::Instant now) -> std::vector<UpstreamEntry>
 {
     std::vector<UpstreamEntry> due;
-    for (const auto& [id, held] : m_heldBack) {
-        if (held.until <= now)
-            due.push_back(held.entry);
+    for (const auto& [id, quarantined] : m_quarantined) {
+        if (quarantined.until <= now)
+            due.push_back(quarantined.entry);
     }
-    std::erase_if(m_heldBack, [now](const auto& item) { return item.second.until <= now; });
+    std::erase_if(m_quarantined, [now](const auto& item) { return item.second.until <= now; });
     return due;
 }
 
 auto DepartedUpstreams::nextDue() const -> std::optional<Core::Instant>
 {
     std::optional<Core::Instant> next;
-    for (const auto& [id, held] : m_heldBack)
-        next = next ? std::min(*next, held.until) : held.until;
+    for (const auto& [id, quarantined] : m_quarantined)
+        next = next ? std::min(*next, quarantined.until) : quarantined.until;
     return next;
 }
 
--- a/src/libs/forwarding/departedupstreams.h
+++ b/src/libs/forwarding/departedupstreams.h
@@ -11,7 +11,7 @@
 /// returned from an older copy. Within an era of the store its own order is right.
 [[nodiscard]] auto isOutdatedCopy(const UpstreamEntry& entry, const UpstreamEntry& known) -> bool;
 
-/// Remembers for some time what upstreams said last before they left, and holds those back that a store lists again
+/// Remembers for some time what upstreams said last before they left, and quarantines those that a store lists again
 /// after it has returned from an older copy.
 class DepartedUpstreams {
 public:
@@ -19,23 +19,23 @@
     static constexpr Core::Millis memory { 60'000 };
     /// Time for which an upstream that had left without a notice is not used, although the store lists it again. Its
     /// entry expires sooner unless it is alive.
-    static constexpr Core::Millis holdTime { 10'000 };
+    static constexpr Core::Millis quarantineTime { 10'000 };
 
     auto record(const UpstreamEntry& last, Core::Instant now) -> void;
     /// Returns the last statement of an upstream that has left, if the entry is not a later one; null otherwise.
     [[nodiscard]] auto statementAfter(const UpstreamEntry& entry) const -> const UpstreamEntry*;
-    /// Begins or continues to hold the upstream back.
-    auto holdBack(const UpstreamEntry& entry, Core::Instant now) -> void;
+    /// Begins or continues the quarantine of the upstream.
+    auto quarantine(const UpstreamEntry& entry, Core::Instant now) -> void;
     /// To be called when the upstream is used, or not listed any more.
-    auto release(const Core::UpstreamId& id) -> void { m_heldBack.erase(id); }
+    auto release(const Core::UpstreamId& id) -> void { m_quarantined.erase(id); }
     auto releaseUnlisted(const std::set<Core::UpstreamId>& listed) -> void;
-    /// Returns the entries whose time is over, and holds them back no longer.
+    /// Returns the entries whose time is over, which are no longer in quarantine.
     [[nodiscard]] auto takeDue(Core::Instant now) -> std::vector<UpstreamEntry>;
-    /// Returns when the next time is over, or nothing if no upstream is held back.
+    /// Returns when the next time is over, or nothing if no upstream is in quarantine.
     [[nodiscard]] auto nextDue() const -> std::optional<Core::Instant>;
 
 private:
-    struct HeldBack {
+    struct Quarantined {
         UpstreamEntry entry;
         Core::Instant until;
     };
@@ -47,7 +47,7 @@
     std::map<Core::UpstreamId, UpstreamEntry> m_last;
     /// Oldest first.
     std::deque<Departure> m_departures;
-    std::map<Core::UpstreamId, HeldBack> m_heldBack;
+    std::map<Core::UpstreamId, Quarantined> m_quarantined;
 };
 
 } // namespace Forwarding
--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -76,7 +76,7 @@
     m_missing.erase(entry.target.id);
     const bool isUsed = m_entries.contains(entry.target.id);
     if (!isUsed && !later.isDraining) {
-        m_departed.holdBack(entry, m_environment.clock.now());
+        m_departed.quarantine(entry, m_environment.clock.now());
         scheduleReadmission();
     }
     if (!isUsed || later.isDraining)
--- a/src/libs/forwarding/upstreamregistry.h
+++ b/src/libs/forwarding/upstreamregistry.h
@@ -56,9 +56,9 @@
     auto put(const UpstreamEntry& entry, bool mayBeStale) -> void;
     /// Returns the later statement that is known, if the entry repeats an earlier one; null otherwise.
     [[nodiscard]] auto laterStatement(const UpstreamEntry& entry) const -> const UpstreamEntry*;
-    /// Waits for the end of the time of the upstreams that are held back. The caller must hold m_mutex.
+    /// Waits for the end of the time of the upstreams in quarantine. The caller must hold m_mutex.
     auto scheduleReadmission() -> void;
-    /// Uses the upstreams that were held back and are still listed.
+    /// Uses the upstreams that were in quarantine and are still listed.
     auto readmit() -> void;
     auto drop(const Core::UpstreamId& id, Core::Instant now) -> void;
     auto dropMissing() -> void;
--- a/src/libs/storesync/readpace.cpp
+++ b/src/libs/storesync/readpace.cpp
@@ -24,14 +24,14 @@
 auto ReadPace::delayAfterFailure(Core::Duration longest, Ports::RandomSource& random) -> Core::Duration
 {
     const auto result = delay(longest, random);
-    ++m_fruitlessReads;
+    ++m_readsWithoutProgress;
     return result;
 }
 
 auto ReadPace::delayAfterUselessAnswer(Core::Duration longest, Ports::RandomSource& random) -> Core::Duration
 {
-    if (m_fruitlessReads == 0) {
-        ++m_fruitlessReads;
+    if (m_readsWithoutProgress == 0) {
+        ++m_readsWithoutProgress;
         return {};
     }
     return delayAfterFailure(longest, random);
@@ -40,7 +40,7 @@
 auto ReadPace::delay(Core::Duration longest, Ports::RandomSource& random) const -> Core::Duration
 {
     const auto whole
-        = std::min<Core::Duration>(longest, firstDelay * (1U << std::min(m_fruitlessReads, mostDoublings)));
+        = std::min<Core::Duration>(longest, firstDelay * (1U << std::min(m_readsWithoutProgress, mostDoublings)));
     // Jitter spreads the reads of entry VMs that lost access to the store at the same time.
     const auto jitter = static_cast<Core::Duration::rep>(random.next() % jitterSteps) * whole
         / static_cast<Core::Duration::rep>(2 * jitterSteps);
--- a/src/libs/storesync/readpace.h
+++ b/src/libs/storesync/readpace.h
@@ -19,12 +19,12 @@
     auto recordWatchBegun(Core::Instant now) -> void { m_watchBegunAt = now; }
     /// To be called before a delay is asked for: a watch that waited for long was of use until it failed.
     auto recordWatchEnded(Core::Instant now) -> void;
-    auto recordProgress() -> void { m_fruitlessReads = 0; }
+    auto recordProgress() -> void { m_readsWithoutProgress = 0; }
 
 private:
     [[nodiscard]] auto delay(Core::Duration longest, Ports::RandomSource& random) const -> Core::Duration;
 
-    std::uint32_t m_fruitlessReads = 0;
+    std::uint32_t m_readsWithoutProgress = 0;
     Core::Instant m_watchBegunAt;
 };
 
--- a/src/libs/storesync/storewatchdog.cpp
+++ b/src/libs/storesync/storewatchdog.cpp
@@ -95,7 +95,7 @@
     if (before) {
         m_environment.events.record({ Ports::EventKind("store.era-changed"), {},
             { { "era", std::to_string(era.value()) }, { "knownEra", std::to_string(before->value()) },
-                { "detail", "the store has returned from an older copy" } } });
+                { "detail", "collections of earlier eras are listed again" } } });
     }
     for (const auto& follower : m_followers)
         follower->expectEra(era);
--- a/tests/auto/forwarding/tst_upstreamreturns.cpp
+++ b/tests/auto/forwarding/tst_upstreamreturns.cpp
@@ -66,7 +66,7 @@
     TestSupport::VirtualTime time;
     EventRecorder events;
     Forwarding::UpstreamEntries known;
-    const Core::Millis hold { Forwarding::DepartedUpstreams::holdTime };
+    const Core::Millis hold { Forwarding::DepartedUpstreams::quarantineTime };
     Forwarding::UpstreamRegistry registry { { time, time, events },
         [this](const Forwarding::UpstreamEntries& entries) { known = entries; } };
 };
