Remember an upstream that was given up while it was leaving

Callers: none seen; found by reading. An upstream that had said it leaves, was lost by the store, and was listed as ready by a further return would have got requests again. Cause: giving up an item that a returned store lacks is no departure, but this one had announced its own. Change: it is recorded as departed. Measured: IsNotUsedAfterTheStoreLostItAndASecondReturnBringsItBack fails without the change, in two checks, and passes with it.

--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -60,6 +60,9 @@
     if (found == m_entries.end())
         return;
     record("upstream.given-up", found->second);
+    // One that had said it leaves has done so.
+    if (found->second.isDraining)
+        m_departed.record(found->second, m_environment.clock.now());
     m_entries.erase(found);
 }
 
--- a/tests/auto/forwarding/tst_upstreamreturns.cpp
+++ b/tests/auto/forwarding/tst_upstreamreturns.cpp
@@ -109,6 +109,17 @@
     BOOST_TEST(isDraining());
 }
 
+BOOST_AUTO_TEST_CASE(IsNotUsedAfterTheStoreLostItAndASecondReturnBringsItBack)
+{
+    put({ firstStart, 6, true }, 1);
+    registry.mergeReturned({});
+    registry.giveUp(a1);
+    returnWith({ firstStart, 5 }, 3);
+    BOOST_TEST(!known.contains(a1));
+    time.runFor(hold * 2);
+    BOOST_TEST(!isUsed());
+}
+
 BOOST_AUTO_TEST_CASE(IsNotUsedAfterASecondReturn)
 {
     put({ firstStart, 6, true }, 1);
