Apply the last change of each item only

Cause: a VM passes all changes of a batch on to whoever is at an earlier revision than its end. A batch that lists an upstream and removes it again brought it back at VMs that had seen it go, and in an outage a removal only begins the time in which entries are kept. Change: of the changes of one answer, the last one of each item is applied.

--- a/src/libs/storesync/collectioncopy.cpp
+++ b/src/libs/storesync/collectioncopy.cpp
@@ -11,6 +11,20 @@
     /// A list that comes late in the time of a hold leaves this part of it at least.
     constexpr int shortestHoldDivisor = 4;
 
+    /// Returns the last change of each item. The changes of another entry VM may begin before the own revision, and
+    /// would bring back for a moment what has been removed since.
+    auto lastChanges(const Ports::CollectionChanges& changes) -> std::vector<const Ports::CollectionChange*>
+    {
+        std::set<std::string> names;
+        std::vector<const Ports::CollectionChange*> last;
+        for (auto change = changes.changes.rbegin(); change != changes.changes.rend(); ++change) {
+            if (names.insert(change->item.name).second)
+                last.push_back(&*change);
+        }
+        std::reverse(last.begin(), last.end());
+        return last;
+    }
+
 } // namespace
 
 CollectionCopy::CollectionCopy(Ports::CollectionName name, CollectionListener& listener, Environment environment)
@@ -179,12 +193,12 @@
         if (revision() != base || era != base.era() || isOutdated(era))
             return false;
         m_environment.mirror.apply(m_name, changes);
-        for (const auto& change : changes.changes) {
-            m_held.release(change.item.name);
-            if (change.isDeleted)
-                m_listener.remove(change.item.name);
+        for (const auto* change : lastChanges(changes)) {
+            m_held.release(change->item.name);
+            if (change->isDeleted)
+                m_listener.remove(change->item.name);
             else
-                m_listener.upsert(change.item);
+                m_listener.upsert(change->item);
         }
         m_listener.commit();
         const std::lock_guard lock(m_mutex);
--- a/tests/auto/storesync/fakes.h
+++ b/tests/auto/storesync/fakes.h
@@ -104,11 +104,16 @@
         for (const auto& item : list.items)
             names.insert(item.name);
     }
-    auto upsert(const Ports::CollectionItem& item) -> void override { names.insert(item.name); }
+    auto upsert(const Ports::CollectionItem& item) -> void override
+    {
+        names.insert(item.name);
+        everUpserted.insert(item.name);
+    }
     auto remove(const std::string& name) -> void override { names.erase(name); }
     auto commit() -> void override { ++commits; }
 
     std::set<std::string> names;
+    std::set<std::string> everUpserted;
     int commits = 0;
 };
 
--- a/tests/auto/storesync/tst_collectionfollower.cpp
+++ b/tests/auto/storesync/tst_collectionfollower.cpp
@@ -152,6 +152,16 @@
     BOOST_TEST((store.watches.back()->after == Ports::StoreRevision(8)));
 }
 
+/// A VM that had slept passed on all changes of its sleep, and an upstream that had left was used again.
+BOOST_AUTO_TEST_CASE(DoesNotBringBackWhatItsChangesRemoveAgain)
+{
+    follower->applyChangesSince({ Ports::StoreRevision(2),
+        { { { item("gone", 3), false }, { item("c", 4), false }, { item("gone", 5), true } },
+            Ports::StoreRevision(5) } });
+    BOOST_TEST(listener.names == (std::set<std::string> { "a", "b", "c" }));
+    BOOST_TEST(!listener.everUpserted.contains("gone"));
+}
+
 BOOST_AUTO_TEST_CASE(NeverReturnsToAnOlderRevision)
 {
     BOOST_TEST(!follower->applyIfNewer({ { item("old", 1) }, Ports::StoreRevision(1) }));
