Quarantine every upstream that had left and that a returned store lists

Cause: the copy held a later statement of the upstream than the VM had ever seen, since it had missed one before it saw that the upstream was gone; a later statement counted as news. Change: in a list of a later era it is news only if it is later than what the first such list had; a change of that era is news if it says more than what is known.

--- a/src/libs/forwarding/departedupstreams.cpp
+++ b/src/libs/forwarding/departedupstreams.cpp
@@ -26,14 +26,23 @@
     m_departures.push_back({ last.target.id, now });
 }
 
-auto DepartedUpstreams::statementAfter(const UpstreamEntry& entry) const -> const UpstreamEntry*
+auto DepartedUpstreams::departureOf(const UpstreamEntry& entry) const -> const UpstreamEntry*
 {
     const auto found = m_last.find(entry.target.id);
     if (found == m_last.end() || entry.revision.era() <= found->second.revision.era())
         return nullptr;
-    const auto& last = found->second;
-    const bool isSameStatement = entry.target.start == last.target.start && entry.report == last.report;
-    return isSameStatement || isOutdatedCopy(entry, last) ? &last : nullptr;
+    return entry.target.start <= found->second.target.start ? &found->second : nullptr;
+}
+
+auto DepartedUpstreams::isNews(const UpstreamEntry& entry) const -> bool
+{
+    const auto isLater = [&entry](const UpstreamEntry& known) {
+        return entry.target.start != known.target.start || entry.report > known.report;
+    };
+    const auto last = m_last.find(entry.target.id);
+    const auto quarantined = m_quarantined.find(entry.target.id);
+    return (last == m_last.end() || isLater(last->second))
+        && (quarantined == m_quarantined.end() || isLater(quarantined->second.entry));
 }
 
 auto DepartedUpstreams::quarantine(const UpstreamEntry& entry, Core::Instant now) -> void
--- a/src/libs/forwarding/departedupstreams.h
+++ b/src/libs/forwarding/departedupstreams.h
@@ -22,10 +22,15 @@
     static constexpr Core::Millis quarantineTime { 10'000 };
 
     auto record(const UpstreamEntry& last, Core::Instant now) -> void;
-    /// Returns the last statement of an upstream that has left, if the entry is not a later one; null otherwise.
-    [[nodiscard]] auto statementAfter(const UpstreamEntry& entry) const -> const UpstreamEntry*;
+    /// Returns the last known statement of an upstream that has left, if a returned store lists it at that start or an
+    /// earlier one; null otherwise. The entry may be a later statement that was never seen: what counts is that the
+    /// upstream was seen to be gone.
+    [[nodiscard]] auto departureOf(const UpstreamEntry& entry) const -> const UpstreamEntry*;
+    /// Returns true if the entry says more than what is known of the upstream that has left or is in quarantine.
+    [[nodiscard]] auto isNews(const UpstreamEntry& entry) const -> bool;
     /// Begins or continues the quarantine of the upstream.
     auto quarantine(const UpstreamEntry& entry, Core::Instant now) -> void;
+    [[nodiscard]] auto isInQuarantine(const Core::UpstreamId& id) const -> bool { return m_quarantined.contains(id); }
     /// To be called when the upstream is used, or not listed any more.
     auto release(const Core::UpstreamId& id) -> void { m_quarantined.erase(id); }
     auto releaseUnlisted(const std::set<Core::UpstreamId>& listed) -> void;
--- a/src/libs/forwarding/upstreamregistry.cpp
+++ b/src/libs/forwarding/upstreamregistry.cpp
@@ -40,11 +40,14 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto* later = laterStatement(entry);
+    const bool isKnown = m_entries.contains(entry.target.id);
     // Another start is new, whatever its number: the clock of the upstream may have been set back.
-    if (later != nullptr && later->target.start == entry.target.start)
-        keepLater(entry, *later);
-    else
+    const bool isNews = later == nullptr || later->target.start != entry.target.start
+        || (!isKnown && !later->isDraining && m_departed.isNews(entry));
+    if (isNews)
         put(entry, mayBeOutdated(m_environment.clock.now()));
+    else
+        keepLater(entry, *later);
 }
 
 auto UpstreamRegistry::remove(const Core::UpstreamId& id) -> void
@@ -68,10 +71,12 @@
 
 auto UpstreamRegistry::putListed(const UpstreamEntry& entry, bool mayBeStale) -> void
 {
-    if (const auto* later = laterStatement(entry))
-        keepLater(entry, *later);
-    else
+    const auto* later = laterStatement(entry);
+    const bool isWrittenSince = m_departed.isInQuarantine(entry.target.id) && m_departed.isNews(entry);
+    if (later == nullptr || isWrittenSince)
         put(entry, mayBeStale);
+    else
+        keepLater(entry, *later);
 }
 
 auto UpstreamRegistry::keepLater(const UpstreamEntry& entry, const UpstreamEntry& later) -> void
@@ -90,7 +95,7 @@
 {
     const auto found = m_entries.find(entry.target.id);
     if (found == m_entries.end())
-        return m_departed.statementAfter(entry);
+        return m_departed.departureOf(entry);
     return isOutdatedCopy(entry, found->second) ? &found->second : nullptr;
 }
 
