--- a/tests/platform/tst_storereturns.cpp
+++ b/tests/platform/tst_storereturns.cpp
@@ -207,6 +207,19 @@
     checkInForceOnBoth("/audit/");
 }
 
+BOOST_AUTO_TEST_CASE(TellOperatorsOfTheNewEra)
+{
+    BOOST_TEST(site.metrics(0).find("dragonflywinch_store_era 1\n") != std::string::npos);
+    drill(fewRevisions);
+    publish("/audit/");
+    checkInForceOnBoth("/audit/");
+    for (int vm = 0; vm < entryVms; ++vm) {
+        const auto isTold = holdsWithin(
+            configBound, [&] { return site.metrics(vm).find("dragonflywinch_store_era 2\n") != std::string::npos; });
+        BOOST_TEST(isTold, site.metrics(vm));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(PutAConfigurationWrittenAfterwardsInForceWhenFiveHundredRevisionsAreLost)
 {
     drill(manyRevisions);
