End holds also on VMs that are two VMs away from the store

Callers: none seen; found by reading. A VM that follows one that follows a reader would have used for ever what a returned store lacks. Cause: whether a copy is current was taken from whether others may follow it, which also asks how far the VM is from the store. Change: StoreContact::isCurrent, apart from isFresh. Measured: HasCurrentCopiesThoughItIsTooFarFromTheStoreToBeFollowed passes, and shows that such a VM is current though not fresh for others.

--- a/src/libs/storesync/mirrorport.h
+++ b/src/libs/storesync/mirrorport.h
@@ -30,11 +30,11 @@
     /// Latest era in which the store was seen.
     Ports::StoreEra era;
 
+    /// Returns true if the copies show what the store has now.
+    [[nodiscard]] auto isCurrent() const -> bool { return isReachable && age && *age <= maximumAge; }
+
     /// Returns true if others may follow.
-    [[nodiscard]] auto isFresh() const -> bool
-    {
-        return isReachable && age && *age <= maximumAge && hops <= maximumHops;
-    }
+    [[nodiscard]] auto isFresh() const -> bool { return isCurrent() && hops <= maximumHops; }
 };
 
 /// Request for news of the collections, beyond the known revisions.
--- a/src/libs/storesync/sharedreads.cpp
+++ b/src/libs/storesync/sharedreads.cpp
@@ -142,7 +142,7 @@
 
 auto SharedReads::isCurrent() const -> bool
 {
-    if (contact().isFresh())
+    if (contact().isCurrent())
         return true;
     const auto now = m_environment.follower.clock.now();
     const std::lock_guard lock(m_mutex);
--- a/tests/auto/storesync/tst_sharedreads.cpp
+++ b/tests/auto/storesync/tst_sharedreads.cpp
@@ -22,12 +22,13 @@
         else if (outdated.contains(peer))
             callback(StoreSync::MirrorResponse { { false, age }, mirror.newsSince(poll.known) });
         else
-            callback(StoreSync::MirrorResponse { { isStoreReachable, age }, mirror.newsSince(poll.known) });
+            callback(StoreSync::MirrorResponse { { isStoreReachable, age, hops }, mirror.newsSince(poll.known) });
     }
 
     StoreSync::CollectionMirror mirror;
     bool isStoreReachable = true;
     Core::Duration age {};
+    std::uint32_t hops = 0;
     std::set<Core::Address> silent;
     std::set<Core::Address> outdated;
     std::vector<Core::Address> queriedPeers;
@@ -234,6 +235,15 @@
     BOOST_TEST(contact.isFresh());
 }
 
+BOOST_AUTO_TEST_CASE(HasCurrentCopiesThoughItIsTooFarFromTheStoreToBeFollowed)
+{
+    peers.hops = 1;
+    startAndSettle();
+    BOOST_TEST(!reads->isReadingStore());
+    BOOST_TEST(!reads->contact().isFresh());
+    BOOST_TEST(reads->isCurrent());
+}
+
 BOOST_AUTO_TEST_SUITE(WhoseSource)
 
 BOOST_AUTO_TEST_CASE(FallsSilentAsksTheNextOne)
