Read the names of a copy only for a returned store, and decode its list of upstreams once

Every list copied the names of the whole collection, which only a return or a running hold needs; a returned list of upstreams was decoded twice. Change: both only where needed; HeldItems::contains, which nothing called, is gone. Same behaviour.

--- a/src/libs/forwardinghost/listeners.cpp
+++ b/src/libs/forwardinghost/listeners.cpp
@@ -111,10 +111,14 @@
 auto UpstreamListener::mergeReturned(const Ports::CollectionList& list) -> void
 {
     m_era = list.revision.era();
-    m_registry.mergeReturned(decode(list));
+    const auto entries = decode(list);
+    m_registry.mergeReturned(entries);
+    std::set<Core::UpstreamId> readable;
+    for (const auto& entry : entries)
+        readable.insert(entry.target.id);
     for (const auto& item : list.items) {
-        if (!decode(item))
-            m_registry.giveUp(Core::UpstreamId(item.name), m_era);
+        if (const Core::UpstreamId id(item.name); !readable.contains(id))
+            m_registry.giveUp(id, m_era);
     }
 }
 
--- a/src/libs/storesync/collectioncopy.cpp
+++ b/src/libs/storesync/collectioncopy.cpp
@@ -99,11 +99,14 @@
 {
     const bool isReturn = isLoaded() && list.revision.era() > revision().era();
     expectEra(list.revision.era());
-    const auto knownBefore = m_environment.mirror.itemNames(m_name);
+    const bool isHolding = !m_held.isEmpty();
+    std::set<std::string> knownBefore;
+    if (isReturn || isHolding)
+        knownBefore = m_environment.mirror.itemNames(m_name);
     m_environment.mirror.replaceAll(m_name, list);
     if (isReturn)
         mergeReturned(list, knownBefore);
-    else if (!m_held.isEmpty())
+    else if (isHolding)
         replaceAllButHeld(list, knownBefore);
     else
         m_listener.replaceAll(list);
--- a/src/libs/storesync/helditems.h
+++ b/src/libs/storesync/helditems.h
@@ -21,7 +21,6 @@
     /// Returns the names that are still held, and holds none any more.
     [[nodiscard]] auto takeAll() -> std::set<std::string> { return std::exchange(m_names, {}); }
     [[nodiscard]] auto isEmpty() const -> bool { return m_names.empty(); }
-    [[nodiscard]] auto contains(const std::string& name) const -> bool { return m_names.contains(name); }
     [[nodiscard]] auto size() const -> std::size_t { return m_names.size(); }
 
 private:
