Log how much of a cancelled request its upstream had not acknowledged

It now has unacknowledgedBytes, taken from the socket when the exchange is cancelled: above zero for a request that the upstream's system has not received, or not yet answered. socketpeek became socketstate, since it holds more than the peek. No decision changed.

tst_httpforward passes, with a new case for a request that an upstream doesn't read.

--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -75,7 +75,8 @@
         { { "upstream", choice.target.id.value() }, { "service", m_service.value() },
             { "outcome", toString(result.outcome) }, { "detail", result.detail },
             { "reused", result.reusedConnection ? "yes" : "no" }, { "tookMs", millis(duration) },
-            { "predictedMs", millis(choice.predicted) } } });
+            { "predictedMs", millis(choice.predicted) },
+            { "unacknowledgedBytes", std::to_string(result.unacknowledged.value()) } } });
 }
 
 auto RequestRecorder::recordSilence(const Choice& silent, const std::string& hedge) -> void
--- a/src/libs/ports/exchangeclient.h
+++ b/src/libs/ports/exchangeclient.h
@@ -110,6 +110,8 @@
     std::optional<ReportedLoad> load;
     UpstreamSignals signals;
     bool reusedConnection = false;
+    /// Bytes of the request that had not reached the upstream's system when the exchange was cancelled.
+    Core::Bytes unacknowledged;
     std::string detail;
 };
 
--- a/src/plugins/httpclient/connectionpool.cpp
+++ b/src/plugins/httpclient/connectionpool.cpp
@@ -1,7 +1,7 @@
 #include "httpclient/connectionpool.h"
 
 #include "runtime/socketoptions.h"
-#include "runtime/socketpeek.h"
+#include "runtime/socketstate.h"
 
 #include <boost/asio/post.hpp>
 
@@ -73,6 +73,7 @@
             if (connection->exchangeNumber != exchange)
                 return;
             connection->isCancelled = true;
+            connection->unacknowledged = Runtime::unacknowledgedBytes(connection->stream.socket().native_handle());
             connection->stream.close();
         });
     }
--- a/src/plugins/httpclient/connectionpool.h
+++ b/src/plugins/httpclient/connectionpool.h
@@ -48,6 +48,8 @@
         bool isReused = false;
         bool isIdle = false;
         bool isCancelled = false;
+        /// Bytes that were not acknowledged by the server when the exchange was cancelled.
+        Core::Bytes unacknowledged;
         /// Number of the exchange in progress; incremented when it starts and when it ends. Accessed on the strand, or
         /// while there is only one owner.
         std::uint64_t exchangeNumber = 0;
--- a/src/plugins/httpclient/httpclient.cpp
+++ b/src/plugins/httpclient/httpclient.cpp
@@ -221,7 +221,9 @@
     auto failureAfterWrite(const Call& call, const Connection& connection, const Error& error) -> Failure
     {
         m_idleConnections->dropAfterFailure(call, connection);
-        return { detail::failureStageOf(connection, error), connection.isReused, error.message() };
+        Failure failure { detail::failureStageOf(connection, error), connection.isReused, error.message() };
+        failure.unacknowledged = connection.unacknowledged;
+        return failure;
     }
 
     asio::io_context& m_context;
--- a/src/plugins/httpclient/httpclient.h
+++ b/src/plugins/httpclient/httpclient.h
@@ -43,6 +43,8 @@
     std::string detail;
     /// The connection attempt timed out; nothing was written.
     bool hasConnectTimedOut = false;
+    /// Bytes of the request that the server's system had not acknowledged when the call was cancelled.
+    Core::Bytes unacknowledged;
 };
 
 struct Exchange {
--- a/src/plugins/httpforward/httpexchangeclient.cpp
+++ b/src/plugins/httpforward/httpexchangeclient.cpp
@@ -157,6 +157,7 @@
             Ports::ExchangeResult failed;
             failed.outcome = outcomeOf(result.error());
             failed.reusedConnection = result.error().reusedConnection;
+            failed.unacknowledged = result.error().unacknowledged;
             failed.detail = result.error().detail;
             callback(failed);
         });
--- a/src/plugins/httpserver/timedsocket.h
+++ b/src/plugins/httpserver/timedsocket.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/units.h"
-#include "runtime/socketpeek.h"
+#include "runtime/socketstate.h"
 
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/plugins/runtime/socketpeek.cpp
+++ b/src/plugins/runtime/socketstate.cpp
@@ -1,6 +1,8 @@
-#include "runtime/socketpeek.h"
+#include "runtime/socketstate.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Runtime {
@@ -15,4 +17,12 @@
     return isEmpty ? PeekResult::Nothing : PeekResult::Closed;
 }
 
+auto unacknowledgedBytes(int socket) -> Core::Bytes
+{
+    int bytes = 0;
+    // An error leaves the count at zero: the socket is closed, and nothing is known of its bytes.
+    (void)::ioctl(socket, TIOCOUTQ, &bytes);
+    return Core::Bytes(static_cast<std::uint64_t>(std::max(bytes, 0)));
+}
+
 } // namespace Runtime
--- a/src/plugins/runtime/socketpeek.h
+++ b/src/plugins/runtime/socketstate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/units.h"
+
 #include <cstdint>
 
 namespace Runtime {
@@ -15,4 +17,8 @@
 /// Looks at the socket without reading from it or waiting.
 auto peek(int socket) -> PeekResult;
 
+/// Returns the bytes that were written to the socket and that the peer's system has not acknowledged. They may still be
+/// on this VM, waiting for its link.
+auto unacknowledgedBytes(int socket) -> Core::Bytes;
+
 } // namespace Runtime
--- a/tests/auto/httpforward/tst_exchanges.cpp
+++ b/tests/auto/httpforward/tst_exchanges.cpp
@@ -295,6 +295,14 @@
     BOOST_TEST(readToEnd() == boost::asio::error::connection_reset);
 }
 
+BOOST_AUTO_TEST_CASE(TellsHowMuchTheUpstreamHadNotAcknowledged)
+{
+    const auto pending = startLargeRequest(Core::Millis(5000));
+    waitUntilBlocked();
+    pending->cancel();
+    BOOST_TEST(result.get_future().get().unacknowledged.value() > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(DeliversNoMoreOfItAfterTheTimeout)
 {
     startLargeRequest(Core::Millis(300));
