Reproduce requests that are sent on for callers that pipeline and have left (known red)

A VM whose threads are held finds several requests and the end of the connection at once. Its first read takes 512 bytes; the look at the connection before each send peeks one byte, finds a further request there, and takes the caller for present.

--- a/tests/auto/httpforward/tst_forwardfront.cpp
+++ b/tests/auto/httpforward/tst_forwardfront.cpp
@@ -162,6 +162,27 @@
         BOOST_TEST(head.find("abandoned") == std::string::npos);
 }
 
+/// Incident of issue 47: requests were sent on after callers that pipeline had left.
+BOOST_AUTO_TEST_CASE(SendsNothingForCallersThatHavePipelinedRequestsAndLeft, *boost::unit_test::disabled())
+{
+    ScriptedUpstream upstream({ goodAnswer, goodAnswer, goodAnswer });
+    serve(upstream);
+    // Leaves a connection to the upstream open, over which the next request is sent without delay.
+    exchange(requestWithId("first"));
+    std::string pipelined;
+    for (int request = 0; request < 12; ++request)
+        pipelined += requestWithId("abandoned");
+    auto release = TestSupport::holdThreads(runtime, threadCount);
+    for (int caller = 0; caller < 8; ++caller) {
+        StandIns::RawConnection connection(server.port());
+        connection.send(pipelined);
+    }
+    release.set_value();
+    BOOST_TEST(exchange(requestWithId("last")).starts_with("HTTP/1.1 200 "));
+    for (const auto& head : upstream.requestHeads())
+        BOOST_TEST(head.find("abandoned") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ThatReceivesMalformedRequests)
--- a/tests/auto/httpserver/scriptedserver.h
+++ b/tests/auto/httpserver/scriptedserver.h
@@ -20,6 +20,8 @@
         HttpServer::HttpRequest request, Respond respond) -> void override
     {
         const std::string target(request.target());
+        if (client->isDisconnected())
+            note(m_startedForNobody, target);
         client->onDisconnect([this, target] { note(m_abandoned, target); });
         {
             const std::lock_guard lock(m_mutex);
@@ -40,6 +42,8 @@
 
     /// Targets of all requests that were started, in order.
     auto started() -> std::vector<std::string> { return copy(m_started); }
+    /// Targets of the requests whose client was known to have left when they were started, in order.
+    auto startedForNobody() -> std::vector<std::string> { return copy(m_startedForNobody); }
     /// Returns false if fewer requests are started in a long time.
     auto waitForStarted(std::size_t count) -> bool { return waitFor(m_started, count); }
     auto waitForAbandoned(std::size_t count) -> bool { return waitFor(m_abandoned, count); }
@@ -86,6 +90,7 @@
     std::condition_variable m_changed;
     std::map<std::string, Respond> m_responds;
     std::vector<std::string> m_started;
+    std::vector<std::string> m_startedForNobody;
     std::vector<std::string> m_abandoned;
 };
 
@@ -104,7 +109,9 @@
     ScriptedServer(const ScriptedServer&) = delete;
     auto operator=(const ScriptedServer&) -> ScriptedServer& = delete;
 
-    Runtime::AsioRuntime runtime { 2 };
+    static constexpr std::size_t threadCount = 2;
+
+    Runtime::AsioRuntime runtime { threadCount };
     ScriptedHandler handler;
     HttpServer::Server server;
     std::thread thread;
--- a/tests/auto/httpserver/tst_pipelines.cpp
+++ b/tests/auto/httpserver/tst_pipelines.cpp
@@ -1,4 +1,5 @@
 #include "scriptedserver.h"
+#include "support/heldthreads.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -128,6 +129,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ThatLeavesBeforeItsRequestsAreRead)
+
+/// Incident of issue 47: the end of a connection was not seen behind requests that were not read yet.
+BOOST_AUTO_TEST_CASE(IsKnownToHaveLeftWhenTheyAreStarted, *boost::unit_test::disabled())
+{
+    auto release = TestSupport::holdThreads(runtime, threadCount);
+    const auto padding = "X-Padding: " + std::string(400, 'x') + "\r\n";
+    connection.send(get("/safe1", padding) + get("/safe2", padding) + get("/safe3", padding));
+    connection.close();
+    release.set_value();
+    BOOST_TEST(handler.waitForStarted(1));
+    BOOST_TEST(startedInTheEnd() == handler.startedForNobody());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WithARequestThatMustRunAlone)
 
 BOOST_AUTO_TEST_CASE(HasItWaitForThoseBeforeItAndNothingOvertakeIt)
