--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -213,8 +213,11 @@
             m_reader.takePeeked();
             start(std::move(*request), true);
         }
-        if (!m_isClosing)
-            m_reader.readAhead([self = shared_from_this()](bool isOpen) { self->handleInput(isOpen); });
+        auto callback = [self = shared_from_this()](bool isOpen) { self->handleInput(isOpen); };
+        if (m_isClosing)
+            m_reader.watchForClose(std::move(callback));
+        else
+            m_reader.readAhead(std::move(callback));
     }
 
     auto Connection::handleInput(bool isOpen) -> void
--- a/src/plugins/httpserver/requestreader.cpp
+++ b/src/plugins/httpserver/requestreader.cpp
@@ -33,6 +33,7 @@
         , m_writer(writer)
         , m_server(std::move(server))
         , m_stopped(socket.executor())
+        , m_closeWatch(socket)
     {
     }
 
@@ -119,8 +120,12 @@
 
     auto RequestReader::readAhead(InputCallback callback) -> void
     {
-        if (m_isReadingAhead || m_buffer.size() + readAheadBytes > m_limits->maximumHeader.value())
+        if (m_isReadingAhead)
+            return;
+        if (m_buffer.size() + readAheadBytes > m_limits->maximumHeader.value()) {
+            watchForClose(std::move(callback));
             return;
+        }
         m_isReadingAhead = true;
         const auto room = m_limits->maximumHeader.value() - m_buffer.size();
         const auto unused = m_buffer.capacity() - m_buffer.size();
@@ -129,6 +134,11 @@
                 const Error& error, std::size_t size) { endReadingAhead(error, size, callback); });
     }
 
+    auto RequestReader::watchForClose(InputCallback callback) -> void
+    {
+        m_closeWatch.start([callback = std::move(callback)] { callback(false); });
+    }
+
     auto RequestReader::endReadingAhead(const Error& error, std::size_t size, const InputCallback& callback) -> void
     {
         m_isReadingAhead = false;
@@ -141,6 +151,7 @@
 
     auto RequestReader::stopReadingAhead() -> asio::awaitable<void>
     {
+        m_closeWatch.stop();
         m_isStopping = true;
         if (m_isReadingAhead)
             m_socket.cancel();
--- a/src/plugins/httpserver/requestreader.h
+++ b/src/plugins/httpserver/requestreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "httpserver/closewatch.h"
 #include "httpserver/responsewriter.h"
 #include "httpserver/serverstate.h"
 #include "runtime/strandevent.h"
@@ -36,8 +37,11 @@
 
         /// Calls back with true when bytes have arrived, or with false when the client has closed its connection.
         using InputCallback = std::function<void(bool isOpen)>;
-        /// Reads ahead once, unless as much as allowed is read already.
+        /// Reads ahead once. If as much as allowed is read already, it only watches whether the client closes.
         auto readAhead(InputCallback callback) -> void;
+        /// Reads nothing, and calls back with false when the client has closed its connection.
+        auto watchForClose(InputCallback callback) -> void;
+        /// Ends the reading ahead and the watch.
         auto stopReadingAhead() -> boost::asio::awaitable<void>;
 
     private:
@@ -59,6 +63,7 @@
         bool m_isReadingAhead = false;
         bool m_isStopping = false;
         Runtime::StrandEvent m_stopped;
+        CloseWatch m_closeWatch;
     };
 
 } // namespace detail
--- a/tests/auto/httpserver/tst_pipelines.cpp
+++ b/tests/auto/httpserver/tst_pipelines.cpp
@@ -234,6 +234,19 @@
     BOOST_TEST(handler.waitForAbandoned(3));
 }
 
+/// Incident of issue 47: nothing watched the connection any more once as much was read ahead as is allowed.
+BOOST_AUTO_TEST_CASE(EndsThemAlsoBehindMoreThanIsReadAhead)
+{
+    std::string requests;
+    while (requests.size() < 2 * HttpServer::Limits().maximumHeader.value())
+        requests += get("/safe", "X-Padding: " + std::string(400, 'x') + "\r\n");
+    connection.send(get("/safe1") + get("/safe2") + get("/safe3") + requests);
+    BOOST_TEST(handler.waitForStarted(3));
+    connection.close();
+    BOOST_TEST(handler.waitForAbandoned(3));
+    BOOST_TEST(handler.started().size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(HasNoFurtherRequestStarted)
 {
     connection.send(get("/safe1") + get("/once2"));
--- a/tests/auto/httpserver/tst_streams.cpp
+++ b/tests/auto/httpserver/tst_streams.cpp
@@ -258,6 +258,18 @@
     BOOST_TEST(body->isCancelled());
 }
 
+/// Incident of issue 47: nothing watched the connection any more once its last response had begun.
+BOOST_AUTO_TEST_CASE(IsCancelledIfItIsTheLastOfItsConnectionAndMoreWasSent)
+{
+    connection.send("GET /s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    stream("/s");
+    BOOST_TEST(body->give("part"));
+    BOOST_TEST(connection.readUntil("part\r\n").ends_with("part\r\n"));
+    request("/t");
+    connection.close();
+    BOOST_TEST(body->isCancelled());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(WhoseClientReadsNothing, ServerForSlowReaders)
