Take waiting heartbeats and peer connections together as well

A VM of a hundred whose rounds take 50 ms reads 20 heartbeats a second, whatever arrives, and takes others for silent later. Both take up to 64 now; the loop over waiting connections is shared with the server of callers (Runtime::acceptWaiting).

The acceptor of peers has no test of its own.

--- a/src/plugins/datagrampeer/datagrampeer.cpp
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -2,6 +2,7 @@
 
 #include "cbor/cbor.h"
 #include "runtime/endpoints.h"
+#include "runtime/eventbatch.h"
 
 #include <array>
 #include <atomic>
@@ -124,10 +125,22 @@
                     return;
                 if (!error)
                     self->processDatagram(std::string(self->m_buffer.data(), size));
+                self->receiveWaiting();
                 self->receiveNext();
             });
     }
 
+    auto receiveWaiting() -> void
+    {
+        ErrorCode error;
+        m_socket.non_blocking(true, error);
+        for (int received = 0; !error && received < Runtime::eventBatch; ++received) {
+            const auto size = m_socket.receive_from(asio::buffer(m_buffer), m_sender, 0, error);
+            if (!error)
+                processDatagram(std::string(m_buffer.data(), size));
+        }
+    }
+
     auto processDatagram(const std::string& payload) -> void
     {
         const auto heartbeat = decodeHeartbeat(payload);
--- a/src/plugins/httpserver/httpserver.cpp
+++ b/src/plugins/httpserver/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "httpserver/connection.h"
 #include "runtime/endpoints.h"
+#include "runtime/eventbatch.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -23,8 +24,6 @@
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
     /// Limit on connections that receive the overloaded response at the same time; others are closed without one.
     constexpr std::size_t maximumOpenRefusals = 64;
-    /// Waiting connections that are accepted together, before other events of the process are handled.
-    constexpr int acceptBatch = 64;
     constexpr int httpVersion = 11;
 
 } // namespace
@@ -87,22 +86,14 @@
                 continue;
             }
             self->startConnection(std::move(socket));
-            // One connection for each round of the process's events would leave callers unread on a busy VM.
-            self->acceptWaiting(acceptBatch);
+            self->acceptWaiting(Runtime::eventBatch);
         }
     }
 
-    /// Accepts connections that wait in the listening socket's queue, up to the limit.
     auto acceptWaiting(int limit) -> void
     {
-        Error error;
-        m_acceptor.non_blocking(true, error);
-        for (int accepted = 0; !error && accepted < limit; ++accepted) {
-            detail::Socket socket(asio::make_strand(m_context));
-            m_acceptor.accept(socket, error);
-            if (!error)
-                startConnection(std::move(socket));
-        }
+        Runtime::acceptWaiting<detail::Socket>(
+            m_acceptor, m_context, limit, [this](detail::Socket socket) { startConnection(std::move(socket)); });
     }
 
     auto closeAcceptor() -> void
--- a/src/plugins/peerstream/peerstreamserver.cpp
+++ b/src/plugins/peerstream/peerstreamserver.cpp
@@ -2,6 +2,7 @@
 
 #include "peerstream/serverconnection.h"
 #include "runtime/endpoints.h"
+#include "runtime/eventbatch.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -44,6 +45,8 @@
                 return;
             }
             self->addConnection(std::move(socket));
+            Runtime::acceptWaiting<Socket>(self->m_acceptor, self->m_context, Runtime::eventBatch,
+                [&self](Socket waiting) { self->addConnection(std::move(waiting)); });
             self->acceptNext();
         });
     }
--- a/tests/auto/httpserver/tst_accepting.cpp
+++ b/tests/auto/httpserver/tst_accepting.cpp
@@ -2,6 +2,7 @@
 #include "runtime/asioruntime.h"
 #include "standins/rawconnection.h"
 #include "support/heldthreads.h"
+#include "support/roundcounter.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -11,18 +12,19 @@
 
 namespace http = boost::beast::http;
 
-/// Counts the rounds of the process's events until all clients' requests have been read.
-class RoundCounter : public HttpServer::HttpHandler {
+/// Answers each request at once, and stops the counter when all clients' requests have been read.
+class CountingHandler : public HttpServer::HttpHandler {
 public:
-    RoundCounter(Runtime::AsioRuntime& runtime, int clients)
-        : m_runtime(runtime)
+    CountingHandler(TestSupport::RoundCounter& counter, int clients)
+        : m_counter(counter)
         , m_unread(clients)
     {
     }
 
     auto handle(HttpServer::HttpRequest, Respond respond) -> void override
     {
-        --m_unread;
+        if (--m_unread == 0)
+            m_counter.stop();
         respond(HttpServer::HttpResponse { http::status::ok, 11 });
     }
 
@@ -31,21 +33,9 @@
         return { status, 11 };
     }
 
-    auto countRound() -> void
-    {
-        if (m_unread == 0)
-            return;
-        ++m_rounds;
-        // Runs again behind everything that is ready by then.
-        m_runtime.post([this] { countRound(); });
-    }
-
-    [[nodiscard]] auto rounds() const -> int { return m_rounds; }
-
 private:
-    Runtime::AsioRuntime& m_runtime;
+    TestSupport::RoundCounter& m_counter;
     std::atomic<int> m_unread;
-    std::atomic<int> m_rounds { 0 };
 };
 
 struct BusyServer {
@@ -64,7 +54,8 @@
     auto operator=(const BusyServer&) -> BusyServer& = delete;
 
     Runtime::AsioRuntime runtime { 1 };
-    RoundCounter handler { runtime, clientCount };
+    TestSupport::RoundCounter counter { runtime };
+    CountingHandler handler { counter, clientCount };
     HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), handler };
     std::thread thread;
 };
@@ -85,11 +76,11 @@
         connections.emplace_back(server.port());
         connections.back().send("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
     }
-    runtime.post([this] { handler.countRound(); });
+    counter.start();
     release.set_value();
     for (auto& connection : connections)
         BOOST_TEST(connection.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 "));
-    BOOST_TEST(handler.rounds() < clientCount / 2);
+    BOOST_TEST(counter.rounds() < clientCount / 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
