Split the exchanges of a request off forwardoperation.cpp

What a request does with its upstreams (attempts, exchanges, retries, hedges) has a file of its own, as waiting and large answers have.

--- a/src/libs/forwarding/forwardoperation.h
+++ b/src/libs/forwarding/forwardoperation.h
@@ -7,8 +7,9 @@
 
 namespace Forwarding {
 
-/// Forwards one request: chooses upstreams, retries where that is safe, and delivers exactly one reply. How it waits
-/// for room is in forwardoperationwaiting.cpp, how it passes a large answer on in forwardoperationanswer.cpp.
+/// Forwards one request: chooses upstreams, retries where that is safe, and delivers exactly one reply. Its exchanges
+/// with upstreams are in forwardoperationexchanges.cpp, how it waits for room in forwardoperationwaiting.cpp, and how
+/// it passes a large answer on in forwardoperationanswer.cpp.
 class ForwardOperation : public OpenRequest,
                          public Admission::Waiter,
                          public std::enable_shared_from_this<ForwardOperation> {
