Run the runtimes of tests by one class

Seven fixtures each had a thread, a constructor that starts it, and a destructor that stops the runtime and joins. RuntimeThread does that, declared last, so that it ends first as before. tst_httpserver, tst_httpforward and tst_entryfleet pass; no assertion changed.

--- a/tests/auto/entryfleet/tst_datagrampeer.cpp
+++ b/tests/auto/entryfleet/tst_datagrampeer.cpp
@@ -2,12 +2,12 @@
 #include "runtime/asioruntime.h"
 #include "support/heldthreads.h"
 #include "support/roundcounter.h"
+#include "support/runtimethread.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
-#include <thread>
 
 namespace {
 
@@ -17,18 +17,6 @@
 constexpr std::chrono::seconds patience { 10 };
 
 struct BusyVm {
-    BusyVm()
-        : thread([this] { runtime.run(); })
-    {
-    }
-    ~BusyVm()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    BusyVm(const BusyVm&) = delete;
-    auto operator=(const BusyVm&) -> BusyVm& = delete;
-
     /// Returns an address whose port is free.
     static auto freeAddress() -> Core::Address
     {
@@ -53,7 +41,7 @@
     TestSupport::RoundCounter counter { runtime };
     const Core::Address address = freeAddress();
     DatagramPeer::DatagramPeer peer { runtime.context(), address };
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 } // namespace
--- a/tests/auto/httpforward/exchangefixture.h
+++ b/tests/auto/httpforward/exchangefixture.h
@@ -4,9 +4,9 @@
 #include "httpforward/httpmessage.h"
 #include "runtime/asioruntime.h"
 #include "scriptedupstreams.h"
+#include "support/runtimethread.h"
 
 #include <future>
-#include <thread>
 
 namespace HttpForwardTest {
 
@@ -26,17 +26,8 @@
 struct ExchangeClientFixture {
     explicit ExchangeClientFixture(HttpClient::Limits limits = {})
         : client(runtime.context(), limits)
-        , thread([this] { runtime.run(); })
     {
     }
-    ~ExchangeClientFixture()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    ExchangeClientFixture(const ExchangeClientFixture&) = delete;
-    auto operator=(const ExchangeClientFixture&) -> ExchangeClientFixture& = delete;
-
     static auto call(const Core::Address& address, const std::string& id, std::int64_t start = 1) -> Ports::ExchangeCall
     {
         HttpServer::HttpRequest request { boost::beast::http::verb::get, "/stock/7?page=2", 11 };
@@ -66,7 +57,7 @@
     Runtime::AsioRuntime runtime { 2 };
     HttpClient::Client client;
     HttpForward::HttpExchangeClient exchanges { client, names() };
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 } // namespace HttpForwardTest
--- a/tests/auto/httpforward/frontfixture.h
+++ b/tests/auto/httpforward/frontfixture.h
@@ -3,6 +3,7 @@
 #include "exchangefixture.h"
 #include "httpforward/forwardfront.h"
 #include "standins/rawconnection.h"
+#include "support/runtimethread.h"
 
 namespace HttpForwardTest {
 
@@ -45,17 +46,8 @@
         , forwarder({ clock, runtime, random, exchanges, events, metrics, { {}, entryVms, {} },
               std::make_shared<Quotas::UnlimitedQuotas>(), buffers })
         , server(runtime.context(), Core::Address("127.0.0.1:0"), front, limits)
-        , thread([this] { runtime.run(); })
     {
     }
-    ~ForwardFrontFixture()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    ForwardFrontFixture(const ForwardFrontFixture&) = delete;
-    auto operator=(const ForwardFrontFixture&) -> ForwardFrontFixture& = delete;
-
     /// Serves one route, to callers with the key of an organisation only if one is named.
     auto serve(const ScriptedUpstream& upstream, const std::string& organisation = {}) -> void
     {
@@ -112,7 +104,7 @@
     Forwarding::Forwarder forwarder;
     HttpForward::ForwardFront front { forwarder, names() };
     HttpServer::Server server;
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 } // namespace HttpForwardTest
--- a/tests/auto/httpserver/scriptedserver.h
+++ b/tests/auto/httpserver/scriptedserver.h
@@ -3,11 +3,11 @@
 #include "httpserver/httpserver.h"
 #include "runtime/asioruntime.h"
 #include "standins/rawconnection.h"
+#include "support/runtimethread.h"
 
 #include <condition_variable>
 #include <map>
 #include <mutex>
-#include <thread>
 #include <vector>
 
 /// Holds each request until the test answers it.
@@ -98,21 +98,12 @@
 struct ScriptedServer {
     explicit ScriptedServer(HttpServer::Limits limits = {})
         : server(runtime.context(), Core::Address("127.0.0.1:0"), handler, limits)
-        , thread([this] { runtime.run(); })
     {
     }
-    ~ScriptedServer()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    ScriptedServer(const ScriptedServer&) = delete;
-    auto operator=(const ScriptedServer&) -> ScriptedServer& = delete;
-
     static constexpr std::size_t threadCount = 2;
 
     Runtime::AsioRuntime runtime { threadCount };
     ScriptedHandler handler;
     HttpServer::Server server;
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
--- a/tests/auto/httpserver/tst_accepting.cpp
+++ b/tests/auto/httpserver/tst_accepting.cpp
@@ -3,10 +3,10 @@
 #include "standins/rawconnection.h"
 #include "support/heldthreads.h"
 #include "support/roundcounter.h"
+#include "support/runtimethread.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <thread>
 
 namespace {
 
@@ -41,23 +41,11 @@
 struct BusyServer {
     static constexpr int clientCount = 48;
 
-    BusyServer()
-        : thread([this] { runtime.run(); })
-    {
-    }
-    ~BusyServer()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    BusyServer(const BusyServer&) = delete;
-    auto operator=(const BusyServer&) -> BusyServer& = delete;
-
     Runtime::AsioRuntime runtime { 1 };
     TestSupport::RoundCounter counter { runtime };
     CountingHandler handler { counter, clientCount };
     HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), handler };
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 } // namespace
--- a/tests/auto/httpserver/tst_disconnects.cpp
+++ b/tests/auto/httpserver/tst_disconnects.cpp
@@ -1,6 +1,7 @@
 #include "httpserver/httpserver.h"
 #include "runtime/asioruntime.h"
 #include "standins/rawconnection.h"
+#include "support/runtimethread.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -54,18 +55,6 @@
 };
 
 struct RunningServer {
-    RunningServer()
-        : thread([this] { runtime.run(); })
-    {
-    }
-    ~RunningServer()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    RunningServer(const RunningServer&) = delete;
-    auto operator=(const RunningServer&) -> RunningServer& = delete;
-
     /// Sends requests one after the other, each on a connection of its own and in two parts. Returns the number of
     /// answers.
     auto exchange(int requests) -> int
@@ -90,7 +79,7 @@
     Runtime::AsioRuntime runtime { 4 };
     SlowHandler handler { runtime };
     HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), handler };
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 } // namespace
--- a/tests/auto/httpserver/tst_shutdown.cpp
+++ b/tests/auto/httpserver/tst_shutdown.cpp
@@ -2,6 +2,7 @@
 #include "runtime/asioruntime.h"
 #include "standins/rawconnection.h"
 #include "support/heldthreads.h"
+#include "support/runtimethread.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -31,18 +32,6 @@
 
 /// Server on a single thread, which a test can hold up as a VM without processor time does.
 struct SingleThreadedServer {
-    SingleThreadedServer()
-        : thread([this] { runtime.run(); })
-    {
-    }
-    ~SingleThreadedServer()
-    {
-        runtime.stop();
-        thread.join();
-    }
-    SingleThreadedServer(const SingleThreadedServer&) = delete;
-    auto operator=(const SingleThreadedServer&) -> SingleThreadedServer& = delete;
-
     auto shutDown() -> std::future<void>
     {
         auto done = std::make_shared<std::promise<void>>();
@@ -54,7 +43,7 @@
     Runtime::AsioRuntime runtime { 1 };
     ImmediateHandler handler;
     HttpServer::Server server { runtime.context(), Core::Address("127.0.0.1:0"), handler };
-    std::thread thread;
+    TestSupport::RuntimeThread thread { runtime };
 };
 
 constexpr auto request = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
