--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
-    if [ -f "review/$number/case.cpp" ]; then
-        c++ -std=c++20 -O1 -pthread -Ireview/standins-2 "review/$number/case.cpp" -o "target/review-2/case-$number"
+    if [ -f "review/$number/script.cpp" ]; then
+        c++ -std=c++20 -O1 -pthread -Ireview/standins-2 "review/$number/script.cpp" -o "target/review-2/case-$number"
     fi
 done
