--- a/src/libs/forwarding/forwardrequest.h
+++ b/src/libs/forwarding/forwardrequest.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/refusal.h"
+#include "core/requestorigin.h"
 #include "forwarding/objectkey.h"
 #include "organisations/apikey.h"
 #include "ports/exchangeclient.h"
 
 #include <functional>
+#include <optional>
 #include <variant>
 
 namespace Forwarding {
@@ -16,6 +18,8 @@
     virtual ~CallerConnection() = default;
     /// Returns true if the caller has closed it. Thread-safe.
     [[nodiscard]] virtual auto isClosed() const -> bool = 0;
+    /// Returns where the request came in, or std::nullopt if the front end does not number connections.
+    [[nodiscard]] virtual auto origin() const -> std::optional<Core::RequestOrigin> { return std::nullopt; }
 };
 
 /// Request that is forwarded unchanged, with the attributes that determine how it is routed.
--- a/src/libs/forwarding/requestrecorder.cpp
+++ b/src/libs/forwarding/requestrecorder.cpp
@@ -107,6 +107,11 @@
     if (m_organisation)
         append(fields, { { "organisation", m_organisation->id.value() } });
     append(fields, { { "object", m_request.object.value() }, { "tookMs", millis(end.latency) } });
+    if (const auto origin = m_request.caller ? m_request.caller->origin() : std::nullopt) {
+        append(fields,
+            { { "connection", std::to_string(origin->connection.value()) },
+                { "requestNumber", std::to_string(origin->request.value()) } });
+    }
     if (!end.last)
         return fields;
     append(fields,
--- a/src/plugins/httpforward/forwardfront.cpp
+++ b/src/plugins/httpforward/forwardfront.cpp
@@ -140,6 +140,7 @@
         {
         }
         [[nodiscard]] auto isClosed() const -> bool override { return m_client->isDisconnected(); }
+        [[nodiscard]] auto origin() const -> std::optional<Core::RequestOrigin> override { return m_client->origin(); }
 
     private:
         const std::shared_ptr<const HttpServer::DisconnectNotifier> m_client;
--- a/src/plugins/httpserver/connection.cpp
+++ b/src/plugins/httpserver/connection.cpp
@@ -77,6 +77,7 @@
     Connection::Connection(Socket socket, Environment environment)
         : m_socket(std::make_shared<TimedSocket>(std::move(socket)))
         , m_environment(std::move(environment))
+        , m_number(++m_environment.server->connections)
         , m_writer(*m_socket)
         , m_replies(*m_socket, m_writer, m_environment.server)
         , m_reader(*m_socket, m_writer, m_environment.server)
@@ -189,7 +190,8 @@
         const bool isHead = request.method() == http::verb::head;
         const bool isVersion11 = request.version() >= version11;
         const RequestTraits traits { isHead, request.keep_alive(), isVersion11, mayOverlap && isVersion11 };
-        const auto client = std::make_shared<ClientDisconnectNotifier>(weak_from_this());
+        const Core::RequestOrigin origin { m_number, Core::RequestNumber(++m_requests) };
+        const auto client = std::make_shared<ClientDisconnectNotifier>(weak_from_this(), origin);
         const auto answer = std::make_shared<PendingAnswer>(traits, client, m_environment.server);
         m_answers.add(answer);
         try {
--- a/src/plugins/httpserver/connection.h
+++ b/src/plugins/httpserver/connection.h
@@ -57,6 +57,9 @@
 
         const std::shared_ptr<TimedSocket> m_socket;
         Environment m_environment;
+        const Core::ConnectionNumber m_number;
+        /// Number of requests that were read.
+        std::uint64_t m_requests = 0;
         ResponseWriter m_writer;
         ReplyWriter m_replies;
         RequestReader m_reader;
--- a/src/plugins/httpserver/httpserver.h
+++ b/src/plugins/httpserver/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/requestorigin.h"
 #include "core/units.h"
 #include "ports/bodystream.h"
 
@@ -24,7 +25,7 @@
 
 using Reply = std::variant<HttpResponse, StreamedResponse>;
 
-/// Tells the handler of one request whether the client is still connected. Thread-safe.
+/// Tells the handler of one request where it came in, and whether the client is still connected. Thread-safe.
 class DisconnectNotifier {
 public:
     virtual ~DisconnectNotifier() = default;
@@ -32,6 +33,7 @@
     virtual auto onDisconnect(std::function<void()> callback) -> void = 0;
     /// Looks at the connection itself, and so notices a disconnect before onDisconnect() calls back.
     [[nodiscard]] virtual auto isDisconnected() const -> bool = 0;
+    [[nodiscard]] virtual auto origin() const -> Core::RequestOrigin = 0;
 };
 
 /// Handles parsed HTTP requests.
--- a/src/plugins/httpserver/serverstate.h
+++ b/src/plugins/httpserver/serverstate.h
@@ -13,6 +13,8 @@
         /// The server still serves requests, and closes each connection after the response.
         std::atomic<bool> isDraining { false };
         std::atomic<std::size_t> openRequests { 0 };
+        /// Number of connections that were accepted.
+        std::atomic<std::uint64_t> connections { 0 };
         /// Total size reserved for the bodies of requests in flight.
         std::atomic<std::uint64_t> reservedBodyBytes { 0 };
         std::atomic<std::shared_ptr<const Limits>> limits;
