--- a/src/plugins/httpserver/requestreader.cpp
+++ b/src/plugins/httpserver/requestreader.cpp
@@ -127,28 +127,47 @@
             return;
         }
         m_isReadingAhead = true;
-        const auto room = m_limits->maximumHeader.value() - m_buffer.size();
-        const auto unused = m_buffer.capacity() - m_buffer.size();
-        m_socket.stream().async_read_some(m_buffer.prepare(std::min(room, std::max(readAheadBytes, unused))),
-            [this, callback = std::move(callback)](
-                const Error& error, std::size_t size) { endReadingAhead(error, size, callback); });
+        waitForInput(std::move(callback));
     }
 
-    auto RequestReader::watchForClose(InputCallback callback) -> void
+    auto RequestReader::waitForInput(InputCallback callback) -> void
     {
-        m_closeWatch.start([callback = std::move(callback)] { callback(false); });
+        m_socket.stream().async_wait(
+            Socket::wait_read, [this, callback = std::move(callback)](const Error& error) mutable {
+                handleInput(error, std::move(callback));
+            });
     }
 
-    auto RequestReader::endReadingAhead(const Error& error, std::size_t size, const InputCallback& callback) -> void
+    auto RequestReader::handleInput(Error error, InputCallback callback) -> void
     {
+        if (!error && !m_isStopping)
+            error = readArrived();
+        if (error == asio::error::would_block) {
+            waitForInput(std::move(callback));
+            return;
+        }
         m_isReadingAhead = false;
-        m_buffer.commit(size);
         if (m_isStopping)
             m_stopped.notify();
         else
             callback(!error);
     }
 
+    auto RequestReader::readArrived() -> Error
+    {
+        const auto room = m_limits->maximumHeader.value() - m_buffer.size();
+        const auto unused = m_buffer.capacity() - m_buffer.size();
+        const auto space = m_buffer.prepare(std::min(room, std::max(readAheadBytes, unused)));
+        Error error;
+        m_buffer.commit(m_socket.stream().read_some(space, error));
+        return error;
+    }
+
+    auto RequestReader::watchForClose(InputCallback callback) -> void
+    {
+        m_closeWatch.start([callback = std::move(callback)] { callback(false); });
+    }
+
     auto RequestReader::stopReadingAhead() -> asio::awaitable<void>
     {
         m_closeWatch.stop();
--- a/src/plugins/httpserver/requestreader.h
+++ b/src/plugins/httpserver/requestreader.h
@@ -35,7 +35,7 @@
         auto takePeeked() -> void;
         auto holdBackPeeked() -> void { m_isHeldBack = true; }
 
-        /// Calls back with true when bytes have arrived, or with false when the client has closed its connection.
+        /// Calls back with true when bytes were read, or with false when the client has closed its connection.
         using InputCallback = std::function<void(bool isOpen)>;
         /// Reads ahead once. If as much as allowed is read already, it only watches whether the client closes.
         auto readAhead(InputCallback callback) -> void;
@@ -48,8 +48,11 @@
         auto prepareParser(Parser& parser) const -> void;
         /// Reserves part of maximumBodyTotal for the body that follows. Returns false if too little is left.
         auto reserveBody(Parser& parser) -> bool;
-        auto endReadingAhead(const boost::system::error_code& error, std::size_t size, const InputCallback& callback)
-            -> void;
+        /// Waits for bytes without memory for them: the requests in the buffer are taken out of it meanwhile.
+        auto waitForInput(InputCallback callback) -> void;
+        auto handleInput(boost::system::error_code error, InputCallback callback) -> void;
+        /// Reads what has arrived. Fails with would_block if that is nothing.
+        auto readArrived() -> boost::system::error_code;
 
         TimedSocket& m_socket;
         ResponseWriter& m_writer;
--- a/src/plugins/httpserver/timedsocket.cpp
+++ b/src/plugins/httpserver/timedsocket.cpp
@@ -13,6 +13,7 @@
     {
         Error ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        m_socket.non_blocking(true, ignored);
     }
 
     auto TimedSocket::armTimeout(Core::Duration timeout) -> void
--- a/src/plugins/httpserver/timedsocket.h
+++ b/src/plugins/httpserver/timedsocket.h
@@ -17,8 +17,8 @@
     using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
     using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
 
-    /// Socket of a connection, with one timeout that ends all its operations. Used on the socket's strand only, except
-    /// for peek(), isClosedByClient() and executor().
+    /// Non-blocking socket of a connection, with one timeout that ends all its asynchronous operations. Used on the
+    /// socket's strand only, except for peek(), isClosedByClient() and executor().
     class TimedSocket : public std::enable_shared_from_this<TimedSocket> {
     public:
         explicit TimedSocket(Socket socket);
--- a/tests/auto/httpserver/tst_pipelines.cpp
+++ b/tests/auto/httpserver/tst_pipelines.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <random>
 
 namespace {
 
@@ -129,6 +130,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WithMoreRequestsThanMayRun)
+
+/// Review case 6 (MIXED): the request that was read last made room in the buffer that a read was open into, so that an
+/// earlier request of the connection was read again in place of the next one.
+BOOST_AUTO_TEST_CASE(HasTheNextOneReadAfterTheLastOfThoseThatWaited)
+{
+    const Targets all { "/safe1", "/safe2", "/safe3", "/safe4", "/safe5" };
+    connection.send(get("/safe1") + get("/safe2") + get("/safe3") + get("/safe4"));
+    BOOST_TEST(handler.waitForStarted(3));
+    handler.answer("/safe1");
+    BOOST_TEST(handler.waitForStarted(4));
+    connection.send(get("/safe5"));
+    handler.answer("/safe2");
+    BOOST_TEST(handler.waitForStarted(5));
+    BOOST_TEST_REQUIRE(handler.started() == all);
+    for (const auto* target : { "/safe3", "/safe4", "/safe5" })
+        handler.answer(target);
+    BOOST_TEST(answeredIn(connection.readUntil("/safe5\n")) == all);
+}
+
+/// Review case 6 (MIXED), with requests of any length that arrive in pieces of any length.
+BOOST_AUTO_TEST_CASE(HasEachOfThemReadOnceInWhateverPiecesTheyArrive)
+{
+    constexpr std::size_t requestCount = 300;
+    constexpr std::size_t longestPadding = 300;
+    constexpr std::size_t longestPause = 1000;
+    std::mt19937 random(6);
+    const auto pause = [&random] { return std::chrono::microseconds(random() % longestPause); };
+    Targets targets;
+    std::vector<std::pair<std::string, std::chrono::microseconds>> pieces;
+    for (std::size_t number = 0; number < requestCount; ++number) {
+        targets.push_back("/safe" + std::to_string(number));
+        const auto text = get(targets.back(), "X-Padding: " + std::string(random() % longestPadding, 'x') + "\r\n");
+        const auto cut = random() % text.size();
+        pieces.emplace_back(text.substr(0, cut), pause() / 2);
+        pieces.emplace_back(text.substr(cut), pause() / 2);
+    }
+    std::thread sender([&] {
+        for (const auto& [bytes, time] : pieces) {
+            connection.send(bytes);
+            std::this_thread::sleep_for(time);
+        }
+    });
+    const auto isNext = [&](std::size_t number) {
+        const auto asManyAsMayRun = std::min(number + smallLimits().maximumPipelined, requestCount);
+        return handler.waitForStarted(asManyAsMayRun) && handler.started()[number] == targets[number];
+    };
+    for (std::size_t number = 0; number < requestCount && isNext(number); ++number) {
+        std::this_thread::sleep_for(pause());
+        handler.answer(targets[number]);
+    }
+    sender.join();
+    BOOST_TEST(handler.started() == targets);
+    BOOST_TEST(answeredIn(connection.readUntil(targets.back() + '\n')) == targets);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatLeavesBeforeItsRequestsAreRead)
 
 /// Incident of issue 47: the end of a connection was not seen behind requests that were not read yet.
