--- a/src/libs/forwarding/crashguard.cpp
+++ b/src/libs/forwarding/crashguard.cpp
@@ -34,17 +34,23 @@
 {
     if (!m_quarantine.merge({ crashReport }, m_environment.clock.now()))
         return;
-    m_environment.events.record({ Ports::EventKind("request-content.suspected"), {},
-        { { "fingerprint", std::to_string(crashReport.fingerprint.high) },
-            { "upstream", crashReport.upstreams.begin()->value() },
-            { "refused", isQuarantined(crashReport.fingerprint) ? "yes" : "no" } } });
+    record("request-content.suspected", crashReport);
     if (m_crashReportCallback)
         m_crashReportCallback(crashReport);
 }
 
 auto CrashGuard::accept(const Dispatch::CrashReport& crashReport) -> void
 {
-    (void)m_quarantine.merge({ crashReport }, m_environment.clock.now());
+    if (m_quarantine.merge({ crashReport }, m_environment.clock.now()))
+        record("request-content.told", crashReport);
+}
+
+auto CrashGuard::record(const char* kind, const Dispatch::CrashReport& crashReport) const -> void
+{
+    m_environment.events.record({ Ports::EventKind(kind), {},
+        { { "fingerprint", std::to_string(crashReport.fingerprint.high) },
+            { "upstream", crashReport.upstreams.begin()->value() },
+            { "refused", isQuarantined(crashReport.fingerprint) ? "yes" : "no" } } });
 }
 
 auto fingerprintOf(const ForwardRequest& request) -> Dispatch::RequestFingerprint
--- a/src/libs/forwarding/crashguard.h
+++ b/src/libs/forwarding/crashguard.h
@@ -33,6 +33,7 @@
 
 private:
     auto reportCrash(const Dispatch::CrashReport& crashReport) -> void;
+    auto record(const char* kind, const Dispatch::CrashReport& crashReport) const -> void;
 
     const Environment m_environment;
     CrashReportCallback m_crashReportCallback;
