--- a/src/app/forwarding/forwardingprocess.cpp
+++ b/src/app/forwarding/forwardingprocess.cpp
@@ -93,6 +93,12 @@
                       [this] { return m_entryVm.storeReads().lostHistories; } },
                   { "store_era", Metrics::CallbackMetric::Type::Gauge,
                       [this] { return m_entryVm.storeEra().value(); } },
+                  { "quarantined_requests", Metrics::CallbackMetric::Type::Gauge,
+                      [this] { return static_cast<std::uint64_t>(m_entryVm.quarantineSync().requests()); } },
+                  { "quarantine_pages_fetched_total", Metrics::CallbackMetric::Type::Counter,
+                      [this] { return m_entryVm.quarantineSync().counts().fetched; } },
+                  { "quarantine_pages_sent_total", Metrics::CallbackMetric::Type::Counter,
+                      [this] { return m_entryVm.quarantineSync().counts().served; } },
                   { "store_polls_held", Metrics::CallbackMetric::Type::Gauge,
                       [this] { return static_cast<std::uint64_t>(m_entryVm.mirrorHost()->waiting()); } } },
               [this]() -> const Quotas::FleetQuotas& { return m_entryVm.quotas(); }))
@@ -101,12 +107,13 @@
     , m_peers(m_runtime.context(), m_peerTraffic)
     , m_mirrorPeer(m_peers)
     , m_crashReportPeer(m_peers)
+    , m_quarantinePeer(m_peers)
     , m_noticePeer(m_peers)
     , m_quotaPeer(m_peers)
     , m_exchanges(m_upstreamClient, platform.headerNames())
     , m_entryVm(m_settings, placement,
           { m_clock, m_runtime, m_random, m_telemetry.events(), m_telemetry.metrics(), platform.codec(), *m_store,
-              m_exchanges, m_datagrams, m_mirrorPeer, m_crashReportPeer, m_noticePeer, m_quotaPeer,
+              m_exchanges, m_datagrams, m_mirrorPeer, m_crashReportPeer, m_quarantinePeer, m_noticePeer, m_quotaPeer,
               [this](const Forwarding::CallerLimits& limits) {
                   m_frontServer.setLimits(callerLimits(m_settings, limits));
               },
@@ -140,6 +147,8 @@
     MirrorPeer::registerMirrorHandler(m_peerHandlers, m_entryVm.mirrorHost());
     CrashReportPeer::registerCrashReportHandler(m_peerHandlers,
         [this](const Dispatch::CrashReport& crashReport) { m_entryVm.forwarder().crashGuard().accept(crashReport); });
+    CrashReportPeer::registerQuarantineHandler(
+        m_peerHandlers, [this](const auto& after) { return m_entryVm.quarantineSync().page(after); });
     NoticePeer::registerNoticeHandler(
         m_peerHandlers, [this](const Forwarding::UpstreamNotices& notices) { m_entryVm.forwarder().accept(notices); });
     QuotaPeer::registerPermitHandler(
--- a/src/app/forwarding/forwardingprocess.h
+++ b/src/app/forwarding/forwardingprocess.h
@@ -3,6 +3,7 @@
 #include "app/forwarding/platformadapter.h"
 #include "app/forwarding/processtelemetry.h"
 #include "crashreportpeer/crashreportpeer.h"
+#include "crashreportpeer/quarantinepeer.h"
 #include "datagrampeer/datagrampeer.h"
 #include "forwardinghost/entryvm.h"
 #include "httpforward/forwardfront.h"
@@ -63,6 +64,7 @@
     PeerStream::HandlerTable m_peerHandlers;
     MirrorPeer::MirrorPeer m_mirrorPeer;
     CrashReportPeer::CrashReportPeer m_crashReportPeer;
+    CrashReportPeer::QuarantinePeer m_quarantinePeer;
     NoticePeer::NoticePeer m_noticePeer;
     QuotaPeer::QuotaPeer m_quotaPeer;
     HttpForward::HttpExchangeClient m_exchanges;
--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/units.h"
+#include "dispatch/quarantinedigest.h"
 #include "dispatch/requestfingerprint.h"
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -14,6 +16,14 @@
 struct CrashReport {
     RequestFingerprint fingerprint;
     std::set<Core::UpstreamId> upstreams;
+    /// Time since the last of the crashes.
+    Core::Duration age {};
+};
+
+/// What an entry VM refuses at one moment.
+struct QuarantineSummary {
+    QuarantineDigest digest;
+    std::size_t requests = 0;
 };
 
 /// Gives access to the crash reports that entry VMs exchange, so that the whole fleet refuses a request that crashes
@@ -21,8 +31,12 @@
 class CrashReportExchange {
 public:
     virtual ~CrashReportExchange() = default;
-    [[nodiscard]] virtual auto crashReports() const -> std::vector<CrashReport> = 0;
-    /// Adds the crash reports of another entry VM. Returns true if any of them was new.
+    [[nodiscard]] virtual auto summary(Core::Instant now) const -> QuarantineSummary = 0;
+    /// Returns the quarantined requests that follow the given one in the order of their fingerprints, `limit` at most.
+    [[nodiscard]] virtual auto quarantined(const std::optional<RequestFingerprint>& after, std::size_t limit,
+        Core::Instant now) const -> std::vector<CrashReport> = 0;
+    /// Adds crash reports of another entry VM, whose ages count back from the given instant. Returns true if any of
+    /// them was new.
     virtual auto merge(const std::vector<CrashReport>& crashReports, Core::Instant now) -> bool = 0;
 };
 
@@ -32,6 +46,8 @@
 public:
     /// Number of distinct upstreams that a request must have crashed to be refused.
     static constexpr std::size_t crashLimit = 2;
+    /// Time after the last crash for which a request is refused, on all entry VMs.
+    static constexpr std::chrono::hours quarantineTime { 1 };
 
     [[nodiscard]] auto isQuarantined(const RequestFingerprint& fingerprint, Core::Instant now) const -> bool;
     /// Returns true if the request may start now. If the request has crash reports, only one copy of it may run at a
@@ -46,16 +62,23 @@
     /// Drops the crash reports of a request that was answered without a tryBegin(), unless it is quarantined.
     auto clear(const RequestFingerprint& fingerprint) -> void;
 
-    [[nodiscard]] auto crashReports() const -> std::vector<CrashReport> override;
+    [[nodiscard]] auto summary(Core::Instant now) const -> QuarantineSummary override;
+    [[nodiscard]] auto quarantined(const std::optional<RequestFingerprint>& after, std::size_t limit,
+        Core::Instant now) const -> std::vector<CrashReport> override;
     auto merge(const std::vector<CrashReport>& crashReports, Core::Instant now) -> bool override;
 
 private:
     struct Entry {
+        [[nodiscard]] auto isQuarantined(Core::Instant now) const -> bool;
+
         std::set<Core::UpstreamId> upstreams;
         Core::Instant lastSeen;
     };
 
-    auto evictIfFull(Core::Instant now) -> void;
+    auto mergeReport(const CrashReport& crashReport, Core::Instant now) -> bool;
+    /// Returns the entry for a crash at the given instant, or null if all entries are of later crashes.
+    auto entryFor(const RequestFingerprint& fingerprint, Core::Instant crashedAt, Core::Instant now) -> Entry*;
+    auto makeRoom(Core::Instant crashedAt, Core::Instant now) -> bool;
     auto decrementRunning(const RequestFingerprint& fingerprint) -> void;
 
     mutable std::mutex m_mutex;
--- a/src/libs/entryfleet/entryfleet.cpp
+++ b/src/libs/entryfleet/entryfleet.cpp
@@ -11,6 +11,8 @@
 
     /// Upper bound on the entry VMs that are known although the store doesn't list them.
     constexpr std::size_t maximumIntroduced = 64;
+    /// Largest number of heartbeats of a cycle that carry a digest to other entry VMs of the region.
+    constexpr std::size_t maximumDigests = 16;
     /// The set of entry VMs that serve callers is computed again after this time, because some may have fallen silent.
     constexpr Core::Millis usualTargetsLifetime { 100 };
 
@@ -122,6 +124,21 @@
 {
     if (apply(heartbeat))
         forward(heartbeat);
+    if (heartbeat.quarantine != Dispatch::QuarantineDigest())
+        reportQuarantine(heartbeat);
+}
+
+auto EntryFleet::reportQuarantine(const Heartbeat& heartbeat) -> void
+{
+    Core::Address address;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto sender = m_members.find(heartbeat.sender);
+        if (sender == m_members.end())
+            return;
+        address = sender->second.entry().peers;
+    }
+    m_environment.onQuarantine(address, heartbeat.quarantine);
 }
 
 auto EntryFleet::apply(const Heartbeat& heartbeat) -> bool
@@ -175,6 +192,7 @@
         const auto now = m_environment.clock.now();
         wasPaused = detectPause(now);
         m_lastCycle = now;
+        ++m_cycles;
         recordLivenessChanges(now);
         forgetUnlisted(now);
         m_timer = m_environment.scheduler.after(heartbeatInterval, [this] { runHeartbeatCycle(); });
@@ -205,7 +223,9 @@
 auto EntryFleet::sendHeartbeats() -> void
 {
     std::vector<Core::Address> addresses;
+    std::vector<Core::Address> digestAddresses;
     Heartbeat heartbeat { m_self.id, m_self.start, false };
+    const auto quarantine = m_environment.quarantine();
     {
         const std::lock_guard lock(m_mutex);
         heartbeat.isLeaving = m_isLeaving;
@@ -216,9 +236,55 @@
             if (isRegionalPeer(member.entry()))
                 addresses.push_back(member.entry().heartbeats);
         }
+        if (quarantine != Dispatch::QuarantineDigest())
+            digestAddresses = takeDigestAddresses(addresses);
     }
     for (const auto& address : addresses)
         m_environment.heartbeats.send(address, heartbeat);
+    heartbeat.introduction = m_self;
+    heartbeat.quarantine = quarantine;
+    for (const auto& address : digestAddresses)
+        m_environment.heartbeats.send(address, heartbeat);
+}
+
+auto EntryFleet::takeDigestAddresses(std::vector<Core::Address>& regional) const -> std::vector<Core::Address>
+{
+    std::vector<Core::Address> taken;
+    if (!regional.empty()) {
+        // Each VM goes round the others from a place of its own.
+        const auto start = Fleet::rendezvousScore(m_self.region.value(), m_self.id.value());
+        const auto first = (start + m_cycles * maximumDigests) % regional.size();
+        std::rotate(regional.begin(), regional.begin() + static_cast<std::ptrdiff_t>(first), regional.end());
+        const auto rest = regional.size() - std::min(regional.size(), maximumDigests);
+        taken.assign(regional.begin() + static_cast<std::ptrdiff_t>(rest), regional.end());
+        regional.resize(rest);
+    }
+    if (speaksForRegion(m_environment.clock.now())) {
+        const auto others = addressesInOtherRegions();
+        taken.insert(taken.end(), others.begin(), others.end());
+    }
+    return taken;
+}
+
+auto EntryFleet::speaksForRegion(Core::Instant now) const -> bool
+{
+    return !m_isLeaving && std::none_of(m_members.begin(), m_members.end(), [&](const auto& item) {
+        return item.first < m_self.id && acceptsCallers(item.second, now);
+    });
+}
+
+auto EntryFleet::addressesInOtherRegions() const -> std::vector<Core::Address>
+{
+    std::map<Core::RegionId, std::vector<Core::Address>> regions;
+    for (const auto& [id, member] : m_members) {
+        const auto& entry = member.entry();
+        if (entry.region != m_self.region)
+            regions[entry.region].push_back(entry.heartbeats);
+    }
+    std::vector<Core::Address> addresses;
+    for (const auto& [region, candidates] : regions)
+        addresses.push_back(candidates[m_cycles % candidates.size()]);
+    return addresses;
 }
 
 auto EntryFleet::leave() -> void
--- a/src/libs/entryfleet/entryfleet.h
+++ b/src/libs/entryfleet/entryfleet.h
@@ -15,7 +15,8 @@
 namespace EntryFleet {
 
 /// Tracks the other entry VMs: the store lists them, and heartbeats show which of those in the same region are alive.
-/// Only entry VMs of the same region exchange heartbeats, so that the cost for each does not grow with the whole fleet.
+/// Only entry VMs of the same region exchange heartbeats, so that the cost for each does not grow with the whole fleet;
+/// while requests are quarantined, one VM of each region sends its heartbeats to one of each other region as well.
 /// A process that the store doesn't list yet, because it turns the entry VM away, introduces itself by its heartbeats:
 /// the others would own the same upstreams beside it otherwise.
 class EntryFleet : public Forwarding::EntryVmView {
@@ -34,6 +35,11 @@
         HeartbeatPort& heartbeats;
         /// Called when this process resumes after a pause so long that it missed messages of other entry VMs.
         std::function<void()> onPauseDetected = [] {};
+        /// Returns the digest of what this entry VM has quarantined.
+        std::function<Dispatch::QuarantineDigest()> quarantine = [] { return Dispatch::QuarantineDigest(); };
+        /// Called with the digest of another entry VM, unless it is zero, and the address for messages to it.
+        std::function<void(const Core::Address&, Dispatch::QuarantineDigest)> onQuarantine
+            = [](const Core::Address&, Dispatch::QuarantineDigest) {};
     };
 
     EntryFleet(EntryVmEntry self, Environment environment);
@@ -74,11 +80,11 @@
 
 private:
     [[nodiscard]] auto isAlive(const Member& member, Core::Instant now) const -> bool;
-    /// Returns true if the member is another entry VM of the region that is alive and not leaving.
     /// Returns the entry VMs of the region that accept callers, including this one unless it is leaving.
     [[nodiscard]] auto callerTargets(Core::Instant now) const -> CallerTargets;
     /// Returns those that look-up answers name if none is busy. They share the region's cold upstreams.
     [[nodiscard]] auto usualTargets(Core::Instant now) const -> const std::set<Core::EntryVmId>&;
+    /// Returns true if the member is another entry VM of the region that is alive and not leaving.
     [[nodiscard]] auto acceptsCallers(const Member& member, Core::Instant now) const -> bool;
     [[nodiscard]] auto rank(std::vector<EntryVmEntry> entries) const -> std::vector<EntryVmEntry>;
     /// Returns true if heartbeats of the others may not have arrived yet, after a start or a pause.
@@ -103,6 +109,16 @@
     /// last cycle is so long ago that this process was paused.
     [[nodiscard]] auto observedUntil(Core::Instant now) const -> Core::Instant;
     auto sendHeartbeats() -> void;
+    /// Takes out of the list of the region's addresses those that get the digest of what is quarantined in this cycle,
+    /// and returns them with those of other regions. Their number does not grow with the region.
+    [[nodiscard]] auto takeDigestAddresses(std::vector<Core::Address>& regional) const -> std::vector<Core::Address>;
+    /// Returns true if this entry VM is the one of its region whose heartbeats reach other regions. Several may take
+    /// themselves for it, if they know of different ones.
+    [[nodiscard]] auto speaksForRegion(Core::Instant now) const -> bool;
+    /// Returns the heartbeat address of one entry VM of each other region, of another one in each cycle.
+    [[nodiscard]] auto addressesInOtherRegions() const -> std::vector<Core::Address>;
+    /// Passes the digest of a heartbeat on.
+    auto reportQuarantine(const Heartbeat& heartbeat) -> void;
     auto recordLivenessChanges(Core::Instant now) -> void;
 
     const EntryVmEntry m_self;
@@ -121,6 +137,8 @@
     /// The set is computed again after this instant.
     mutable Core::Instant m_usualTargetsUntil = Core::Instant::min();
     Core::Instant m_lastCycle;
+    /// Number of heartbeat cycles since the start.
+    std::size_t m_cycles = 0;
     /// This entry VM owns no upstream before this instant, because heartbeats of the others may not have arrived yet.
     Core::Instant m_ownershipStart = Core::Instant::max();
     std::unique_ptr<Ports::Timer> m_timer;
--- a/src/libs/entryfleet/entryvmentry.h
+++ b/src/libs/entryfleet/entryvmentry.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/units.h"
+#include "dispatch/quarantinedigest.h"
 
 #include <optional>
 
@@ -37,6 +38,8 @@
     bool isForwarded = false;
     /// The sender handles its events late.
     bool isBusy = false;
+    /// What the sender has quarantined. Comes with an introduction unless it is zero.
+    Dispatch::QuarantineDigest quarantine;
 };
 
 /// Sends heartbeats to other entry VMs without a guarantee of delivery.
--- a/src/libs/forwarding/crashguard.cpp
+++ b/src/libs/forwarding/crashguard.cpp
@@ -41,8 +41,27 @@
 
 auto CrashGuard::accept(const Dispatch::CrashReport& crashReport) -> void
 {
-    if (m_quarantine.merge({ crashReport }, m_environment.clock.now()))
+    (void)merge({ crashReport }, m_environment.clock.now());
+}
+
+auto CrashGuard::summary(Core::Instant now) const -> Dispatch::QuarantineSummary { return m_quarantine.summary(now); }
+
+auto CrashGuard::quarantined(const std::optional<Dispatch::RequestFingerprint>& after, std::size_t limit,
+    Core::Instant now) const -> std::vector<Dispatch::CrashReport>
+{
+    return m_quarantine.quarantined(after, limit, now);
+}
+
+auto CrashGuard::merge(const std::vector<Dispatch::CrashReport>& crashReports, Core::Instant now) -> bool
+{
+    bool isNew = false;
+    for (const auto& crashReport : crashReports) {
+        if (!m_quarantine.merge({ crashReport }, now))
+            continue;
         record("request-content.told", crashReport);
+        isNew = true;
+    }
+    return isNew;
 }
 
 auto CrashGuard::record(const char* kind, const Dispatch::CrashReport& crashReport) const -> void
--- a/src/libs/forwarding/crashguard.h
+++ b/src/libs/forwarding/crashguard.h
@@ -9,7 +9,7 @@
 
 /// Refuses requests that crash upstreams. A lost answer alone is not evidence of a crash: the upstream must also be
 /// unreachable immediately afterwards.
-class CrashGuard {
+class CrashGuard : public Dispatch::CrashReportExchange {
 public:
     using CrashReportCallback = std::function<void(const Dispatch::CrashReport&)>;
 
@@ -31,6 +31,11 @@
     /// Merges another entry VM's crash report.
     auto accept(const Dispatch::CrashReport& crashReport) -> void;
 
+    [[nodiscard]] auto summary(Core::Instant now) const -> Dispatch::QuarantineSummary override;
+    [[nodiscard]] auto quarantined(const std::optional<Dispatch::RequestFingerprint>& after, std::size_t limit,
+        Core::Instant now) const -> std::vector<Dispatch::CrashReport> override;
+    auto merge(const std::vector<Dispatch::CrashReport>& crashReports, Core::Instant now) -> bool override;
+
 private:
     auto reportCrash(const Dispatch::CrashReport& crashReport) -> void;
     auto record(const char* kind, const Dispatch::CrashReport& crashReport) const -> void;
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -42,13 +42,18 @@
     , m_self(makeOwnEntry(m_settings, m_environment.clock.wallTime()))
     , m_fleet(m_self,
           { m_environment.clock, m_environment.scheduler, m_environment.events, m_environment.heartbeats,
-              [this] { recoverFromPause(); } })
+              [this] { recoverFromPause(); }, [this] { return m_quarantineSync.digest(); },
+              [this](const Core::Address& entryVm, Dispatch::QuarantineDigest digest) {
+                  m_quarantineSync.receive(entryVm, digest);
+              } })
     , m_quotas(std::make_shared<Quotas::FleetQuotas>(treeMember(m_self), m_self.start, m_settings.quotaBounds,
           Quotas::FleetQuotas::Environment {
               m_environment.clock, m_environment.scheduler, m_environment.events, m_environment.permits }))
     , m_forwarder({ m_environment.clock, m_environment.scheduler, m_environment.random, m_environment.exchanges,
           m_environment.events, m_environment.metrics,
           { { m_settings.failureDomain, m_settings.region }, m_fleet, placement }, m_quotas, m_environment.buffers })
+    , m_quarantineSync({ m_environment.clock, m_environment.scheduler, m_environment.random, m_environment.events,
+          m_environment.quarantines, m_forwarder.crashGuard() })
     , m_noticeOutbox(
           { m_environment.clock, m_environment.scheduler, m_environment.notices, [this] { return peersToNotify(); } })
     , m_registry({ m_environment.clock, m_environment.scheduler, m_environment.events },
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crashreports/crashreportsender.h"
+#include "crashreports/quarantinesync.h"
 #include "forwarding/noticeoutbox.h"
 #include "forwardinghost/delaymonitor.h"
 #include "forwardinghost/entryvmsettings.h"
@@ -28,6 +29,7 @@
         EntryFleet::HeartbeatPort& heartbeats;
         StoreSync::MirrorPort& mirrorPort;
         CrashReports::CrashReportSender& crashReports;
+        CrashReports::QuarantinePort& quarantines;
         Forwarding::UpstreamNoticePort& notices;
         Quotas::PermitPort& permits;
         /// Called with the caller limits of each configuration that takes effect.
@@ -49,6 +51,8 @@
     /// Answers other entry VMs that follow the store through this one.
     [[nodiscard]] auto mirrorHost() const -> const std::shared_ptr<StoreSync::MirrorHost>& { return m_mirrorHost; }
     [[nodiscard]] auto sharedReads() const -> const StoreSync::SharedReads& { return *m_sharedReads; }
+    /// Answers other entry VMs that lack quarantined requests.
+    auto quarantineSync() -> CrashReports::QuarantineSync& { return m_quarantineSync; }
     [[nodiscard]] auto delays() const -> const DelayMonitor& { return m_delays; }
     [[nodiscard]] auto isStoreReachable() const -> bool;
     /// Returns the numbers of the store's answers, summed over all collections.
@@ -92,6 +96,7 @@
     EntryFleet::EntryFleet m_fleet;
     const std::shared_ptr<Quotas::FleetQuotas> m_quotas;
     Forwarding::Forwarder m_forwarder;
+    CrashReports::QuarantineSync m_quarantineSync;
     Forwarding::NoticeOutbox m_noticeOutbox;
     /// Guards both lists and their hand-over to the forwarder, so that an older pair never replaces a newer one.
     std::mutex m_listMutex;
--- a/src/plugins/crashreportpeer/crashreportpeer.cpp
+++ b/src/plugins/crashreportpeer/crashreportpeer.cpp
@@ -1,33 +1,18 @@
 #include "crashreportpeer/crashreportpeer.h"
 
 #include "cbor/cbor.h"
+#include "crashreportpeer/crashreportcodec.h"
 
 namespace CrashReportPeer {
 
 namespace {
 
-    using nlohmann::json;
-
     constexpr auto crashReportKind = "dispatch.suspicion";
     constexpr Core::Millis sendTimeout { 200 };
 
-    auto encode(const Dispatch::CrashReport& crashReport) -> std::string
-    {
-        json upstreams = json::array();
-        for (const auto& upstream : crashReport.upstreams)
-            upstreams.push_back(upstream.value());
-        return Cbor::pack(json { crashReport.fingerprint.high, crashReport.fingerprint.low, upstreams });
-    }
-
     auto decode(const std::string& payload) -> Core::Result<Dispatch::CrashReport>
     {
-        return Cbor::unpack(payload, "a crash report", [](const json& fields) {
-            Dispatch::CrashReport crashReport;
-            crashReport.fingerprint = { fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::uint64_t>() };
-            for (const auto& upstream : fields.at(2))
-                crashReport.upstreams.insert(Core::UpstreamId(upstream.get<std::string>()));
-            return crashReport;
-        });
+        return Cbor::unpack(payload, "a crash report", decodeCrashReport);
     }
 
 } // namespace
@@ -40,7 +25,7 @@
 auto CrashReportPeer::send(
     const Fleet::EntryVm& target, const Dispatch::CrashReport& crashReport, std::function<void()> callback) -> void
 {
-    m_transport.call(target.peerAddress, { crashReportKind, encode(crashReport) }, sendTimeout,
+    m_transport.call(target.peerAddress, { crashReportKind, Cbor::pack(encodeCrashReport(crashReport)) }, sendTimeout,
         [callback = std::move(callback)](const Core::Result<std::string>&) { callback(); });
 }
 
--- a/src/plugins/datagrampeer/datagrampeer.cpp
+++ b/src/plugins/datagrampeer/datagrampeer.cpp
@@ -25,6 +25,10 @@
     /// Position of the introduction in an encoded heartbeat, which has one only if the store may not list the sender.
     constexpr std::size_t introductionIndex = 4;
 
+    /// Position of the digest of what the sender has quarantined, which follows an introduction: processes of an
+    /// earlier version expect nothing else before it, and ignore it.
+    constexpr std::size_t quarantineIndex = 5;
+
     /// Position, in an introduction, of the mark of a heartbeat that was passed on.
     constexpr std::size_t forwardedIndex = 5;
 
@@ -62,6 +66,8 @@
     if (const auto& entry = heartbeat.introduction) {
         values.push_back({ entry->failureDomain.value(), entry->region.value(), entry->front.value(),
             entry->heartbeats.value(), entry->peers.value(), heartbeat.isForwarded, entry->processor.value() });
+        if (heartbeat.quarantine != Dispatch::QuarantineDigest())
+            values.push_back(heartbeat.quarantine.value());
     }
     return Cbor::pack(values);
 }
@@ -76,6 +82,8 @@
             heartbeat.introduction = decodeIntroduction(heartbeat, value.at(introductionIndex));
             heartbeat.isForwarded = value.at(introductionIndex).at(forwardedIndex).get<bool>();
         }
+        if (value.size() > quarantineIndex)
+            heartbeat.quarantine = Dispatch::QuarantineDigest(value.at(quarantineIndex).get<std::uint64_t>());
         return heartbeat;
     });
 }
--- a/tests/fakes/forwarding/forwardingsite.cpp
+++ b/tests/fakes/forwarding/forwardingsite.cpp
@@ -1,6 +1,7 @@
 #include "fakes/forwarding/forwardingsite.h"
 
 #include "crashreportpeer/crashreportpeer.h"
+#include "crashreportpeer/quarantinepeer.h"
 #include "fakes/worldrandom.h"
 #include "mirrorpeer/mirrorpeer.h"
 #include "noticepeer/noticepeer.h"
@@ -93,11 +94,13 @@
         , exchanges(owner.virtualUpstreams, nodeOf(index))
         , entryVm(settingsOf(index), {},
               { owner.world, node, random, events, metrics, owner.codec, collections, exchanges, *this, mirrorPeer,
-                  crashReportPeer, noticePeer, quotaPeer, [](const Forwarding::CallerLimits&) {} })
+                  crashReportPeer, quarantinePeer, noticePeer, quotaPeer, [](const Forwarding::CallerLimits&) {} })
     {
         MirrorPeer::registerMirrorHandler(node, entryVm.mirrorHost());
         CrashReportPeer::registerCrashReportHandler(node,
             [this](const Dispatch::CrashReport& crashReport) { entryVm.forwarder().crashGuard().accept(crashReport); });
+        CrashReportPeer::registerQuarantineHandler(
+            node, [this](const auto& after) { return entryVm.quarantineSync().page(after); });
         NoticePeer::registerNoticeHandler(
             node, [this](const Forwarding::UpstreamNotices& notices) { entryVm.forwarder().accept(notices); });
         QuotaPeer::registerPermitHandler(
@@ -125,6 +128,7 @@
     VirtualExchangeClient exchanges;
     MirrorPeer::MirrorPeer mirrorPeer { node };
     CrashReportPeer::CrashReportPeer crashReportPeer { node };
+    CrashReportPeer::QuarantinePeer quarantinePeer { node };
     NoticePeer::NoticePeer noticePeer { node };
     QuotaPeer::QuotaPeer quotaPeer { node };
     ForwardingHost::EntryVm entryVm;
