--- a/src/libs/entryfleet/entryvmentry.h
+++ b/src/libs/entryfleet/entryvmentry.h
@@ -32,13 +32,13 @@
     Core::EntryVmId sender;
     Core::ProcessStartId start;
     bool isLeaving = false;
-    /// Registration of the sender, as long as the store may not list it.
+    /// Registration of the sender, as long as the store may not list it, and beside a digest.
     std::optional<EntryVmEntry> introduction;
     /// The heartbeat was passed on by another entry VM. It is not passed on again.
     bool isForwarded = false;
     /// The sender handles its events late.
     bool isBusy = false;
-    /// What the sender has quarantined. Comes with an introduction unless it is zero.
+    /// What the sender has quarantined; zero in heartbeats that do not tell.
     Dispatch::QuarantineDigest quarantine;
 };
 
