--- a/src/libs/crashreports/quarantinesync.cpp
+++ b/src/libs/crashreports/quarantinesync.cpp
@@ -1,14 +1,32 @@
 #include "crashreports/quarantinesync.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace CrashReports {
 
+namespace {
+
+    /// Number of digests of others that are remembered.
+    constexpr std::size_t maximumExamined = 64;
+
+} // namespace
+
 QuarantineSync::QuarantineSync(Environment environment)
     : m_environment(environment)
+    , m_absentUntil(environment.clock.now())
 {
 }
 
+auto QuarantineSync::catchUp() -> void
+{
+    const auto now = m_environment.clock.now();
+    const std::lock_guard lock(m_mutex);
+    m_absentUntil = now;
+    m_hasCaughtUp = false;
+    m_examined.clear();
+}
+
 auto QuarantineSync::digest() -> Dispatch::QuarantineDigest
 {
     const auto digest = m_environment.quarantine.summary(m_environment.clock.now()).digest;
@@ -24,7 +42,7 @@
 
 auto QuarantineSync::isOfInterest(Dispatch::QuarantineDigest digest) const -> bool
 {
-    return digest != m_digest && m_settled != Settled { m_digest, digest };
+    return digest != m_digest && std::find(m_examined.begin(), m_examined.end(), digest) == m_examined.end();
 }
 
 auto QuarantineSync::receive(const Core::Address& entryVm, Dispatch::QuarantineDigest digest) -> void
@@ -80,16 +98,28 @@
     } else {
         // The ages were taken after the page was asked for: counted from then, no quarantine lasts longer than at the
         // source.
-        (void)m_environment.quarantine.merge(page->reports, askedAt);
+        (void)m_environment.quarantine.merge(select(page->reports, askedAt), askedAt);
     }
-    const auto own = digest();
+    (void)digest();
     const std::lock_guard lock(m_mutex);
     m_isFetching = false;
-    proceed(source, own, page);
+    proceed(source, page);
 }
 
-auto QuarantineSync::proceed(
-    const Source& source, Dispatch::QuarantineDigest own, const Core::Result<QuarantinePage>& page) -> void
+auto QuarantineSync::select(const std::vector<Dispatch::CrashReport>& reports, Core::Instant askedAt) const
+    -> std::vector<Dispatch::CrashReport>
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Dispatch::CrashReport> selected;
+    std::copy_if(reports.begin(), reports.end(), std::back_inserter(selected), [&](const auto& report) {
+        const bool isNews = report.firstAge <= newsTime;
+        const bool wasMissed = !m_hasCaughtUp && askedAt - report.age <= m_absentUntil;
+        return isNews || wasMissed;
+    });
+    return selected;
+}
+
+auto QuarantineSync::proceed(const Source& source, const Core::Result<QuarantinePage>& page) -> void
 {
     m_position.reset();
     if (!page)
@@ -97,9 +127,12 @@
     if (!page->isLast && !page->reports.empty()) {
         m_position = page->reports.back().fingerprint;
         schedule({});
-    } else if (own != source.digest) {
-        m_settled = { own, source.digest };
+        return;
     }
+    m_hasCaughtUp = true;
+    m_examined.push_back(source.digest);
+    if (m_examined.size() > maximumExamined)
+        m_examined.pop_front();
 }
 
 auto QuarantineSync::mayServe(Core::Instant now) -> bool
--- a/src/libs/dispatch/requestquarantine.cpp
+++ b/src/libs/dispatch/requestquarantine.cpp
@@ -3,6 +3,7 @@
 #include "core/hashing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Dispatch {
 
@@ -35,7 +36,8 @@
     const auto running = m_running.find(fingerprint);
     const auto found = m_entries.find(fingerprint);
     if (found != m_entries.end() && !isExpired(found->second.lastSeen, now)) {
-        if (found->second.upstreams.size() >= crashLimit || running != m_running.end())
+        const auto crashes = found->second.crashes.size();
+        if (crashes >= crashLimit || (crashes > 0 && running != m_running.end()))
             return false;
     }
     ++m_running[fingerprint];
@@ -47,16 +49,17 @@
     const std::lock_guard lock(m_mutex);
     decrementRunning(fingerprint);
     const auto found = m_entries.find(fingerprint);
-    if (isAnswered && found != m_entries.end() && found->second.upstreams.size() < crashLimit)
+    if (isAnswered && found != m_entries.end() && found->second.crashes.size() < crashLimit)
         m_entries.erase(found);
 }
 
-auto RequestQuarantine::clear(const RequestFingerprint& fingerprint) -> void
+auto RequestQuarantine::clear(const RequestFingerprint& fingerprint, Core::Instant now) -> void
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find(fingerprint);
-    if (found != m_entries.end() && found->second.upstreams.size() < crashLimit)
-        m_entries.erase(found);
+    if (found == m_entries.end() || found->second.crashes.size() >= crashLimit)
+        return;
+    found->second = { {}, now, now };
 }
 
 auto RequestQuarantine::endWithCrash(
@@ -66,14 +69,31 @@
     decrementRunning(fingerprint);
     // There is always room for a crash that is the last one.
     auto& entry = *entryFor(fingerprint, now, now);
-    entry.upstreams.insert(upstream);
+    entry.crashes.insert_or_assign(upstream, now);
     entry.lastSeen = now;
-    return { fingerprint, entry.upstreams };
+    CrashReport crashReport { fingerprint, {} };
+    for (const auto& [crashed, crashedAt] : entry.crashes)
+        crashReport.upstreams.insert(crashed);
+    return crashReport;
 }
 
 auto RequestQuarantine::Entry::isQuarantined(Core::Instant now) const -> bool
 {
-    return upstreams.size() >= crashLimit && !isExpired(lastSeen, now);
+    return crashes.size() >= crashLimit && !isExpired(lastSeen, now);
+}
+
+auto RequestQuarantine::Entry::lastCrashes(const RequestFingerprint& fingerprint, Core::Instant now) const
+    -> CrashReport
+{
+    std::vector<std::pair<Core::Instant, Core::UpstreamId>> byTime;
+    for (const auto& [upstream, crashedAt] : crashes)
+        byTime.emplace_back(crashedAt, upstream);
+    const auto first = byTime.end() - static_cast<std::ptrdiff_t>(std::min(byTime.size(), crashLimit));
+    std::nth_element(byTime.begin(), first, byTime.end());
+    CrashReport crashReport { fingerprint, {}, now - lastSeen, now - first->first };
+    for (auto crash = first; crash != byTime.end(); ++crash)
+        crashReport.upstreams.insert(crash->second);
+    return crashReport;
 }
 
 auto RequestQuarantine::summary(Core::Instant now) const -> QuarantineSummary
@@ -101,10 +121,8 @@
     auto item = after ? m_entries.upper_bound(*after) : m_entries.begin();
     for (; item != m_entries.end() && crashReports.size() < limit; ++item) {
         const auto& [fingerprint, entry] = *item;
-        if (!entry.isQuarantined(now))
-            continue;
-        const auto enough = std::next(entry.upstreams.begin(), crashLimit);
-        crashReports.push_back({ fingerprint, { entry.upstreams.begin(), enough }, now - entry.lastSeen });
+        if (entry.isQuarantined(now))
+            crashReports.push_back(entry.lastCrashes(fingerprint, now));
     }
     return crashReports;
 }
@@ -126,9 +144,13 @@
     auto* entry = entryFor(crashReport.fingerprint, crashedAt, now);
     if (entry == nullptr)
         return false;
-    const auto before = entry->upstreams.size();
-    entry->upstreams.insert(crashReport.upstreams.begin(), crashReport.upstreams.end());
-    if (entry->upstreams.size() == before)
+    const auto firstCrashAt = now - std::max(crashReport.firstAge, crashReport.age);
+    if (firstCrashAt <= entry->answeredAt)
+        return false;
+    const auto before = entry->crashes.size();
+    for (const auto& upstream : crashReport.upstreams)
+        entry->crashes.try_emplace(upstream, firstCrashAt);
+    if (entry->crashes.size() == before)
         return false;
     entry->lastSeen = std::max(entry->lastSeen, crashedAt);
     return true;
@@ -154,11 +176,13 @@
     std::erase_if(m_entries, [&](const auto& item) { return isExpired(item.second.lastSeen, now); });
     if (m_entries.size() < maximumEntries)
         return true;
-    const auto oldest = std::min_element(m_entries.begin(), m_entries.end(),
-        [](const auto& left, const auto& right) { return left.second.lastSeen < right.second.lastSeen; });
-    if (crashedAt < oldest->second.lastSeen)
+    const auto value
+        = [now](const auto& item) { return std::pair(item.second.isQuarantined(now), item.second.lastSeen); };
+    const auto least = std::min_element(m_entries.begin(), m_entries.end(),
+        [&](const auto& left, const auto& right) { return value(left) < value(right); });
+    if (least->second.isQuarantined(now) && crashedAt < least->second.lastSeen)
         return false;
-    m_entries.erase(oldest);
+    m_entries.erase(least);
     return true;
 }
 
--- a/src/libs/dispatch/requestquarantine.h
+++ b/src/libs/dispatch/requestquarantine.h
@@ -18,6 +18,8 @@
     std::set<Core::UpstreamId> upstreams;
     /// Time since the last of the crashes.
     Core::Duration age {};
+    /// Time since the first of them.
+    Core::Duration firstAge {};
 };
 
 /// What an entry VM refuses at one moment.
@@ -41,7 +43,8 @@
 };
 
 /// Refuses requests that crashed upstreams. Drops the crash reports of a request that is answered before it reaches
-/// the crash limit.
+/// the crash limit, and takes over no quarantine that rests on a crash before that answer: sound requests are at work
+/// at upstreams that crash for other reasons, and not every VM sees their answers.
 class RequestQuarantine : public CrashReportExchange {
 public:
     /// Number of distinct upstreams that a request must have crashed to be refused.
@@ -60,7 +63,7 @@
         -> CrashReport;
 
     /// Drops the crash reports of a request that was answered without a tryBegin(), unless it is quarantined.
-    auto clear(const RequestFingerprint& fingerprint) -> void;
+    auto clear(const RequestFingerprint& fingerprint, Core::Instant now) -> void;
 
     [[nodiscard]] auto summary(Core::Instant now) const -> QuarantineSummary override;
     [[nodiscard]] auto quarantined(const std::optional<RequestFingerprint>& after, std::size_t limit,
@@ -70,13 +73,19 @@
 private:
     struct Entry {
         [[nodiscard]] auto isQuarantined(Core::Instant now) const -> bool;
+        /// Returns the last crashes, as many as the crash limit.
+        [[nodiscard]] auto lastCrashes(const RequestFingerprint& fingerprint, Core::Instant now) const -> CrashReport;
 
-        std::set<Core::UpstreamId> upstreams;
+        /// Instant of the crash of each upstream, or an earlier one if another VM reported it.
+        std::map<Core::UpstreamId, Core::Instant> crashes;
+        /// Instant of the last crash or answer.
         Core::Instant lastSeen;
+        /// Instant of the answer that cleared the entry.
+        Core::Instant answeredAt = Core::Instant::min();
     };
 
     auto mergeReport(const CrashReport& crashReport, Core::Instant now) -> bool;
-    /// Returns the entry for a crash at the given instant, or null if all entries are of later crashes.
+    /// Returns the entry for a crash at the given instant, or null if all others are quarantined for later crashes.
     auto entryFor(const RequestFingerprint& fingerprint, Core::Instant crashedAt, Core::Instant now) -> Entry*;
     auto makeRoom(Core::Instant crashedAt, Core::Instant now) -> bool;
     auto decrementRunning(const RequestFingerprint& fingerprint) -> void;
--- a/src/libs/forwarding/crashguard.cpp
+++ b/src/libs/forwarding/crashguard.cpp
@@ -17,7 +17,10 @@
     return m_quarantine.isQuarantined(request, m_environment.clock.now());
 }
 
-auto CrashGuard::recordAnswer(const Dispatch::RequestFingerprint& request) -> void { m_quarantine.clear(request); }
+auto CrashGuard::recordAnswer(const Dispatch::RequestFingerprint& request) -> void
+{
+    m_quarantine.clear(request, m_environment.clock.now());
+}
 
 auto CrashGuard::recordLoss(const Dispatch::RequestFingerprint& request, const Ports::UpstreamTarget& target,
     const std::string& healthPath) -> void
--- a/src/libs/forwardinghost/entryvm.cpp
+++ b/src/libs/forwardinghost/entryvm.cpp
@@ -298,6 +298,7 @@
 {
     m_registry.expectOutdatedEntries();
     m_forwarder.markUpstreamsUnverified();
+    m_quarantineSync.catchUp();
 }
 
 auto EntryVm::storeLost() -> void
--- a/src/libs/forwardinghost/entryvm.h
+++ b/src/libs/forwardinghost/entryvm.h
@@ -74,7 +74,8 @@
     auto applyRetryAllowance() -> void;
     auto setUpstreams(const Forwarding::UpstreamEntries& entries) -> void;
     auto setEvacuated(const Forwarding::EvacuatedDomains& domains) -> void;
-    /// Marks all upstreams as unverified and expects outdated entries, because changes during the pause were missed.
+    /// Marks all upstreams as unverified, expects outdated entries and asks for quarantined requests, because changes
+    /// during the pause were missed.
     auto recoverFromPause() -> void;
     auto startFollowing() -> void;
     auto follow(const Ports::CollectionName& name, StoreSync::CollectionListener& listener) -> void;
--- a/src/plugins/crashreportpeer/crashreportcodec.cpp
+++ b/src/plugins/crashreportpeer/crashreportcodec.cpp
@@ -8,13 +8,18 @@
 
     using nlohmann::json;
 
-    /// Position of the age in milliseconds, which a report of a crash that has just happened may lack.
+    /// Positions of the ages of the last crash and of the first one in milliseconds. Processes of an earlier version
+    /// report crashes that have just happened, without ages.
     constexpr std::size_t ageIndex = 3;
+    constexpr std::size_t firstAgeIndex = 4;
 
-    auto decodeAge(const json& value) -> Core::Duration
+    /// Rounds up, so that no quarantine is prolonged.
+    auto encodeAge(Core::Duration age) -> json { return std::chrono::ceil<Core::Millis>(age).count(); }
+
+    auto decodeAge(const json& value, Core::Millis longest) -> Core::Duration
     {
         const auto age = value.get<Core::Millis::rep>();
-        if (age < 0 || age > Core::Millis(Dispatch::RequestQuarantine::quarantineTime).count())
+        if (age < 0 || age > longest.count())
             throw std::out_of_range("the age is not in the expected range");
         return Core::Millis(age);
     }
@@ -38,8 +43,8 @@
     for (const auto& upstream : crashReport.upstreams)
         upstreams.push_back(upstream.value());
     fields.push_back(std::move(upstreams));
-    // Rounded up, so that no quarantine is prolonged.
-    fields.push_back(std::chrono::ceil<Core::Millis>(crashReport.age).count());
+    fields.push_back(encodeAge(crashReport.age));
+    fields.push_back(encodeAge(crashReport.firstAge));
     return fields;
 }
 
@@ -51,7 +56,9 @@
     if (crashReport.upstreams.empty())
         throw std::out_of_range("no upstream is named");
     if (fields.size() > ageIndex)
-        crashReport.age = decodeAge(fields.at(ageIndex));
+        crashReport.age = decodeAge(fields.at(ageIndex), Dispatch::RequestQuarantine::quarantineTime);
+    if (fields.size() > firstAgeIndex)
+        crashReport.firstAge = decodeAge(fields.at(firstAgeIndex), Core::Millis::max());
     return crashReport;
 }
 
--- a/tests/auto/crashreports/tst_quarantinesync.cpp
+++ b/tests/auto/crashreports/tst_quarantinesync.cpp
@@ -32,6 +32,14 @@
     return reports;
 }
 
+/// Report of a request that has crashed a second upstream now, minutes after the first.
+auto oldReport(std::uint64_t number) -> Dispatch::CrashReport
+{
+    auto crashes = report(number);
+    crashes.firstAge = std::chrono::minutes(5);
+    return crashes;
+}
+
 /// Entry VM with nothing but its quarantine.
 struct Vm {
     Vm(Fakes::VirtualWorld& world, const std::string& name)
@@ -61,6 +69,13 @@
             other.sync.receive(one.address, one.sync.digest());
     }
 
+    /// Has the first VM find a request that crashes two upstreams, minutes apart.
+    auto findOverALongTime() -> void
+    {
+        world.runFor(std::chrono::minutes(10));
+        one.quarantine.merge({ oldReport(1) }, world.now());
+    }
+
     [[nodiscard]] auto isAlike() -> bool { return one.sync.digest() == other.sync.digest(); }
 
     Fakes::VirtualWorld world { 1 };
@@ -114,6 +129,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/// A seed of tst_forwardingsoak: what one VM refused wrongly was refused by all, restarts included, and kept up.
+BOOST_AUTO_TEST_SUITE(ThatAnotherVmAloneHasFoundOverALongTime)
+
+BOOST_AUTO_TEST_CASE(LeavesThemToThatOneIfItWasThereAllTheTime)
+{
+    findOverALongTime();
+    compareFor(std::chrono::seconds(10));
+    BOOST_TEST(other.sync.requests() == 0U);
+    BOOST_TEST(other.sync.counts().fetched == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TakesThemOverIfItWasPausedMeanwhile)
+{
+    findOverALongTime();
+    compareFor(std::chrono::seconds(10));
+    other.sync.catchUp();
+    compareFor(std::chrono::seconds(2));
+    BOOST_TEST(isAlike());
+}
+
+BOOST_AUTO_TEST_CASE(TakesThemOverFromOneOnlyAfterAPause)
+{
+    findOverALongTime();
+    Vm third { world, "third" };
+    third.quarantine.merge({ oldReport(2) }, world.now());
+    other.sync.catchUp();
+    for (int heartbeat = 0; heartbeat < 20; ++heartbeat) {
+        other.sync.receive(one.address, one.sync.digest());
+        other.sync.receive(third.address, third.sync.digest());
+        world.runFor(Core::Millis(700));
+    }
+    BOOST_TEST(other.sync.requests() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatLacksNone)
 
 BOOST_AUTO_TEST_CASE(AsksOnce)
--- a/tests/auto/dispatch/tst_requestquarantine.cpp
+++ b/tests/auto/dispatch/tst_requestquarantine.cpp
@@ -44,6 +44,19 @@
     BOOST_TEST(!quarantine.isQuarantined(harmful, now + RequestQuarantine::quarantineTime));
 }
 
+/// A seed of tst_forwardingsoak: all VMs refused sound requests that one VM had not seen answered between two crashes.
+BOOST_AUTO_TEST_CASE(IsNotRefusedIfItWasAnsweredBetweenTheCrashes)
+{
+    RequestQuarantine quarantine;
+    quarantine.merge({ { harmful, { Core::UpstreamId("u1") } } }, now);
+    quarantine.clear(harmful, now + Core::Millis(1000));
+    const auto later = now + Core::Millis(3000);
+    BOOST_TEST(!quarantine.merge({ { harmful, report(harmful).upstreams, {}, Core::Millis(3000) } }, later));
+    BOOST_TEST(!quarantine.isQuarantined(harmful, later));
+    BOOST_TEST(quarantine.merge({ { harmful, report(harmful).upstreams, {}, Core::Millis(1999) } }, later));
+    BOOST_TEST(quarantine.isQuarantined(harmful, later));
+}
+
 BOOST_AUTO_TEST_CASE(IsForgottenIfItsTimeHasPassed)
 {
     RequestQuarantine quarantine;
